--- /dev/null
+++ b/api/headers.go
@@ -0,0 +1,9 @@
+package api
+
+// Header names of the callers' interface.
+const (
+	HeaderTimeout        = "Request-Timeout"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequest        = "Request-Id"
+	HeaderVM             = "Request-Vm"
+)
--- /dev/null
+++ b/cmd/anvilcourse/path_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"debug/elf"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/examples"
+	"github.com/anvilcourse/anvilcourse/settings"
+	"github.com/anvilcourse/anvilcourse/standin"
+	"github.com/anvilcourse/anvilcourse/testbed"
+)
+
+// withdrawalBound is the time within which a withdrawn key is out of force
+// everywhere.
+const withdrawalBound = 3 * time.Second
+
+func startUser(t *testing.T, user string, entries int) (*testbed.System, settings.Catalog) {
+	t.Helper()
+	s, err := examples.Standin(user)
+	require.NoError(t, err)
+	catalog, err := examples.Catalog(user)
+	require.NoError(t, err)
+	sys := testbed.New(t, s, entries)
+	sys.Publish(catalog)
+	sys.WaitCapacity(50, catalog.Workspaces[0].Team, catalog.Workspaces[0].Limit)
+	return sys, catalog
+}
+
+func submitOK(t *testing.T, client *api.Client, queue, body string) {
+	t.Helper()
+	reply, err := client.Submit(context.Background(), queue, []byte(body), 5*time.Second, "")
+	require.NoError(t, err)
+	var answer standin.TaskAnswer
+	require.NoError(t, json.Unmarshal(reply.Body, &answer))
+	require.Equal(t, standin.Digest([]byte(body)), answer.Digest)
+	require.Equal(t, reply.Request, answer.Task)
+}
+
+func statusOf(err error) int {
+	var problem *api.Problem
+	if errors.As(err, &problem) {
+		return problem.Status
+	}
+	return 0
+}
+
+// TestPath_ThroughEveryEntry covers the whole path over separate processes:
+// answers through each entry, the loss of one, and a withdrawn key.
+func TestPath_ThroughEveryEntry(t *testing.T) {
+	sys, catalog := startUser(t, "apitt", 3)
+	queue := catalog.Workspaces[0].Name + ".quotes"
+	key := sys.GrantKey(catalog.Workspaces[0].Name)
+	for i := range sys.Entries {
+		submitOK(t, sys.Caller(i, key.Key), queue, `{"work_ms":5}`)
+	}
+
+	sys.Entries[0].Kill()
+	for i := 1; i < len(sys.Entries); i++ {
+		submitOK(t, sys.Caller(i, key.Key), queue, `{"work_ms":5}`)
+	}
+
+	start := time.Now()
+	withdrawn := make(chan error, 1)
+	go func() {
+		_, err := sys.Operator(1).WithdrawKey(context.Background(), key.Hash)
+		withdrawn <- err
+	}()
+	sys.Wait("the key to be refused at every entry", func() bool {
+		for i := 1; i < len(sys.Entries); i++ {
+			_, err := sys.Caller(i, key.Key).Submit(context.Background(), queue, []byte(`{}`), time.Second, "")
+			if statusOf(err) != 401 {
+				return false
+			}
+		}
+		return true
+	})
+	require.Less(t, time.Since(start), withdrawalBound)
+	require.NoError(t, <-withdrawn)
+}
+
+// TestPath_GracefulStop checks that a planned stop of an entry cuts nothing.
+func TestPath_GracefulStop(t *testing.T) {
+	sys, catalog := startUser(t, "pakhtun", 2)
+	queue := catalog.Workspaces[0].Name + ".matches"
+	key := sys.GrantKey(catalog.Workspaces[0].Name)
+	result := make(chan error)
+	go func() {
+		_, err := sys.Caller(0, key.Key).Submit(context.Background(), queue, []byte(`{"work_ms":1500}`), 5*time.Second, "")
+		result <- err
+	}()
+	sys.Wait("the request to run", func() bool { return sys.Record().Running[catalog.Workspaces[0].Team] == 1 })
+	require.Equal(t, 0, sys.Entries[0].Stop(t))
+	require.NoError(t, <-result)
+	require.Zero(t, sys.Record().CutTasks)
+	submitOK(t, sys.Caller(1, key.Key), queue, `{"work_ms":5}`)
+}
+
+// TestBinary_LinksLibc checks that the binary is linked to the C library as
+// usual.
+func TestBinary_LinksLibc(t *testing.T) {
+	file, err := elf.Open(testbed.Binary(t))
+	require.NoError(t, err)
+	defer file.Close()
+	libraries, err := file.ImportedLibraries()
+	require.NoError(t, err)
+	require.Contains(t, libraries, "libc.so.6")
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/standin"
+)
+
+// tally counts the outcomes of a load.
+type tally struct {
+	mu       sync.Mutex
+	answered int
+	notRun   int
+	failed   int
+	unknown  int
+	wrong    int
+	latency  *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+// add counts the end of one request.
+func (t *tally) add(body []byte, reply api.Reply, took time.Duration, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		t.answered++
+		_ = t.latency.RecordValue(took.Microseconds())
+		if !belongs(body, reply) {
+			t.wrong++
+		}
+		return
+	}
+	var problem *api.Problem
+	if !errors.As(err, &problem) {
+		t.unknown++
+		return
+	}
+	switch problem.Outcome {
+	case "not_run":
+		t.notRun++
+	case "failed":
+		t.failed++
+	default:
+		t.unknown++
+	}
+}
+
+// belongs reports whether the answer is whole and is that of the request.
+func belongs(body []byte, reply api.Reply) bool {
+	var answer standin.TaskAnswer
+	if err := json.Unmarshal(reply.Body, &answer); err != nil {
+		return false
+	}
+	return answer.Digest == standin.Digest(body) && answer.Task == reply.Request
+}
+
+// submitMany sends count requests of a queue through the clients, a few at a
+// time, and returns what came of them.
+func submitMany(ctx context.Context, clients []*api.Client, queue string, count, parallel int, t *tally) {
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range parallel {
+		wg.Go(func() {
+			for i := range work {
+				body := fmt.Appendf(nil, `{"queue":%q,"number":%d,"work_ms":%d}`, queue, i, 5+i%20)
+				start := time.Now()
+				reply, err := clients[i%len(clients)].Submit(ctx, queue, body, 5*time.Second, "")
+				t.add(body, reply, time.Since(start), err)
+			}
+		})
+	}
+	for i := range count {
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+}
--- /dev/null
+++ b/demo/system.go
@@ -0,0 +1,145 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/entry"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
+	"github.com/anvilcourse/anvilcourse/standin"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	operatorKey  = "demo-operator-key"
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// system is a stand-in with entries in this process.
+type system struct {
+	standin *standin.Server
+	apps    []*fx.App
+	entries []settings.Entry
+	http    *http.Client
+}
+
+// startSystem starts the stand-in and the entries and waits until all are
+// ready.
+func startSystem(ctx context.Context, entries int, s settings.Standin) (*system, error) {
+	s.Listen = "127.0.0.1:0"
+	server, err := standin.Start(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "start the stand-in")
+	}
+	sys := &system{standin: server, http: platform.NewHTTPClient()}
+	for i := range entries {
+		if err := sys.startEntry(ctx, i); err != nil {
+			sys.close()
+			return nil, err
+		}
+	}
+	if err := sys.awaitReady(ctx); err != nil {
+		sys.close()
+		return nil, err
+	}
+	return sys, nil
+}
+
+func (s *system) startEntry(ctx context.Context, index int) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	cfg := settings.DefaultEntry()
+	cfg.Name = fmt.Sprintf("entry-%d", index+1)
+	cfg.AvailabilityZone = fmt.Sprintf("az-%d", index%4+1)
+	cfg.Callers, cfg.Operators, cfg.Peers = addresses[0], addresses[1], addresses[2]
+	cfg.Platform = s.standin.URL()
+	cfg.OperatorKeyHashes = []string{statemachine.HashKey(operatorKey)}
+	cfg.LogLevel = "error"
+	app := entry.New(cfg)
+	if err := app.Start(ctx); err != nil {
+		return errors.Wrapf(err, "start %s", cfg.Name)
+	}
+	s.apps = append(s.apps, app)
+	s.entries = append(s.entries, cfg)
+	return nil
+}
+
+// freeAddresses returns loopback addresses whose ports were free just now.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		out = append(out, listener.Addr().String())
+	}
+	return out, nil
+}
+
+func (s *system) awaitReady(ctx context.Context) error {
+	return poll(ctx, readyTimeout, "the entries to be ready", func() bool {
+		for _, e := range s.entries {
+			resp, err := s.http.Get("http://" + e.Operators + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// poll waits until done or the timeout.
+func poll(ctx context.Context, timeout time.Duration, what string, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("timed out waiting for %s", what)
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+func (s *system) operator(index int) *api.Client {
+	return api.NewClient("http://"+s.entries[index].Operators, operatorKey, s.http)
+}
+
+func (s *system) caller(index int, key string) *api.Client {
+	return api.NewClient("http://"+s.entries[index].Callers, key, s.http)
+}
+
+// close stops the entries gracefully and then the stand-in.
+func (s *system) close() {
+	done := make(chan struct{})
+	for _, app := range s.apps {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+			defer cancel()
+			_ = app.Stop(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range s.apps {
+		<-done
+	}
+	_ = s.standin.Close()
+}
--- /dev/null
+++ b/dispatch/limbo.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+const (
+	limboInterval = 200 * time.Millisecond
+	limboTimeout  = 500 * time.Millisecond
+	// settleAfter is the time after which a start that the VM does not list
+	// cannot begin any more: its slot lease has lapsed and the VM's record has
+	// caught up.
+	settleAfter = 4 * time.Second
+)
+
+// Limbo holds the starts whose end is not known. Each keeps its unit of the
+// team's allotment until the VM's own record shows that it does not run.
+type Limbo struct {
+	workers platform.Workers
+	clock   clockwork.Clock
+	release func(team string)
+
+	mu    sync.Mutex
+	tasks map[limboKey]limboTask
+}
+
+type limboKey struct {
+	id      string
+	attempt int
+}
+
+type limboTask struct {
+	team    string
+	address string
+	since   time.Time
+}
+
+// NewLimbo returns an empty limbo. Release is called once per settled start.
+func NewLimbo(workers platform.Workers, clock clockwork.Clock, release func(team string)) *Limbo {
+	return &Limbo{workers: workers, clock: clock, release: release, tasks: make(map[limboKey]limboTask)}
+}
+
+// Add takes a start whose end is not known.
+func (l *Limbo) Add(task platform.Task, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := limboKey{id: task.ID, attempt: task.Attempt}
+	l.tasks[key] = limboTask{team: task.Team, address: address, since: l.clock.Now()}
+}
+
+// Len returns the number of starts whose end is not known.
+func (l *Limbo) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.tasks)
+}
+
+// Run settles starts until the context ends.
+func (l *Limbo) Run(ctx context.Context) {
+	ticker := l.clock.NewTicker(limboInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			l.settleAll(ctx)
+		}
+	}
+}
+
+func (l *Limbo) settleAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for address := range l.addresses() {
+		wg.Go(func() { l.settle(ctx, address) })
+	}
+	wg.Wait()
+}
+
+func (l *Limbo) addresses() map[string]struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]struct{})
+	for _, task := range l.tasks {
+		out[task.address] = struct{}{}
+	}
+	return out
+}
+
+// settle asks one VM for its record and releases what does not run there.
+func (l *Limbo) settle(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, limboTimeout)
+	defer cancel()
+	asked := l.clock.Now()
+	list, err := l.workers.ListTasks(ctx, address)
+	if err != nil {
+		return
+	}
+	states := make(map[limboKey]platform.TaskState, len(list.Tasks))
+	for _, task := range list.Tasks {
+		states[limboKey{id: task.ID, attempt: task.Attempt}] = task.State
+	}
+	for key, task := range l.at(address) {
+		state, listed := states[key]
+		if state == platform.TaskRunning {
+			continue
+		}
+		if !listed && asked.Sub(task.since) < settleAfter {
+			continue
+		}
+		l.remove(key, task)
+	}
+}
+
+func (l *Limbo) at(address string) map[limboKey]limboTask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[limboKey]limboTask)
+	for key, task := range l.tasks {
+		if task.address == address {
+			out[key] = task
+		}
+	}
+	return out
+}
+
+func (l *Limbo) remove(key limboKey, task limboTask) {
+	l.mu.Lock()
+	_, ok := l.tasks[key]
+	delete(l.tasks, key)
+	l.mu.Unlock()
+	if ok {
+		l.release(task.team)
+	}
+}
--- /dev/null
+++ b/dispatch/outcome.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import "time"
+
+// Kind tells how a request ended.
+type Kind string
+
+const (
+	// Answered means that the whole answer is there.
+	Answered Kind = "answered"
+	// NotRun means that the request did not run and never will.
+	NotRun Kind = "not_run"
+	// Failed means that the request ran and ended in failure.
+	Failed Kind = "failed"
+	// Unknown means that the request may have run.
+	Unknown Kind = "unknown"
+)
+
+// Code is the machine-readable reason of an outcome that is no answer.
+type Code string
+
+const (
+	CodeNoKey          Code = "no_key"
+	CodeUnknownKey     Code = "unknown_key"
+	CodeForeignQueue   Code = "foreign_queue"
+	CodeNoQueue        Code = "no_queue"
+	CodeNotFresh       Code = "configuration_not_fresh"
+	CodeTeamLimit      Code = "team_limit"
+	CodeNoCapacity     Code = "no_capacity"
+	CodeTimeout        Code = "timeout"
+	CodeTaskFailed     Code = "task_failed"
+	CodeReplyLost      Code = "reply_lost"
+	CodeStopping       Code = "stopping"
+	CodeWrongClass     Code = "wrong_class"
+	CodeNotImplemented Code = "not_implemented"
+)
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Kind Kind
+	Code Code
+	// Message is one sentence for people.
+	Message string
+	// RetryAfter is when a refused caller may try again, or 0.
+	RetryAfter time.Duration
+	// Answer is the whole answer of an answered request.
+	Answer []byte
+	// Request is the ID of the request.
+	Request string
+	// Team is the team that the request ran for, or "" if it was refused before.
+	Team string
+	// VM is the target that answered.
+	VM string
+	// Attempts counts the starts that were sent.
+	Attempts int
+}
+
+func notRun(code Code, message string, retryAfter time.Duration) Outcome {
+	return Outcome{Kind: NotRun, Code: code, Message: message, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
+
+// maxTimeout bounds the patience that a caller may name.
+const maxTimeout = 24 * time.Hour
+
+// callers is the HTTP interface for callers.
+type callers struct {
+	settings   settings.Entry
+	dispatcher *dispatch.Dispatcher
+}
+
+func newCallersHandler(s settings.Entry, d *dispatch.Dispatcher) *gin.Engine {
+	c := &callers{settings: s, dispatcher: d}
+	engine := newEngine()
+	engine.POST("/v1/queues/:queue/requests", c.submit)
+	return engine
+}
+
+func newEngine() *gin.Engine {
+	engine := gin.New()
+	engine.NoRoute(func(g *gin.Context) {
+		writeProblem(g, http.StatusNotFound, "no_route", "there is nothing at "+g.Request.Method+" "+g.Request.URL.Path)
+	})
+	return engine
+}
+
+func (c *callers) submit(g *gin.Context) {
+	timeout, err := parseTimeout(g.GetHeader(api.HeaderTimeout))
+	if err != nil {
+		writeProblem(g, http.StatusBadRequest, "bad_timeout", err.Error())
+		return
+	}
+	body, ok := c.readBody(g)
+	if !ok {
+		return
+	}
+	outcome := c.dispatcher.Do(g.Request.Context(), dispatch.Request{
+		Queue:          g.Param("queue"),
+		Key:            bearer(g),
+		Body:           body,
+		Timeout:        timeout,
+		IdempotencyKey: g.GetHeader(api.HeaderIdempotencyKey),
+	})
+	writeOutcome(g, outcome)
+}
+
+// readBody reads the whole request body, or answers why it cannot.
+func (c *callers) readBody(g *gin.Context) ([]byte, bool) {
+	limited := http.MaxBytesReader(g.Writer, g.Request.Body, c.settings.MaxBodyBytes)
+	body, err := io.ReadAll(limited)
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeProblem(g, http.StatusRequestEntityTooLarge, "body_too_large",
+			"the body is over the limit of "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+		return nil, false
+	}
+	writeProblem(g, http.StatusBadRequest, "unreadable_body", "the body cannot be read: "+err.Error())
+	return nil, false
+}
+
+// parseTimeout reads the patience in seconds. Without one it returns 0.
+func parseTimeout(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	timeout := time.Duration(seconds * float64(time.Second))
+	if err != nil || !(seconds > 0 && seconds <= maxTimeout.Seconds()) || timeout <= 0 {
+		return 0, errors.Newf("%s must be a number of seconds above 0 and up to %.0f, not %q", api.HeaderTimeout, maxTimeout.Seconds(), text)
+	}
+	return timeout, nil
+}
+
+func bearer(g *gin.Context) string {
+	key, ok := strings.CutPrefix(g.GetHeader("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// statusOf maps an outcome that is no answer to its HTTP status.
+func statusOf(o dispatch.Outcome) int {
+	switch o.Code {
+	case dispatch.CodeNoKey, dispatch.CodeUnknownKey:
+		return http.StatusUnauthorized
+	case dispatch.CodeForeignQueue:
+		return http.StatusForbidden
+	case dispatch.CodeNoQueue:
+		return http.StatusNotFound
+	case dispatch.CodeTeamLimit:
+		return http.StatusTooManyRequests
+	case dispatch.CodeWrongClass, dispatch.CodeNotImplemented:
+		return http.StatusNotImplemented
+	case dispatch.CodeTaskFailed:
+		return http.StatusBadGateway
+	case dispatch.CodeReplyLost, dispatch.CodeTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeOutcome(g *gin.Context, o dispatch.Outcome) {
+	g.Header(api.HeaderRequest, o.Request)
+	if o.Kind == dispatch.Answered {
+		g.Header(api.HeaderVM, o.VM)
+		g.Data(http.StatusOK, "application/json", o.Answer)
+		return
+	}
+	if o.RetryAfter > 0 {
+		seconds := max(1, int(o.RetryAfter.Round(time.Second).Seconds()))
+		g.Header("Retry-After", strconv.Itoa(seconds))
+	}
+	writeProblemBody(g, api.Problem{
+		Title: string(o.Code), Status: statusOf(o), Detail: o.Message, Outcome: string(o.Kind), Request: o.Request,
+	})
+}
+
+// writeProblem refuses a request that did not run.
+func writeProblem(g *gin.Context, status int, title, detail string) {
+	writeProblemBody(g, api.Problem{Title: title, Status: status, Detail: detail, Outcome: string(dispatch.NotRun)})
+}
+
+func writeProblemBody(g *gin.Context, p api.Problem) {
+	g.Header("Content-Type", api.ProblemType)
+	g.AbortWithStatusJSON(p.Status, p)
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+)
+
+// currentFor is the age up to which the control state counts as current.
+const currentFor = 2 * time.Second
+
+// control is the control stream together with what the other entries say of
+// it.
+type control struct {
+	*logstream.Stream
+	membership *membership.Membership
+}
+
+// Current implements dispatch.Control. The state is current if this entry has
+// read the end of the stream lately. Without the log it is current only while
+// more than half of the entries, this one included, are reachable and none of
+// them can read the log or has applied more: then nothing new can have been
+// accepted.
+func (c *control) Current() bool {
+	if c.Age() <= currentFor {
+		return true
+	}
+	state := c.State()
+	reached := 1
+	for _, member := range c.membership.Reachable() {
+		if _, ok := state.Entries.Get(member.Incarnation); !ok {
+			continue
+		}
+		if member.Last.GetLogReadable() || member.Last.GetApplied() > state.Next {
+			return false
+		}
+		reached++
+	}
+	return 2*reached > state.Entries.Len()
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/peer"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/settings"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/timeline"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	joinRetry         = 200 * time.Millisecond
+	drainPoll         = 10 * time.Millisecond
+	// unreadyFor lets the balancer notice that the entry is not ready before
+	// it refuses requests.
+	unreadyFor = 500 * time.Millisecond
+)
+
+// parts are what the daemon runs.
+type parts struct {
+	fx.In
+
+	Settings   settings.Entry
+	ID         identity
+	Logger     hclog.Logger
+	Stream     *logstream.Stream
+	Control    *control
+	Membership *membership.Membership
+	PeerClient *peer.Client
+	Describer  *describer
+	Placer     *placement.Placer
+	Limbo      *dispatch.Limbo
+	Dispatcher *dispatch.Dispatcher
+	Ledger     *quota.Ledger
+	Allotter   *quota.Allotter
+	FleetWatch *fleetWatch
+	Ring       *timeline.Ring
+	Ready      *readiness
+}
+
+// daemon is the running entry.
+type daemon struct {
+	parts
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	callers    *http.Server
+	operators  *http.Server
+	peers      *peer.Server
+}
+
+// register ties the daemon to the application's life cycle.
+func register(lifecycle fx.Lifecycle, p parts) {
+	d := &daemon{parts: p}
+	lifecycle.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+}
+
+// start opens the listeners and the background work. It does not wait for
+// the log: the entry reports itself not ready until it has joined.
+func (d *daemon) start(context.Context) error {
+	gin.SetMode(gin.ReleaseMode)
+	listeners, err := listenAll(d.Settings.Peers, d.Settings.Operators, d.Settings.Callers)
+	if err != nil {
+		return err
+	}
+	d.peers = peer.NewServer(listeners[0], &peerHandler{describer: d.Describer}, d.Logger)
+	d.operators = newHTTPServer(d.operatorsHandler())
+	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher))
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.run(d.peers.Serve)
+	d.run(func() { _ = d.operators.Serve(listeners[1]) })
+	d.run(func() { _ = d.callers.Serve(listeners[2]) })
+	for _, work := range []func(context.Context){
+		d.Stream.Run, d.Membership.Run, d.Placer.Run, d.Limbo.Run, d.Allotter.Run, d.FleetWatch.run, d.join,
+	} {
+		d.run(func() { work(ctx) })
+	}
+	d.Logger.Info("entry started", "callers", d.Settings.Callers, "operators", d.Settings.Operators, "peers", d.Settings.Peers)
+	return nil
+}
+
+func (d *daemon) run(work func()) {
+	d.background.Go(work)
+}
+
+func (d *daemon) operatorsHandler() http.Handler {
+	o := &operators{
+		settings: d.Settings, id: d.ID, control: d.Control, membership: d.Membership, dispatcher: d.Dispatcher,
+		limbo: d.Limbo, ledger: d.Ledger, ring: d.Ring, ready: d.Ready,
+	}
+	return o.handler()
+}
+
+// join writes the entry's membership until it is in the control state.
+func (d *daemon) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, err := d.Stream.Propose(ctx, &statemachine.EntryJoin{Entry: statemachine.Entry{
+			Incarnation:      d.ID.incarnation,
+			Name:             d.Settings.Name,
+			AvailabilityZone: d.Settings.AvailabilityZone,
+			Peers:            d.Settings.Peers,
+			Callers:          d.Settings.Callers,
+			Operators:        d.Settings.Operators,
+		}})
+		if err == nil {
+			d.Logger.Info("entry joined", "offset", d.Stream.State().Next)
+			return
+		}
+		d.Logger.Warn("entry has not joined yet", "error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// stop ends the entry without cutting a request: it reports itself not ready,
+// finishes what runs, leaves and then closes.
+func (d *daemon) stop(ctx context.Context) error {
+	d.Ready.stopping.Store(true)
+	time.Sleep(unreadyFor)
+	d.Dispatcher.Stop()
+	deadline, cancel := context.WithTimeout(ctx, d.Settings.StopTimeout.Duration())
+	defer cancel()
+	if !d.drain(deadline) {
+		d.Logger.Error("graceful stop timed out", "inflight", d.Dispatcher.Inflight(), "unsettled", d.Limbo.Len())
+	} else {
+		d.leave(deadline)
+	}
+	_ = d.callers.Shutdown(deadline)
+	_ = d.operators.Shutdown(deadline)
+	d.peers.Close()
+	d.PeerClient.Close()
+	d.cancel()
+	d.background.Wait()
+	d.Logger.Info("entry stopped")
+	return nil
+}
+
+// drain waits until nothing runs and reports whether that came in time.
+func (d *daemon) drain(ctx context.Context) bool {
+	for d.Dispatcher.Inflight() > 0 || d.Limbo.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(drainPoll):
+		}
+	}
+	return true
+}
+
+// leave gives up the membership and with it the allotments.
+func (d *daemon) leave(ctx context.Context) {
+	_, err := d.Stream.Propose(ctx, &statemachine.EntryLeave{Incarnation: d.ID.incarnation})
+	if err != nil {
+		d.Logger.Warn("entry has not left the membership", "error", err.Error())
+	}
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// listenAll opens a listener per address, or none.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range out {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		out = append(out, listener)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/entry/fleetwatch.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	listInterval = 500 * time.Millisecond
+	listTimeout  = time.Second
+)
+
+// fleetWatch follows the platform's VM list: it tells the placer which VMs
+// are live and registers new ones.
+type fleetWatch struct {
+	self   string
+	vms    platform.VMs
+	placer *placement.Placer
+	stream *logstream.Stream
+	clock  clockwork.Clock
+	logger hclog.Logger
+}
+
+func (f *fleetWatch) run(ctx context.Context) {
+	ticker := f.clock.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		f.once(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (f *fleetWatch) once(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	asked := f.clock.Now()
+	list, err := f.vms.List(ctx)
+	if err != nil {
+		f.logger.Debug("VM list not read", "error", err.Error())
+		return
+	}
+	f.placer.Observe(list, asked)
+	if isFirst(f.stream.State(), f.self) {
+		f.register(ctx, list)
+	}
+}
+
+// register proposes the listed VMs that the control state lacks. A record
+// that another entry wrote first makes this one void.
+func (f *fleetWatch) register(ctx context.Context, list []platform.VMInfo) {
+	state := f.stream.State()
+	var wg sync.WaitGroup
+	for _, info := range list {
+		_, known := state.VMs.Get(info.ID)
+		_, pooled := state.Pools.Get(info.Pool)
+		if known || !pooled || info.State != platform.VMLive {
+			continue
+		}
+		wg.Go(func() {
+			_, err := f.stream.Propose(ctx, &statemachine.VMAdd{VM: vmOf(info)})
+			if err != nil {
+				f.logger.Debug("VM not registered", "vm", info.ID, "error", err.Error())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func vmOf(info platform.VMInfo) statemachine.VM {
+	return statemachine.VM{
+		ID: info.ID, Address: info.Address, Pool: info.Pool,
+		AvailabilityZone: info.AvailabilityZone, Rack: info.Rack, Slots: info.Slots,
+	}
+}
+
+// isFirst reports whether the incarnation is the first member in order. It
+// spares the others the work, and two first ones at once do no harm.
+func isFirst(state *statemachine.State, self string) bool {
+	for incarnation := range state.Entries.All() {
+		return incarnation == self
+	}
+	return false
+}
--- /dev/null
+++ b/entry/heartbeat.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/quota"
+)
+
+// describer makes the own heartbeat.
+type describer struct {
+	id     identity
+	stream *logstream.Stream
+	ledger *quota.Ledger
+}
+
+func (d *describer) describe() *peerpb.Heartbeat {
+	out := &peerpb.Heartbeat{
+		Incarnation:  d.id.incarnation,
+		Applied:      d.stream.State().Next,
+		ControlAgeMs: ageMS(d.stream.Age()),
+		LogReadable:  d.stream.Age() <= currentFor,
+	}
+	for team, usage := range d.ledger.Teams() {
+		out.Teams = append(out.Teams, &peerpb.TeamLoad{Team: team, Running: int64(usage.Running)})
+	}
+	return out
+}
+
+// ageMS converts an age to milliseconds, or -1 if it is beyond a day.
+func ageMS(age time.Duration) int64 {
+	if age > 24*time.Hour {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// peerHandler answers the calls of other entries.
+type peerHandler struct {
+	describer *describer
+}
+
+// HandlePeer implements peer.Handler.
+func (h *peerHandler) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
+	switch req.GetBody().(type) {
+	case *peerpb.Request_Heartbeat:
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: h.describer.describe()}}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/entry/module.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/peer"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/settings"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/timeline"
+)
+
+const (
+	controlStream = "control"
+	ringSize      = 16384
+)
+
+// New returns the daemon as an fx application.
+func New(s settings.Entry) *fx.App {
+	return fx.New(
+		fx.Supply(s),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
+		platformModule,
+		coreModule,
+		fx.Invoke(register),
+	)
+}
+
+// stopGrace is added to the stop timeout for what follows the last request.
+const stopGrace = 5 * time.Second
+
+// platformModule provides the adapters to the platform.
+var platformModule = fx.Module("platform",
+	fx.Provide(
+		clockwork.NewRealClock,
+		newLogger,
+		newIdentity,
+		newPlatformClient,
+		newLog,
+		newVMs,
+		newWorkers,
+	),
+)
+
+// coreModule provides the parts of the entry.
+var coreModule = fx.Module("core",
+	fx.Provide(
+		newStream,
+		quota.NewLedger,
+		newPlacer,
+		newRing,
+		newLimbo,
+		peer.NewClient,
+		newDescriber,
+		newMembership,
+		newControl,
+		newDispatcher,
+		newAllotter,
+		newFleetWatch,
+		newReadiness,
+	),
+)
+
+func newLogger(s settings.Entry, id identity) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Level:      hclog.LevelFromString(s.LogLevel),
+		Output:     os.Stderr,
+		JSONFormat: true,
+	}).With("entry", id.incarnation)
+}
+
+// newPlatformClient names the entry to the platform in the User-Agent header.
+func newPlatformClient(s settings.Entry) *http.Client {
+	client := platform.NewHTTPClient()
+	client.Transport = &userAgent{name: s.Name, next: client.Transport}
+	return client
+}
+
+func newLog(s settings.Entry, client *http.Client) platform.Log {
+	return platform.NewHTTPLog(s.Platform, client)
+}
+
+func newVMs(s settings.Entry, client *http.Client) platform.VMs {
+	return platform.NewHTTPVMs(s.Platform, client)
+}
+
+func newWorkers(client *http.Client) platform.Workers {
+	return platform.NewHTTPWorkers(client)
+}
+
+func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+	return logstream.New(logstream.Config{
+		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+	}, statemachine.New())
+}
+
+func newPlacer(id identity, workers platform.Workers, clock clockwork.Clock, stream *logstream.Stream) *placement.Placer {
+	placer := placement.New(id.incarnation, workers, clock)
+	stream.Observe(func(state *statemachine.State, results []statemachine.Result) {
+		if changesFleet(results) {
+			placer.SetFleet(state)
+		}
+	})
+	return placer
+}
+
+// changesFleet reports whether a record that took effect concerns VMs.
+func changesFleet(results []statemachine.Result) bool {
+	for _, r := range results {
+		switch r.Kind {
+		case statemachine.KindVMAdd, statemachine.KindVMRemove, statemachine.KindVMMove:
+			if r.Void == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func newRing() *timeline.Ring {
+	return timeline.NewRing(ringSize)
+}
+
+func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
+	return dispatch.NewLimbo(workers, clock, ledger.Release)
+}
+
+func newDescriber(id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger}
+}
+
+func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
+	return membership.New(membership.Config{
+		Self: id.incarnation, SelfAddress: s.Peers, Seeds: s.Seeds, Caller: client, Clock: clock,
+		State: stream.State, Describe: d.describe,
+	})
+}
+
+func newControl(stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m}
+}
+
+func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
+	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
+		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
+		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+	})
+}
+
+func newAllotter(id identity, stream *logstream.Stream, ledger *quota.Ledger, clock clockwork.Clock, logger hclog.Logger) *quota.Allotter {
+	return quota.NewAllotter(id.incarnation, stream, ledger, clock, logger)
+}
+
+func newFleetWatch(id identity, vms platform.VMs, placer *placement.Placer, stream *logstream.Stream, clock clockwork.Clock, logger hclog.Logger) *fleetWatch {
+	return &fleetWatch{self: id.incarnation, vms: vms, placer: placer, stream: stream, clock: clock, logger: logger}
+}
+
+func newReadiness(c *control, id identity) *readiness {
+	return &readiness{control: c, self: id.incarnation}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/timeline"
+)
+
+func (o *operators) status(g *gin.Context) {
+	state := o.control.State()
+	out := api.Status{
+		Incarnation:  o.id.incarnation,
+		Offset:       state.Next,
+		Current:      o.control.Current(),
+		ControlAgeMS: ageMS(o.control.Age()),
+		Inflight:     o.dispatcher.Inflight(),
+		Unsettled:    o.limbo.Len(),
+		Entries:      o.entries(),
+		Teams:        o.ledger.Teams(),
+		Pools:        make(map[string]int),
+	}
+	for _, vm := range state.VMs.All() {
+		out.Pools[vm.Pool]++
+	}
+	g.JSON(http.StatusOK, out)
+}
+
+func (o *operators) entries() []api.EntryStatus {
+	applied := map[string]uint64{o.id.incarnation: o.control.State().Next}
+	for _, member := range o.membership.Reachable() {
+		applied[member.Incarnation] = member.Last.GetApplied()
+	}
+	out := []api.EntryStatus{}
+	for incarnation, entry := range o.control.State().Entries.All() {
+		offset, reachable := applied[incarnation]
+		out = append(out, api.EntryStatus{Entry: *entry, Reachable: reachable, Applied: offset})
+	}
+	return out
+}
+
+func (o *operators) timeline(g *gin.Context) {
+	events := o.ring.Events(timeline.Filter{
+		Team:    g.Query("team"),
+		VM:      g.Query("vm"),
+		Request: g.Query("request"),
+		Wave:    g.Query("wave"),
+	})
+	if events == nil {
+		events = []timeline.Event{}
+	}
+	g.JSON(http.StatusOK, api.Timeline{Events: events})
+}
--- /dev/null
+++ b/logstream/config.go
@@ -0,0 +1,57 @@
+package logstream
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+// Config holds what a Stream works with. All members but the limits are
+// required; DefaultLimits gives the limits.
+type Config struct {
+	// Name is the stream's name in the log.
+	Name string
+	// Writer is the incarnation under which records are written.
+	Writer string
+	Log    platform.Log
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+	Limits Limits
+}
+
+// Limits bounds the batches, the queue and the waits of a Stream.
+type Limits struct {
+	// MaxBatchRecords flushes a batch at this number of records.
+	MaxBatchRecords int
+	// MaxBatchBytes flushes a batch at this size of encoded commands.
+	MaxBatchBytes int
+	// MaxBatchAge flushes a batch at this age of its first record.
+	MaxBatchAge time.Duration
+	// MaxQueued refuses proposals beyond this number of waiting ones.
+	MaxQueued int
+	// ReadWait is the longest wait for new records in one read.
+	ReadWait time.Duration
+	// ReadLimit is the number of payloads in one read.
+	ReadLimit int
+	// RetryDelay is the pause after a failed call to the log.
+	RetryDelay time.Duration
+	// CallTimeout bounds one append.
+	CallTimeout time.Duration
+}
+
+// DefaultLimits returns the limits for a log on the same network.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBatchRecords: 32,
+		MaxBatchBytes:   256 << 10,
+		MaxBatchAge:     4 * time.Millisecond,
+		MaxQueued:       4096,
+		ReadWait:        500 * time.Millisecond,
+		ReadLimit:       512,
+		RetryDelay:      50 * time.Millisecond,
+		CallTimeout:     2 * time.Second,
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+)
+
+const callTimeout = 10 * time.Second
+
+// Handler answers the calls of other entries.
+type Handler interface {
+	// HandlePeer answers one request. A nil answer closes the call.
+	HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response
+}
+
+// Server accepts the sessions of other entries.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	logger   hclog.Logger
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	closed   bool
+}
+
+// NewServer returns a server on the listener. Serve starts it.
+func NewServer(listener net.Listener, handler Handler, logger hclog.Logger) *Server {
+	return &Server{listener: listener, handler: handler, logger: logger, sessions: make(map[*yamux.Session]struct{})}
+}
+
+// Serve accepts sessions until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		session, err := yamux.Server(conn, yamuxConfig())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		if s.track(session) {
+			go s.serveSession(session)
+		}
+	}
+}
+
+// track remembers a session for Close. It reports false once the server is
+// closed.
+func (s *Server) track(session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = session.Close()
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) serveSession(session *yamux.Session) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.sessions, session)
+		s.mu.Unlock()
+		_ = session.Close()
+	}()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.serveStream(stream)
+	}
+}
+
+func (s *Server) serveStream(stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(callTimeout))
+	req := &peerpb.Request{}
+	opts := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	if err := opts.UnmarshalFrom(bufio.NewReader(stream), req); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp := s.handler.HandlePeer(ctx, req)
+	if resp == nil {
+		return
+	}
+	if _, err := protodelim.MarshalTo(stream, resp); err != nil {
+		s.logger.Debug("peer answer not sent", "error", err.Error())
+	}
+}
+
+// Close stops accepting and closes all sessions.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+	for session := range s.sessions {
+		_ = session.Close()
+	}
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = io.Discard
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = 5 * time.Second
+	cfg.ConnectionWriteTimeout = 2 * time.Second
+	return cfg
+}
--- /dev/null
+++ b/placement/held.go
@@ -0,0 +1,22 @@
+package placement
+
+import "time"
+
+// Held is a slot lease that this entry holds.
+type Held struct {
+	Target *Target
+	// Lease is the lease's ID at the VM.
+	Lease string
+	// Expires is when the lease may lapse, by this entry's clock. It is counted
+	// from before the lease was asked for.
+	Expires time.Time
+	// Granted is when the lease was asked for.
+	Granted time.Time
+}
+
+// valid reports whether a start that is sent now arrives under the lease. It
+// compares wall and monotonic clocks: the latter stops while a VM is
+// suspended.
+func (h *Held) valid(now time.Time) bool {
+	return now.Before(h.Expires) && now.Round(0).Before(h.Expires.Round(0)) && h.Target.usable(now)
+}
--- /dev/null
+++ b/placement/placer.go
@@ -0,0 +1,270 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	// LeaseTTL is the time to live of a slot lease.
+	LeaseTTL = time.Second
+	// leaseMargin is kept before the end of a lease, for the start's way to
+	// the VM.
+	leaseMargin = 250 * time.Millisecond
+	// idleFor is the time after which an unused lease is given back.
+	idleFor = 300 * time.Millisecond
+	// acquireTries bounds the VMs that one search asks for a slot.
+	acquireTries = 4
+	// acquireTimeout bounds one request for a slot.
+	acquireTimeout = 250 * time.Millisecond
+)
+
+// ErrNoSlot means that no usable target granted a slot. Nothing has begun.
+var ErrNoSlot = errors.New("no usable target has a free slot")
+
+// view is an immutable picture of the targets.
+type view struct {
+	pools map[string]*poolView
+	byID  map[string]*Target
+}
+
+type poolView struct {
+	targets []*Target
+	idle    *stack
+}
+
+// Placer finds slots for tasks. Acquire and Release take no lock.
+type Placer struct {
+	holder  string
+	workers platform.Workers
+	clock   clockwork.Clock
+	mu      sync.Mutex
+	view    atomic.Pointer[view]
+}
+
+// New returns a placer that knows no targets yet. Holder is the own
+// incarnation.
+func New(holder string, workers platform.Workers, clock clockwork.Clock) *Placer {
+	p := &Placer{holder: holder, workers: workers, clock: clock}
+	p.view.Store(&view{pools: map[string]*poolView{}, byID: map[string]*Target{}})
+	return p
+}
+
+// SetFleet brings the targets in line with the control state.
+func (p *Placer) SetFleet(state *statemachine.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.view.Load()
+	next := &view{pools: make(map[string]*poolView), byID: make(map[string]*Target, state.VMs.Len())}
+	for id, vm := range state.VMs.All() {
+		target := reuse(old.byID[id], vm)
+		if target.confirmedUS.Load() == 0 {
+			target.confirm(p.clock.Now())
+		}
+		next.byID[id] = target
+		pool := next.pools[vm.Pool]
+		if pool == nil {
+			pool = &poolView{idle: &stack{}}
+			if before := old.pools[vm.Pool]; before != nil {
+				pool.idle = before.idle
+			}
+			next.pools[vm.Pool] = pool
+		}
+		pool.targets = append(pool.targets, target)
+	}
+	p.view.Store(next)
+}
+
+// reuse keeps the target's health if the VM is still the same. A VM that has
+// moved gets a new target, so that leases held for the old pool fall away.
+func reuse(old *Target, vm *statemachine.VM) *Target {
+	if old != nil && old.Address == vm.Address && old.Pool == vm.Pool {
+		return old
+	}
+	if old != nil {
+		old.leaving.Store(true)
+	}
+	target := &Target{ID: vm.ID, Address: vm.Address, Pool: vm.Pool, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack, Slots: vm.Slots}
+	target.free.Store(int64(vm.Slots))
+	return target
+}
+
+// Observe brings the targets' health in line with the platform's VM list.
+func (p *Placer) Observe(list []platform.VMInfo, at time.Time) {
+	byID := p.view.Load().byID
+	for _, info := range list {
+		target := byID[info.ID]
+		if target == nil {
+			continue
+		}
+		target.leaving.Store(info.State != platform.VMLive)
+		if info.State == platform.VMLive {
+			target.confirm(at)
+		}
+	}
+}
+
+// Target returns the target of the ID, or nil.
+func (p *Placer) Target(id string) *Target {
+	return p.view.Load().byID[id]
+}
+
+// Acquire returns a valid slot lease on a usable target of one of the pools.
+// It prefers leases that are held already and otherwise asks a few targets.
+// It fails with ErrNoSlot if none grants a slot.
+func (p *Placer) Acquire(ctx context.Context, pools []string, avoid string) (*Held, error) {
+	v := p.view.Load()
+	offset := rand.IntN(max(1, len(pools)))
+	for i := range pools {
+		pool := v.pools[pools[(offset+i)%len(pools)]]
+		if pool == nil {
+			continue
+		}
+		if held := p.popValid(pool.idle, avoid); held != nil {
+			return held, nil
+		}
+	}
+	for i := range pools {
+		pool := v.pools[pools[(offset+i)%len(pools)]]
+		if pool == nil {
+			continue
+		}
+		held, err := p.ask(ctx, pool, avoid)
+		if err == nil {
+			return held, nil
+		}
+	}
+	return nil, ErrNoSlot
+}
+
+// popValid returns an idle lease that is valid and not on the avoided target.
+func (p *Placer) popValid(idle *stack, avoid string) *Held {
+	now := p.clock.Now()
+	for {
+		held := idle.pop()
+		if held == nil {
+			return nil
+		}
+		if held.Target.ID != avoid && held.valid(now) {
+			return held
+		}
+	}
+}
+
+// ask requests a slot from a few targets, the freer of two random ones first.
+func (p *Placer) ask(ctx context.Context, pool *poolView, avoid string) (*Held, error) {
+	for range acquireTries {
+		target := p.pick(pool, avoid)
+		if target == nil {
+			return nil, ErrNoSlot
+		}
+		held, err := p.request(ctx, target)
+		if err == nil {
+			return held, nil
+		}
+	}
+	return nil, ErrNoSlot
+}
+
+// pick returns the freer of two random usable targets, or nil.
+func (p *Placer) pick(pool *poolView, avoid string) *Target {
+	now := p.clock.Now()
+	var best *Target
+	for range 2 * acquireTries {
+		target := pool.targets[rand.IntN(len(pool.targets))]
+		if target.ID == avoid || !target.usable(now) || target.recentlyFull(now) {
+			continue
+		}
+		if best == nil {
+			best = target
+			continue
+		}
+		if target.free.Load() > best.free.Load() {
+			best = target
+		}
+		return best
+	}
+	return best
+}
+
+func (p *Placer) request(ctx context.Context, target *Target) (*Held, error) {
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	sent := p.clock.Now()
+	lease, err := p.workers.AcquireSlot(ctx, target.Address, platform.SlotRequest{Holder: p.holder, TTL: LeaseTTL})
+	if err != nil {
+		p.note(target, err)
+		return nil, err
+	}
+	target.free.Store(int64(lease.Free))
+	return &Held{Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin)}, nil
+}
+
+// note records what a refused slot tells about the target.
+func (p *Placer) note(target *Target, err error) {
+	target.fullUS.Store(p.clock.Now().UnixMicro())
+	target.free.Store(0)
+	if platform.CodeOf(err) == platform.CodeDraining {
+		target.leaving.Store(true)
+	}
+}
+
+// Release keeps the lease for the next task, for as long as it is valid.
+func (p *Placer) Release(h *Held) {
+	now := p.clock.Now()
+	if !h.valid(now) {
+		return
+	}
+	if pool := p.view.Load().pools[h.Target.Pool]; pool != nil {
+		pool.idle.push(h)
+	}
+}
+
+// MarkLeaving keeps new work away from the target until the VM list says that
+// it is live again.
+func (p *Placer) MarkLeaving(h *Held) {
+	h.Target.leaving.Store(true)
+}
+
+// Run gives leases back that stay unused, until the context ends.
+func (p *Placer) Run(ctx context.Context) {
+	ticker := p.clock.NewTicker(idleFor / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			p.giveBack(ctx)
+		}
+	}
+}
+
+// giveBack releases the idle leases that are older than idleFor. The others
+// go back on their stack.
+func (p *Placer) giveBack(ctx context.Context) {
+	now := p.clock.Now()
+	for _, pool := range p.view.Load().pools {
+		for _, held := range pool.idle.takeAll() {
+			if !held.valid(now) {
+				continue
+			}
+			if now.Sub(held.Granted) < idleFor {
+				pool.idle.push(held)
+				continue
+			}
+			ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+			_ = p.workers.ReleaseSlot(ctx, held.Target.Address, held.Lease)
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/placement/stack.go
@@ -0,0 +1,46 @@
+package placement
+
+import "sync/atomic"
+
+// stack is a lock-free stack of idle leases. Nodes are never reused, so a
+// compare-and-swap cannot mistake a new node for an old one.
+type stack struct {
+	top atomic.Pointer[node]
+}
+
+type node struct {
+	held *Held
+	next *node
+}
+
+func (s *stack) push(h *Held) {
+	n := &node{held: h}
+	for {
+		n.next = s.top.Load()
+		if s.top.CompareAndSwap(n.next, n) {
+			return
+		}
+	}
+}
+
+// pop returns the lease that was pushed last, or nil.
+func (s *stack) pop() *Held {
+	for {
+		n := s.top.Load()
+		if n == nil {
+			return nil
+		}
+		if s.top.CompareAndSwap(n, n.next) {
+			return n.held
+		}
+	}
+}
+
+// takeAll empties the stack and returns its leases, newest first.
+func (s *stack) takeAll() []*Held {
+	var out []*Held
+	for n := s.top.Swap(nil); n != nil; n = n.next {
+		out = append(out, n.held)
+	}
+	return out
+}
--- /dev/null
+++ b/placement/target.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Target is a VM that tasks can be placed on.
+type Target struct {
+	ID               string
+	Address          string
+	Pool             string
+	AvailabilityZone string
+	Rack             string
+	Slots            int
+
+	// leaving is set once the target must take no new work.
+	leaving atomic.Bool
+	// confirmedUS is when the target was last known to be live, in Unix
+	// microseconds.
+	confirmedUS atomic.Int64
+	// full is when the target last refused a slot, in Unix microseconds.
+	fullUS atomic.Int64
+	// free is the number of free slots that the target last reported.
+	free atomic.Int64
+}
+
+const (
+	// ConfirmedFor is the time for which a sign of life lets a target take new
+	// work.
+	ConfirmedFor = 3 * time.Second
+	// fullFor is the time for which a refusal keeps slot requests away.
+	fullFor = 20 * time.Millisecond
+)
+
+// usable reports whether the target may take new work.
+func (t *Target) usable(now time.Time) bool {
+	return !t.leaving.Load() && now.UnixMicro()-t.confirmedUS.Load() <= ConfirmedFor.Microseconds()
+}
+
+// recentlyFull reports whether the target has just refused a slot.
+func (t *Target) recentlyFull(now time.Time) bool {
+	return now.UnixMicro()-t.fullUS.Load() < fullFor.Microseconds()
+}
+
+// confirm records a sign of life.
+func (t *Target) confirm(now time.Time) {
+	t.confirmedUS.Store(now.UnixMicro())
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// writeError answers with a refusal: the call did not take effect.
+func writeError(w http.ResponseWriter, status int, code platform.Code, message string) {
+	writeOutcome(w, status, platform.ErrorBody{Code: code, Outcome: platform.Refused, Message: message})
+}
+
+func writeOutcome(w http.ResponseWriter, status int, body platform.ErrorBody) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
+		writeError(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		return false
+	}
+	return true
+}
+
+func queryInt(r *http.Request, name string, fallback int) int {
+	v, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil {
+		return fallback
+	}
+	return v
+}
+
+// sleep waits for d or until the caller has gone.
+func sleep(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/standin/record.go
@@ -0,0 +1,68 @@
+package standin
+
+import "sync"
+
+// Record is the stand-in's own account of what ran, over all VMs. Tests hold
+// the promises against it.
+type Record struct {
+	// Starts counts the starts of each task.
+	Starts map[string]int `json:"starts"`
+	// MaxRunning is the highest number of tasks that ran at once, by team.
+	MaxRunning map[string]int `json:"max_running"`
+	// Running is the number of tasks that run now, by team.
+	Running map[string]int `json:"running"`
+	// CutTasks counts the tasks that a reboot or a loss ended.
+	CutTasks int `json:"cut_tasks"`
+	// LateStarts counts the starts on a VM that was draining for more than 3 s.
+	LateStarts int `json:"late_starts"`
+}
+
+// recorder keeps a Record.
+type recorder struct {
+	mu     sync.Mutex
+	record Record
+}
+
+func newRecorder() *recorder {
+	return &recorder{record: Record{
+		Starts:     make(map[string]int),
+		MaxRunning: make(map[string]int),
+		Running:    make(map[string]int),
+	}}
+}
+
+func (r *recorder) started(task, team string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Starts[task]++
+	r.record.Running[team]++
+	r.record.MaxRunning[team] = max(r.record.MaxRunning[team], r.record.Running[team])
+}
+
+func (r *recorder) ended(team string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Running[team]--
+	if cut {
+		r.record.CutTasks++
+	}
+}
+
+// snapshot returns a copy of the record.
+func (r *recorder) snapshot() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.record
+	out.Starts = copyCounts(r.record.Starts)
+	out.MaxRunning = copyCounts(r.record.MaxRunning)
+	out.Running = copyCounts(r.record.Running)
+	return out
+}
+
+func copyCounts(in map[string]int) map[string]int {
+	out := make(map[string]int, len(in))
+	for k, v := range in {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/standin/stream.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+// stream is one totally ordered stream of the log.
+type stream struct {
+	mu       sync.Mutex
+	id       string
+	oldest   uint64
+	payloads [][]byte
+	times    []time.Time
+	changed  chan struct{}
+}
+
+func newStream() *stream {
+	return &stream{id: uuid.NewString(), changed: make(chan struct{})}
+}
+
+// append adds the payloads and wakes the waiting readers.
+func (s *stream) append(payloads [][]byte, now time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := s.oldest + uint64(len(s.payloads))
+	for _, p := range payloads {
+		s.payloads = append(s.payloads, p)
+		s.times = append(s.times, now)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// page returns the payloads from the offset on, and a channel that is closed
+// at the next append. ok is false if the offset is no longer kept.
+func (s *stream) page(from uint64, limit int) (page platform.Page, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.oldest + uint64(len(s.payloads))
+	page = platform.Page{Stream: s.id, From: from, Oldest: s.oldest, Next: next}
+	if from < s.oldest {
+		return page, s.changed, false
+	}
+	if from >= next {
+		return page, s.changed, true
+	}
+	rest := s.payloads[from-s.oldest:]
+	page.Payloads = rest[:min(limit, len(rest))]
+	return page, s.changed, true
+}
+
+// trim drops the payloads that were appended before the cutoff.
+func (s *stream) trim(cutoff time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drop := 0
+	for drop < len(s.times) && s.times[drop].Before(cutoff) {
+		drop++
+	}
+	s.payloads = append([][]byte(nil), s.payloads[drop:]...)
+	s.times = append([]time.Time(nil), s.times[drop:]...)
+	s.oldest += uint64(drop)
+}
--- /dev/null
+++ b/standin/vm.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+// maxEndedTasks bounds the ended tasks that a VM remembers.
+const maxEndedTasks = 4096
+
+// slot is one leased slot. It may run one task at a time.
+type slot struct {
+	holder  string
+	expires time.Time
+	task    string
+}
+
+// vm is one worker.
+type vm struct {
+	info     platform.VMInfo
+	recorder *recorder
+
+	mu       sync.Mutex
+	faults   VMFaults
+	draining bool
+	slots    map[string]*slot
+	tasks    map[string]*task
+	order    []string
+	last     []byte
+	thaw     chan struct{}
+}
+
+func newVM(info platform.VMInfo, recorder *recorder) *vm {
+	return &vm{
+		info:     info,
+		recorder: recorder,
+		slots:    make(map[string]*slot),
+		tasks:    make(map[string]*task),
+		thaw:     make(chan struct{}),
+	}
+}
+
+// free counts the slots that are neither leased nor running. v.mu is held.
+func (v *vm) free(now time.Time) int {
+	for id, s := range v.slots {
+		if s.task == "" && !now.Before(s.expires) {
+			delete(v.slots, id)
+		}
+	}
+	return v.info.Slots - len(v.slots)
+}
+
+func (v *vm) acquire(req platform.SlotRequest, now time.Time) (platform.SlotLease, platform.Code) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.draining {
+		return platform.SlotLease{}, platform.CodeDraining
+	}
+	if v.free(now) <= 0 {
+		return platform.SlotLease{}, platform.CodeFull
+	}
+	id := uuid.NewString()
+	v.slots[id] = &slot{holder: req.Holder, expires: now.Add(req.TTL)}
+	return platform.SlotLease{ID: id, TTL: req.TTL, Free: v.info.Slots - len(v.slots)}, ""
+}
+
+func (v *vm) release(lease string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s, ok := v.slots[lease]; ok && s.task == "" {
+		delete(v.slots, lease)
+	}
+}
+
+// start begins a task under its slot lease, or says why it does not begin.
+func (v *vm) start(t *task, lease string, now time.Time) platform.Code {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.draining {
+		return platform.CodeDraining
+	}
+	s, ok := v.slots[lease]
+	if !ok || !now.Before(s.expires) {
+		return platform.CodeLeaseLapsed
+	}
+	if s.task != "" {
+		return platform.CodeFull
+	}
+	s.task = t.key()
+	v.tasks[t.key()] = t
+	v.order = append(v.order, t.key())
+	v.forget()
+	v.recorder.started(t.status.ID, t.status.Team)
+	return ""
+}
+
+// forget drops the oldest ended tasks. v.mu is held.
+func (v *vm) forget() {
+	for len(v.order) > maxEndedTasks {
+		oldest := v.tasks[v.order[0]]
+		if oldest != nil && oldest.status.State == platform.TaskRunning {
+			return
+		}
+		delete(v.tasks, v.order[0])
+		v.order = v.order[1:]
+	}
+}
+
+// finish ends a task once; later calls change nothing. The slot lease stays
+// with its holder until it lapses.
+func (v *vm) finish(t *task, lease string, state platform.TaskState, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.end(t, state, now, false)
+	if s, ok := v.slots[lease]; ok && s.task == t.key() {
+		s.task = ""
+	}
+}
+
+// end records the end of a task. v.mu is held.
+func (v *vm) end(t *task, state platform.TaskState, now time.Time, cut bool) {
+	if t.status.State != platform.TaskRunning {
+		return
+	}
+	t.status.State = state
+	t.status.EndedMS = now.UnixMilli()
+	v.recorder.ended(t.status.Team, cut)
+}
+
+// stop asks a running task to end, saving its progress if asked.
+func (v *vm) stop(id string, checkpoint bool, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	found := false
+	for _, t := range v.tasks {
+		if t.status.ID != id || t.status.State != platform.TaskRunning {
+			continue
+		}
+		found = true
+		if checkpoint {
+			t.status.Checkpoint = t.progress(now)
+		}
+		t.cancel()
+	}
+	return found
+}
+
+// reboot ends every task and returns to service.
+func (v *vm) reboot(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, t := range v.tasks {
+		v.end(t, platform.TaskStopped, now, true)
+		t.cancel()
+	}
+	v.slots = make(map[string]*slot)
+}
+
+func (v *vm) setDraining(draining bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.draining = draining
+}
+
+func (v *vm) setFaults(faults VMFaults, now time.Time) {
+	v.mu.Lock()
+	wasFrozen := v.faults.Frozen
+	v.faults = faults
+	if wasFrozen && !faults.Frozen {
+		close(v.thaw)
+		v.thaw = make(chan struct{})
+	}
+	v.mu.Unlock()
+	if faults.Gone {
+		v.reboot(now)
+	}
+}
+
+// list returns the VM's record of its tasks.
+func (v *vm) list() platform.TaskList {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := platform.TaskList{VM: v.info.ID, Tasks: []platform.TaskStatus{}}
+	for _, key := range v.order {
+		if t := v.tasks[key]; t != nil {
+			out.Tasks = append(out.Tasks, t.status)
+		}
+	}
+	return out
+}
+
+// describe returns the VM's line in the platform's list.
+func (v *vm) describe() platform.VMInfo {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	info := v.info
+	info.State = platform.VMLive
+	if v.draining {
+		info.State = platform.VMLeaving
+	}
+	if v.faults.Gone {
+		info.State = platform.VMFailed
+	}
+	return info
+}
+
+func taskKey(id string, attempt int) string {
+	return id + "/" + strconv.Itoa(attempt)
+}
--- /dev/null
+++ b/standin/work.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Work is the part of a task's body that the stand-in understands. Other
+// members are ignored, and a body that is not JSON runs for no time.
+type Work struct {
+	// WorkMS is the run time in milliseconds.
+	WorkMS int `json:"work_ms"`
+	// Fail ends the task in failure.
+	Fail bool `json:"fail"`
+	// AnswerBytes pads the answer to at least this size.
+	AnswerBytes int `json:"answer_bytes"`
+}
+
+func parseWork(body []byte) Work {
+	var work Work
+	_ = json.Unmarshal(body, &work)
+	return work
+}
+
+func (w Work) duration() time.Duration {
+	return time.Duration(w.WorkMS) * time.Millisecond
+}
+
+// TaskAnswer is the answer of a task of the stand-in. Digest lets a caller
+// check that the answer belongs to its own request.
+type TaskAnswer struct {
+	Task    string `json:"task"`
+	VM      string `json:"vm"`
+	Digest  string `json:"digest"`
+	Padding string `json:"padding,omitempty"`
+}
+
+// Digest returns the digest of a request body that a TaskAnswer carries.
+func Digest(body []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(body))
+}
+
+func answer(vm, task string, body []byte, work Work) []byte {
+	padding := strings.Repeat("x", max(0, work.AnswerBytes))
+	out, _ := json.Marshal(TaskAnswer{Task: task, VM: vm, Digest: Digest(body), Padding: padding})
+	return out
+}
--- /dev/null
+++ b/statemachine/allotment.go
@@ -0,0 +1,74 @@
+package statemachine
+
+import "maps"
+
+// Allotments divides a team's upper limit among the entries. The sum of the
+// amounts never exceeds the limit that held when the last of them was raised.
+type Allotments struct {
+	// ByEntry holds the amount of each entry incarnation.
+	ByEntry map[string]int `json:"by_entry"`
+}
+
+// Total returns the sum of the amounts.
+func (a *Allotments) Total() int {
+	total := 0
+	for _, amount := range a.ByEntry {
+		total += amount
+	}
+	return total
+}
+
+// KindAllotmentAdjust is the kind of AllotmentAdjust.
+const KindAllotmentAdjust Kind = "allotment_adjust"
+
+// AllotmentAdjust changes the writer's own allotment of a team's limit. A
+// raise is granted as far as the limit has room, and is void without room.
+// Before it writes a negative Delta the holder has lowered what it uses.
+type AllotmentAdjust struct {
+	Team  string `json:"team"`
+	Delta int    `json:"delta"`
+}
+
+// Kind implements Command.
+func (*AllotmentAdjust) Kind() Kind { return KindAllotmentAdjust }
+
+func (c *AllotmentAdjust) apply(next *State, ctx applyContext) *Void {
+	if _, ok := next.Entries.Get(ctx.writer); !ok {
+		return voidf(ReasonWriter, "%s is not a member", ctx.writer)
+	}
+	workspace, ok := next.ByTeam.Get(c.Team)
+	if !ok && c.Delta > 0 {
+		return voidf(ReasonNotFound, "team %s owns no workspace", c.Team)
+	}
+	current, ok := next.Allotments.Get(c.Team)
+	if !ok {
+		current = &Allotments{}
+	}
+	delta := c.Delta
+	if delta > 0 {
+		delta = min(delta, workspace.Limit-current.Total())
+		if delta <= 0 {
+			return voidf(ReasonInvalid, "the limit of team %s has no room", c.Team)
+		}
+	}
+	held := current.ByEntry[ctx.writer]
+	if held+delta < 0 {
+		return voidf(ReasonInvalid, "%s holds %d of team %s", ctx.writer, held, c.Team)
+	}
+	next.Allotments = next.Allotments.Set(c.Team, current.with(ctx.writer, held+delta))
+	return nil
+}
+
+// with returns a copy in which the entry holds the amount.
+func (a *Allotments) with(entry string, amount int) *Allotments {
+	out := &Allotments{ByEntry: maps.Clone(a.ByEntry)}
+	if out.ByEntry == nil {
+		out.ByEntry = make(map[string]int)
+	}
+	if amount == 0 {
+		delete(out.ByEntry, entry)
+		return out
+	}
+	out.ByEntry[entry] = amount
+	return out
+}
--- /dev/null
+++ b/statemachine/apply.go
@@ -0,0 +1,65 @@
+package statemachine
+
+// Result is the outcome of one record at its place in the stream.
+type Result struct {
+	ID     ID
+	Kind   Kind
+	Offset uint64
+	// Void is nil if the record took effect.
+	Void *Void
+}
+
+// Apply reduces the batch at the offset and returns the new state and one
+// result per record. An offset before s.Next has been applied already: the
+// state stays as it is and there are no results.
+func (s *State) Apply(offset uint64, batch Batch) (*State, []Result) {
+	if offset < s.Next {
+		return s, nil
+	}
+	current := *s
+	current.Next = offset + 1
+	results := make([]Result, 0, len(batch.Records))
+	for _, record := range batch.Records {
+		id := ID{Writer: batch.Writer, Seq: record.Seq}
+		next, void := current.applyRecord(offset, batch, record)
+		if void == nil {
+			current = next
+		}
+		current.mark(id, batch.AtMS)
+		results = append(results, Result{ID: id, Kind: record.Command.Kind(), Offset: offset, Void: void})
+	}
+	return &current, results
+}
+
+// Skip advances past a payload that cannot be decoded.
+func (s *State) Skip(offset uint64) *State {
+	if offset < s.Next {
+		return s
+	}
+	next := *s
+	next.Next = offset + 1
+	return &next
+}
+
+// applyRecord returns the state after the record, or why the record is void.
+func (s *State) applyRecord(offset uint64, batch Batch, record Record) (State, *Void) {
+	mark, _ := s.Writers.Get(batch.Writer)
+	if record.Seq <= mark.Seq {
+		return State{}, voidf(ReasonDuplicate, "record %d of %s is not above %d", record.Seq, batch.Writer, mark.Seq)
+	}
+	next := *s
+	ctx := applyContext{writer: batch.Writer, offset: offset, atMS: batch.AtMS}
+	if void := record.Command.apply(&next, ctx); void != nil {
+		return State{}, void
+	}
+	return next, nil
+}
+
+// mark remembers that the writer has used the record number.
+func (s *State) mark(id ID, atMS int64) {
+	mark, _ := s.Writers.Get(id.Writer)
+	if id.Seq <= mark.Seq {
+		return
+	}
+	s.Writers = s.Writers.Set(id.Writer, WriterMark{Seq: id.Seq, AtMS: atMS})
+}
--- /dev/null
+++ b/statemachine/key.go
@@ -0,0 +1,74 @@
+package statemachine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Key lets its bearer submit work for a workspace's team.
+type Key struct {
+	// Hash is the SHA-256 hash of the key, in hex.
+	Hash      string `json:"hash"`
+	Workspace string `json:"workspace"`
+	// Label tells people what the key is for.
+	Label string `json:"label"`
+	// Withdrawn keys never come into force again.
+	Withdrawn bool `json:"withdrawn"`
+}
+
+// HashKey returns the hash under which a key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+const (
+	// KindKeyGrant is the kind of KeyGrant.
+	KindKeyGrant Kind = "key_grant"
+	// KindKeyWithdraw is the kind of KeyWithdraw.
+	KindKeyWithdraw Kind = "key_withdraw"
+)
+
+// KeyGrant puts a key into force.
+type KeyGrant struct {
+	Hash      string `json:"hash"`
+	Workspace string `json:"workspace"`
+	Label     string `json:"label"`
+}
+
+// Kind implements Command.
+func (*KeyGrant) Kind() Kind { return KindKeyGrant }
+
+func (c *KeyGrant) apply(next *State, _ applyContext) *Void {
+	if _, ok := next.Workspaces.Get(c.Workspace); !ok {
+		return voidf(ReasonNotFound, "workspace %s does not exist", c.Workspace)
+	}
+	if key, ok := next.Keys.Get(c.Hash); ok {
+		if key.Withdrawn {
+			return voidf(ReasonWithdrawn, "the key was withdrawn")
+		}
+		return voidf(ReasonExists, "the key is granted already, for workspace %s", key.Workspace)
+	}
+	key := &Key{Hash: c.Hash, Workspace: c.Workspace, Label: c.Label}
+	next.Keys = next.Keys.Set(c.Hash, key)
+	return nil
+}
+
+// KeyWithdraw takes a key out of force for good.
+type KeyWithdraw struct {
+	Hash string `json:"hash"`
+}
+
+// Kind implements Command.
+func (*KeyWithdraw) Kind() Kind { return KindKeyWithdraw }
+
+func (c *KeyWithdraw) apply(next *State, _ applyContext) *Void {
+	key, ok := next.Keys.Get(c.Hash)
+	if !ok {
+		return voidf(ReasonNotFound, "no such key was granted")
+	}
+	withdrawn := *key
+	withdrawn.Withdrawn = true
+	next.Keys = next.Keys.Set(c.Hash, &withdrawn)
+	return nil
+}
--- /dev/null
+++ b/statemachine/pool.go
@@ -0,0 +1,43 @@
+package statemachine
+
+// Pool is a named set of VMs with an availability budget.
+type Pool struct {
+	Name string `json:"name" validate:"required,max=64,excludesall=./"`
+	// MaxUnavailable is the number of the pool's VMs that may be out of
+	// service at once by maintenance and failures together.
+	MaxUnavailable int `json:"max_unavailable" validate:"min=0"`
+	// Spare marks the pool that lends its VMs to others.
+	Spare bool `json:"spare"`
+	// Version counts the changes, from 1.
+	Version uint64 `json:"version"`
+}
+
+// KindPoolSet is the kind of PoolSet.
+const KindPoolSet Kind = "pool_set"
+
+// PoolSet creates or changes a pool. It is void unless Expected is the pool's
+// version, or 0 for a new one.
+type PoolSet struct {
+	Pool     Pool   `json:"pool"`
+	Expected uint64 `json:"expected"`
+}
+
+// Kind implements Command.
+func (*PoolSet) Kind() Kind { return KindPoolSet }
+
+func (c *PoolSet) apply(next *State, _ applyContext) *Void {
+	pool := c.Pool
+	var version uint64
+	if current, ok := next.Pools.Get(pool.Name); ok {
+		version = current.Version
+	}
+	if c.Expected != version {
+		return voidf(ReasonVersion, "pool %s is at version %d, not %d", pool.Name, version, c.Expected)
+	}
+	if pool.MaxUnavailable < 0 {
+		return voidf(ReasonInvalid, "max_unavailable %d is below 0", pool.MaxUnavailable)
+	}
+	pool.Version = version + 1
+	next.Pools = next.Pools.Set(pool.Name, &pool)
+	return nil
+}
--- /dev/null
+++ b/statemachine/state.go
@@ -0,0 +1,36 @@
+package statemachine
+
+// State is the reduced state of one stream. It is immutable outside Apply,
+// and its JSON form is the stream's snapshot.
+type State struct {
+	// Next is the offset of the next payload to apply. It never decreases.
+	Next uint64 `json:"next"`
+	// Writers holds the highest record number applied, by writer.
+	Writers Table[WriterMark] `json:"writers"`
+
+	Templates  Table[*Template]  `json:"templates"`
+	Workspaces Table[*Workspace] `json:"workspaces"`
+	// Keys are the callers' keys by their SHA-256 hash in hex.
+	Keys  Table[*Key]  `json:"keys"`
+	Pools Table[*Pool] `json:"pools"`
+	VMs   Table[*VM]   `json:"vms"`
+	// Entries are the entry processes by incarnation.
+	Entries Table[*Entry] `json:"entries"`
+	// Allotments divide the upper limits, by team.
+	Allotments Table[*Allotments] `json:"allotments"`
+	// ByTeam holds the workspace that each team owns.
+	ByTeam Table[*Workspace] `json:"by_team"`
+}
+
+// WriterMark is what the state remembers of a writer.
+type WriterMark struct {
+	// Seq is the highest record number applied.
+	Seq uint64 `json:"seq"`
+	// AtMS is the writer's wall clock at its latest batch, in Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// New returns the state of an empty stream.
+func New() *State {
+	return &State{}
+}
--- /dev/null
+++ b/statemachine/template.go
@@ -0,0 +1,111 @@
+package statemachine
+
+// Class says how the work of a queue is run.
+type Class string
+
+const (
+	// ClassUrgent is idempotent work whose caller waits for the answer.
+	ClassUrgent Class = "urgent"
+	// ClassOrder is non-idempotent work, run at most once.
+	ClassOrder Class = "order"
+	// ClassJob is long work that is accepted first and polled for.
+	ClassJob Class = "job"
+)
+
+// Queue is one queue of a template.
+type Queue struct {
+	Name  string `json:"name" validate:"required,max=64,excludesall=./"`
+	Class Class  `json:"class" validate:"oneof=urgent order job"`
+	// Idempotent says whether work of a job queue may run more than once.
+	// Urgent work always may, and orders never.
+	Idempotent bool `json:"idempotent"`
+	// TimeoutMS is the callers' patience if they name none, in milliseconds.
+	TimeoutMS int64 `json:"timeout_ms" validate:"min=1,max=86400000"`
+}
+
+// RunsAtMostOnce reports whether work of the queue must not run twice.
+func (q Queue) RunsAtMostOnce() bool {
+	switch q.Class {
+	case ClassOrder:
+		return true
+	case ClassJob:
+		return !q.Idempotent
+	default:
+		return false
+	}
+}
+
+// Weights are the costs that maintenance weighs against each other.
+type Weights struct {
+	RolloutTime float64 `json:"rollout_time" validate:"min=0,max=1"`
+	Moves       float64 `json:"moves" validate:"min=0,max=1"`
+	Shares      float64 `json:"shares" validate:"min=0,max=1"`
+	Buffer      float64 `json:"buffer" validate:"min=0,max=1"`
+}
+
+// Template is one kind of workspace.
+type Template struct {
+	Name string `json:"name" validate:"required,max=64,excludesall=./"`
+	// Pools are the pools on which the workspaces' work runs.
+	Pools   []string `json:"pools" validate:"min=1,dive,required"`
+	Queues  []Queue  `json:"queues" validate:"min=1,dive"`
+	Weights Weights  `json:"weights"`
+	// Version counts the amendments, from 1.
+	Version uint64 `json:"version"`
+}
+
+// Queue returns the queue of the name.
+func (t *Template) Queue(name string) (Queue, bool) {
+	for _, q := range t.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// KindTemplateSet is the kind of TemplateSet.
+const KindTemplateSet Kind = "template_set"
+
+// TemplateSet publishes or amends a template. It is void unless Expected is
+// the template's version, or 0 for a new one.
+type TemplateSet struct {
+	Template Template `json:"template"`
+	Expected uint64   `json:"expected"`
+}
+
+// Kind implements Command.
+func (*TemplateSet) Kind() Kind { return KindTemplateSet }
+
+func (c *TemplateSet) apply(next *State, _ applyContext) *Void {
+	name := c.Template.Name
+	var version uint64
+	if current, ok := next.Templates.Get(name); ok {
+		version = current.Version
+	}
+	if c.Expected != version {
+		return voidf(ReasonVersion, "template %s is at version %d, not %d", name, version, c.Expected)
+	}
+	if void := keepsQueues(next, c.Template); void != nil {
+		return void
+	}
+	template := c.Template
+	template.Version = version + 1
+	next.Templates = next.Templates.Set(name, &template)
+	return nil
+}
+
+// keepsQueues refuses a template that drops a queue which a workspace opens.
+func keepsQueues(s *State, t Template) *Void {
+	for name, w := range s.Workspaces.All() {
+		if w.Template != t.Name {
+			continue
+		}
+		for _, open := range w.OpenQueues {
+			if _, ok := t.Queue(open); !ok {
+				return voidf(ReasonInvalid, "workspace %s opens queue %s, which the template drops", name, open)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/statemachine/void.go
@@ -0,0 +1,39 @@
+package statemachine
+
+import "fmt"
+
+// Reason says why a record is void.
+type Reason string
+
+const (
+	// ReasonVersion means that the record expects another version.
+	ReasonVersion Reason = "version_mismatch"
+	// ReasonNotFound means that the record names something that does not exist.
+	ReasonNotFound Reason = "not_found"
+	// ReasonExists means that the record creates something that exists.
+	ReasonExists Reason = "exists"
+	// ReasonInvalid means that the record's values are not allowed.
+	ReasonInvalid Reason = "invalid"
+	// ReasonWithdrawn means that the key was withdrawn before.
+	ReasonWithdrawn Reason = "withdrawn"
+	// ReasonDuplicate means that a record of the same writer with this or a
+	// later number has been applied.
+	ReasonDuplicate Reason = "duplicate"
+	// ReasonWriter means that the writer may not write the record.
+	ReasonWriter Reason = "writer"
+)
+
+// Void is the outcome of a record whose precondition failed.
+type Void struct {
+	Reason  Reason
+	Message string
+}
+
+// Error implements the error interface.
+func (v *Void) Error() string {
+	return fmt.Sprintf("%s: %s", v.Reason, v.Message)
+}
+
+func voidf(reason Reason, format string, args ...any) *Void {
+	return &Void{Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/statemachine/workspace.go
@@ -0,0 +1,98 @@
+package statemachine
+
+import "slices"
+
+// ShareWhole is the whole that the shares of a template's workspaces divide.
+const ShareWhole = 1000
+
+// Workspace is one team's use of a template.
+type Workspace struct {
+	Name     string `json:"name" validate:"required,max=64,excludesall=./"`
+	Template string `json:"template" validate:"required"`
+	// Team owns the workspace. A team owns one workspace.
+	Team string `json:"team" validate:"required,max=64"`
+	// SharePermille is the team's share when everything is full, in parts of
+	// ShareWhole.
+	SharePermille int `json:"share_permille" validate:"min=0,max=1000"`
+	// Limit is the number of tasks that the team may have running at once.
+	Limit int `json:"limit" validate:"min=0"`
+	// OpenQueues take work without a key.
+	OpenQueues []string `json:"open_queues"`
+	// Version counts the changes, from 1.
+	Version uint64 `json:"version"`
+}
+
+// IsOpen reports whether the queue takes work without a key.
+func (w *Workspace) IsOpen(queue string) bool {
+	return slices.Contains(w.OpenQueues, queue)
+}
+
+// KindWorkspaceSet is the kind of WorkspaceSet.
+const KindWorkspaceSet Kind = "workspace_set"
+
+// WorkspaceSet creates or changes a workspace. It is void unless Expected is
+// the workspace's version, or 0 for a new one.
+type WorkspaceSet struct {
+	Workspace Workspace `json:"workspace"`
+	Expected  uint64    `json:"expected"`
+}
+
+// Kind implements Command.
+func (*WorkspaceSet) Kind() Kind { return KindWorkspaceSet }
+
+func (c *WorkspaceSet) apply(next *State, _ applyContext) *Void {
+	w := c.Workspace
+	current, exists := next.Workspaces.Get(w.Name)
+	var version uint64
+	if exists {
+		version = current.Version
+	}
+	if c.Expected != version {
+		return voidf(ReasonVersion, "workspace %s is at version %d, not %d", w.Name, version, c.Expected)
+	}
+	if exists && (current.Team != w.Team || current.Template != w.Template) {
+		return voidf(ReasonInvalid, "workspace %s keeps its team %s and template %s", w.Name, current.Team, current.Template)
+	}
+	if void := checkWorkspace(next, w); void != nil {
+		return void
+	}
+	w.Version = version + 1
+	next.Workspaces = next.Workspaces.Set(w.Name, &w)
+	next.ByTeam = next.ByTeam.Set(w.Team, &w)
+	return nil
+}
+
+// checkWorkspace refuses values that do not fit the rest of the state.
+func checkWorkspace(s *State, w Workspace) *Void {
+	template, ok := s.Templates.Get(w.Template)
+	if !ok {
+		return voidf(ReasonNotFound, "template %s does not exist", w.Template)
+	}
+	if w.Limit < 0 {
+		return voidf(ReasonInvalid, "limit %d is below 0", w.Limit)
+	}
+	for _, open := range w.OpenQueues {
+		if _, ok := template.Queue(open); !ok {
+			return voidf(ReasonNotFound, "template %s has no queue %s", w.Template, open)
+		}
+	}
+	return checkShares(s, w)
+}
+
+// checkShares keeps the shares of a template's workspaces within the whole,
+// and each team in one workspace.
+func checkShares(s *State, w Workspace) *Void {
+	if owned, ok := s.ByTeam.Get(w.Team); ok && owned.Name != w.Name {
+		return voidf(ReasonExists, "team %s owns workspace %s already", w.Team, owned.Name)
+	}
+	total := w.SharePermille
+	for name, other := range s.Workspaces.All() {
+		if name != w.Name && other.Template == w.Template {
+			total += other.SharePermille
+		}
+	}
+	if w.SharePermille < 0 || total > ShareWhole {
+		return voidf(ReasonInvalid, "the shares of template %s would add up to %d of %d", w.Template, total, ShareWhole)
+	}
+	return nil
+}
