Let modules add their parts to the entry without touching the daemon

Cause: every mechanism to come (claims, jobs, relays, loans, waves) adds background work, routes and messages; the daemon and the command registry would be changed by each of them in the same lines.

Ruled out: a registry filled from init functions (hidden order, hard to test).

Conclusion: a mechanism is now one module of its own.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -24,10 +24,13 @@
 	dispatcher *dispatch.Dispatcher
 }
 
-func newCallersHandler(s settings.Entry, d *dispatch.Dispatcher) *gin.Engine {
+func newCallersHandler(s settings.Entry, d *dispatch.Dispatcher, routes []callerRoutes) *gin.Engine {
 	c := &callers{settings: s, dispatcher: d}
 	engine := newEngine()
 	engine.POST("/v1/queues/:queue/requests", c.submit)
+	for _, add := range routes {
+		add(engine)
+	}
 	return engine
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -14,13 +14,9 @@
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/peer"
-	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/statemachine"
-	"github.com/anvilcourse/anvilcourse/timeline"
 )
 
 const (
@@ -40,18 +36,17 @@
 	ID         identity
 	Logger     hclog.Logger
 	Stream     *logstream.Stream
-	Control    *control
-	Membership *membership.Membership
 	PeerClient *peer.Client
-	Describer  *describer
-	Placer     *placement.Placer
 	Limbo      *dispatch.Limbo
 	Dispatcher *dispatch.Dispatcher
-	Ledger     *quota.Ledger
-	Allotter   *quota.Allotter
-	FleetWatch *fleetWatch
-	Ring       *timeline.Ring
+	Operators  *operators
 	Ready      *readiness
+
+	Tasks          []task           `group:"tasks"`
+	OperatorRoutes []operatorRoutes `group:"operator_routes"`
+	CallerRoutes   []callerRoutes   `group:"caller_routes"`
+	Peers          []peerRoute      `group:"peers"`
+	StopSteps      []stopStep       `group:"stop_steps"`
 }
 
 // daemon is the running entry.
@@ -78,18 +73,16 @@
 	if err != nil {
 		return err
 	}
-	d.peers = peer.NewServer(listeners[0], &peerHandler{describer: d.Describer}, d.Logger)
-	d.operators = newHTTPServer(d.operatorsHandler())
-	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher))
+	d.peers = peer.NewServer(listeners[0], peerRoutes(d.Peers), d.Logger)
+	d.operators = newHTTPServer(d.Operators.handler(d.OperatorRoutes))
+	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.CallerRoutes))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.run(d.peers.Serve)
 	d.run(func() { _ = d.operators.Serve(listeners[1]) })
 	d.run(func() { _ = d.callers.Serve(listeners[2]) })
-	for _, work := range []func(context.Context){
-		d.Stream.Run, d.Membership.Run, d.Placer.Run, d.Limbo.Run, d.Allotter.Run, d.FleetWatch.run, d.join,
-	} {
-		d.run(func() { work(ctx) })
+	for _, work := range append(d.Tasks, task{name: "join", run: d.join}) {
+		d.run(func() { work.run(ctx) })
 	}
 	d.Logger.Info("entry started", "callers", d.Settings.Callers, "operators", d.Settings.Operators, "peers", d.Settings.Peers)
 	return nil
@@ -99,14 +92,6 @@
 	d.background.Go(work)
 }
 
-func (d *daemon) operatorsHandler() http.Handler {
-	o := &operators{
-		settings: d.Settings, id: d.ID, control: d.Control, membership: d.Membership, dispatcher: d.Dispatcher,
-		limbo: d.Limbo, ledger: d.Ledger, ring: d.Ring, ready: d.Ready,
-	}
-	return o.handler()
-}
-
 // join writes the entry's membership until it is in the control state.
 func (d *daemon) join(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -141,6 +126,7 @@
 	if !d.drain(deadline) {
 		d.Logger.Error("graceful stop timed out", "inflight", d.Dispatcher.Inflight(), "unsettled", d.Limbo.Len())
 	} else {
+		d.runStopSteps(deadline)
 		d.leave(deadline)
 	}
 	_ = d.callers.Shutdown(deadline)
@@ -165,6 +151,15 @@
 	return true
 }
 
+// runStopSteps runs the modules' parts of a graceful stop.
+func (d *daemon) runStopSteps(ctx context.Context) {
+	for _, step := range d.StopSteps {
+		if err := step.run(ctx); err != nil {
+			d.Logger.Error("a step of the graceful stop failed", "step", step.name, "error", err.Error())
+		}
+	}
+}
+
 // leave gives up the membership and with it the allotments.
 func (d *daemon) leave(ctx context.Context) {
 	_, err := d.Stream.Propose(ctx, &statemachine.EntryLeave{Incarnation: d.ID.incarnation})
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -37,17 +37,26 @@
 	return age.Milliseconds()
 }
 
-// peerHandler answers the calls of other entries.
-type peerHandler struct {
-	describer *describer
+// newHeartbeatHandler answers heartbeats with the own one.
+func newHeartbeatHandler(d *describer) peerRoute {
+	return func(_ context.Context, req *peerpb.Request) *peerpb.Response {
+		if req.GetHeartbeat() == nil {
+			return nil
+		}
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: d.describe()}}
+	}
 }
 
+// peerRoutes answers the calls of other entries by the first route that knows
+// the call.
+type peerRoutes []peerRoute
+
 // HandlePeer implements peer.Handler.
-func (h *peerHandler) HandlePeer(_ context.Context, req *peerpb.Request) *peerpb.Response {
-	switch req.GetBody().(type) {
-	case *peerpb.Request_Heartbeat:
-		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: h.describer.describe()}}
-	default:
-		return nil
+func (routes peerRoutes) HandlePeer(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+	for _, route := range routes {
+		if resp := route(ctx, req); resp != nil {
+			return resp
+		}
 	}
+	return nil
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -71,6 +71,9 @@
 		newAllotter,
 		newFleetWatch,
 		newReadiness,
+		newOperators,
+		fx.Annotate(newCoreTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newHeartbeatHandler, fx.ResultTags(`group:"peers"`)),
 	),
 )
 
@@ -170,6 +173,20 @@
 	return &fleetWatch{self: id.incarnation, vms: vms, placer: placer, stream: stream, clock: clock, logger: logger}
 }
 
+// newCoreTasks lists the background work of the core.
+func newCoreTasks(stream *logstream.Stream, m *membership.Membership, placer *placement.Placer,
+	limbo *dispatch.Limbo, allotter *quota.Allotter, watch *fleetWatch,
+) []task {
+	return []task{
+		{name: "control stream", run: stream.Run},
+		{name: "heartbeats", run: m.Run},
+		{name: "slot leases", run: placer.Run},
+		{name: "unsettled starts", run: limbo.Run},
+		{name: "allotments", run: allotter.Run},
+		{name: "VM list", run: watch.run},
+	}
+}
+
 func newReadiness(c *control, id identity) *readiness {
 	return &readiness{control: c, self: id.incarnation}
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -41,7 +41,15 @@
 	ready      *readiness
 }
 
-func (o *operators) handler() *gin.Engine {
+func newOperators(s settings.Entry, id identity, c *control, m *membership.Membership, d *dispatch.Dispatcher,
+	limbo *dispatch.Limbo, ledger *quota.Ledger, ring *timeline.Ring, ready *readiness,
+) *operators {
+	return &operators{
+		settings: s, id: id, control: c, membership: m, dispatcher: d, limbo: limbo, ledger: ledger, ring: ring, ready: ready,
+	}
+}
+
+func (o *operators) handler(routes []operatorRoutes) *gin.Engine {
 	engine := newEngine()
 	engine.GET("/healthz", func(g *gin.Context) { g.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", o.readyz)
@@ -63,6 +71,9 @@
 	group.GET("/keys", listOf(o, func(s *statemachine.State) statemachine.Table[*statemachine.Key] { return s.Keys }))
 	group.POST("/keys", o.grantKey)
 	group.DELETE("/keys/:hash", o.withdrawKey)
+	for _, add := range routes {
+		add(group)
+	}
 	return engine
 }
 
--- a/statemachine/allotment.go
+++ b/statemachine/allotment.go
@@ -72,3 +72,8 @@
 	out.ByEntry[entry] = amount
 	return out
 }
+
+// allotmentCommands are the commands that divide the upper limits.
+var allotmentCommands = map[Kind]newCommand{
+	KindAllotmentAdjust: func() Command { return &AllotmentAdjust{} },
+}
--- a/statemachine/command.go
+++ b/statemachine/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,28 +26,35 @@
 	atMS   int64
 }
 
+// newCommand makes an empty command.
+type newCommand func() Command
+
 // commandTypes makes an empty command of each kind.
-var commandTypes = map[Kind]func() Command{
-	KindTemplateSet:  func() Command { return &TemplateSet{} },
-	KindWorkspaceSet: func() Command { return &WorkspaceSet{} },
-	KindKeyGrant:     func() Command { return &KeyGrant{} },
-	KindKeyWithdraw:  func() Command { return &KeyWithdraw{} },
-	KindPoolSet:      func() Command { return &PoolSet{} },
-	KindVMAdd:        func() Command { return &VMAdd{} },
-	KindVMRemove:     func() Command { return &VMRemove{} },
-	KindVMMove:       func() Command { return &VMMove{} },
-	KindEntryJoin:    func() Command { return &EntryJoin{} },
-	KindEntryLeave:   func() Command { return &EntryLeave{} },
-
-	KindAllotmentAdjust: func() Command { return &AllotmentAdjust{} },
+var commandTypes = mergeCommands(
+	configCommands,
+	fleetCommands,
+	entryCommands,
+	allotmentCommands,
+	leaseCommands,
+	waveCommands,
+	claimCommands,
+	jobCommands,
+)
+
+func mergeCommands(groups ...map[Kind]newCommand) map[Kind]newCommand {
+	out := make(map[Kind]newCommand)
+	for _, group := range groups {
+		maps.Copy(out, group)
+	}
+	return out
 }
 
 func decodeCommand(kind Kind, body []byte) (Command, error) {
-	make, ok := commandTypes[kind]
+	newCommand, ok := commandTypes[kind]
 	if !ok {
 		return nil, errors.Newf("record kind %q is not known", kind)
 	}
-	command := make()
+	command := newCommand()
 	if err := json.Unmarshal(body, command); err != nil {
 		return nil, errors.Wrapf(err, "decode %s", kind)
 	}
--- a/statemachine/entry.go
+++ b/statemachine/entry.go
@@ -77,3 +77,9 @@
 	next.Entries = next.Entries.Delete(c.Incarnation)
 	return nil
 }
+
+// entryCommands are the commands that change the membership.
+var entryCommands = map[Kind]newCommand{
+	KindEntryJoin:  func() Command { return &EntryJoin{} },
+	KindEntryLeave: func() Command { return &EntryLeave{} },
+}
--- /dev/null
+++ b/statemachine/job.go
@@ -0,0 +1,4 @@
+package statemachine
+
+// jobCommands are the commands that accept and carry out jobs.
+var jobCommands = map[Kind]newCommand{}
--- a/statemachine/template.go
+++ b/statemachine/template.go
@@ -109,3 +109,12 @@
 	}
 	return nil
 }
+
+// configCommands are the commands that change the configuration.
+var configCommands = map[Kind]newCommand{
+	KindTemplateSet:  func() Command { return &TemplateSet{} },
+	KindWorkspaceSet: func() Command { return &WorkspaceSet{} },
+	KindKeyGrant:     func() Command { return &KeyGrant{} },
+	KindKeyWithdraw:  func() Command { return &KeyWithdraw{} },
+	KindPoolSet:      func() Command { return &PoolSet{} },
+}
--- a/statemachine/vm.go
+++ b/statemachine/vm.go
@@ -100,3 +100,10 @@
 	}
 	return vm, nil
 }
+
+// fleetCommands are the commands that change which VMs there are and where.
+var fleetCommands = map[Kind]newCommand{
+	KindVMAdd:    func() Command { return &VMAdd{} },
+	KindVMRemove: func() Command { return &VMRemove{} },
+	KindVMMove:   func() Command { return &VMMove{} },
+}
