statemachine: contract tests of the reducer; two faults they found

Cause: the reducer had no tests of its own. A share near the largest integer passed the check of the sum, because the sum overflowed below the whole. A batch without a writer decoded, and its marks would have been kept under the empty name.

Ruled out: checks at the operators' interface only. They exist, but the reducer must refuse the record whoever wrote it.

Change: shares are checked against the whole before they are added, and a batch without a writer does not decode.

--- a/statemachine/record.go
+++ b/statemachine/record.go
@@ -59,7 +59,7 @@
 }
 
 // DecodeBatch decodes a payload of the log. It fails on a schema or a kind of
-// record that this version does not know.
+// record that this version does not know, and on a batch without a writer.
 func DecodeBatch(payload []byte) (Batch, error) {
 	var wire wireBatch
 	if err := json.Unmarshal(payload, &wire); err != nil {
@@ -68,6 +68,9 @@
 	if wire.Schema != SchemaVersion {
 		return Batch{}, errors.Newf("batch schema %d is not %d", wire.Schema, SchemaVersion)
 	}
+	if wire.Writer == "" {
+		return Batch{}, errors.New("batch names no writer")
+	}
 	out := Batch{Writer: wire.Writer, AtMS: wire.AtMS}
 	for _, r := range wire.Records {
 		command, err := decodeCommand(r.Kind, r.Body)
--- /dev/null
+++ b/statemachine/reducer_test.go
@@ -0,0 +1,156 @@
+package statemachine
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// run applies the commands as records 1, 2, ... of one writer, each in a
+// payload of its own, and returns the last result.
+func run(t *testing.T, s *State, writer string, commands ...Command) (*State, Result) {
+	t.Helper()
+	var result Result
+	mark, _ := s.Writers.Get(writer)
+	for i, command := range commands {
+		batch := Batch{Writer: writer, AtMS: mark.AtMS + int64(i), Records: []Record{{Seq: mark.Seq + uint64(i) + 1, Command: command}}}
+		next, results := s.Apply(s.Next, roundTrip(t, batch))
+		require.Greater(t, next.Next, s.Next)
+		s, result = next, results[0]
+	}
+	return s, result
+}
+
+// roundTrip sends the batch through its encoding.
+func roundTrip(t *testing.T, batch Batch) Batch {
+	t.Helper()
+	raw, err := EncodeBatch(batch)
+	require.NoError(t, err)
+	out, err := DecodeBatch(raw)
+	require.NoError(t, err)
+	return out
+}
+
+// base returns a state with two pools, a template, a workspace, a VM, and two
+// keys of which one is withdrawn.
+func base(t *testing.T) *State {
+	t.Helper()
+	s, result := run(t, New(), "base",
+		&PoolSet{Pool: Pool{Name: "a"}}, &PoolSet{Pool: Pool{Name: "b"}},
+		&TemplateSet{Template: Template{Name: "t", Pools: []string{"a"}, Queues: []Queue{{Name: "q", Class: ClassUrgent}}}},
+		&WorkspaceSet{Workspace: Workspace{Name: "w", Template: "t", Team: "one", SharePermille: 600, Limit: 4, OpenQueues: []string{"q"}}},
+		&VMAdd{VM: VM{ID: "vm", Pool: "a"}},
+		&KeyGrant{Hash: "live", Workspace: "w"}, &KeyGrant{Hash: "gone", Workspace: "w"}, &KeyWithdraw{Hash: "gone"},
+	)
+	require.Nil(t, result.Void)
+	return s
+}
+
+// TestApply_VersionRace checks that of two writers that expect the same
+// version one wins, whichever comes first, and the other changes nothing.
+func TestApply_VersionRace(t *testing.T) {
+	races := map[string][2]Command{
+		"pool created":     {&PoolSet{Pool: Pool{Name: "p"}}, &PoolSet{Pool: Pool{Name: "p", Spare: true}}},
+		"pool changed":     {&PoolSet{Pool: Pool{Name: "a"}, Expected: 1}, &PoolSet{Pool: Pool{Name: "a", Spare: true}, Expected: 1}},
+		"template changed": {templateAt("t", 1, "q"), templateAt("t", 1, "q", "r")},
+		"workspace changed": {
+			&WorkspaceSet{Workspace: Workspace{Name: "w", Template: "t", Team: "one", Limit: 1}, Expected: 1},
+			&WorkspaceSet{Workspace: Workspace{Name: "w", Template: "t", Team: "one", Limit: 2}, Expected: 1},
+		},
+		"VM moved":            {&VMMove{VM: "vm", From: "a", To: "b", Expected: 1}, &VMMove{VM: "vm", From: "a", To: "b", Expected: 1}},
+		"VM moved or removed": {&VMMove{VM: "vm", From: "a", To: "b", Expected: 1}, &VMRemove{VM: "vm", Expected: 1}},
+	}
+	for name, race := range races {
+		for _, order := range [][2]int{{0, 1}, {1, 0}} {
+			t.Run(name, func(t *testing.T) {
+				won, first := run(t, base(t), "x", race[order[0]])
+				require.Nil(t, first.Void)
+				after, second := run(t, won, "y", race[order[1]])
+				require.NotNil(t, second.Void)
+				require.Contains(t, []Reason{ReasonVersion, ReasonNotFound}, second.Void.Reason)
+				require.Equal(t, content(t, won), content(t, after))
+			})
+		}
+	}
+}
+
+func templateAt(name string, expected uint64, queues ...string) *TemplateSet {
+	template := Template{Name: name, Pools: []string{"a"}}
+	for _, queue := range queues {
+		template.Queues = append(template.Queues, Queue{Name: queue, Class: ClassUrgent})
+	}
+	return &TemplateSet{Template: template, Expected: expected}
+}
+
+// content returns the state without what every record changes.
+func content(t *testing.T, s *State) State {
+	t.Helper()
+	out := *s
+	out.Next, out.Writers = 0, Table[WriterMark]{}
+	return out
+}
+
+// TestApply_Rules is the table of what the reducer refuses.
+func TestApply_Rules(t *testing.T) {
+	workspace := func(change func(*Workspace)) Command {
+		w := Workspace{Name: "new", Template: "t", Team: "two", SharePermille: 400, Limit: 1}
+		change(&w)
+		return &WorkspaceSet{Workspace: w}
+	}
+	cases := []struct {
+		name    string
+		command Command
+		void    Reason
+	}{
+		{"shares add up to the whole", workspace(func(*Workspace) {}), ""},
+		{"shares above the whole", workspace(func(w *Workspace) { w.SharePermille = 401 }), ReasonInvalid},
+		{"share below 0", workspace(func(w *Workspace) { w.SharePermille = -1 }), ReasonInvalid},
+		{"share that overflows the sum", workspace(func(w *Workspace) { w.SharePermille = math.MaxInt }), ReasonInvalid},
+		{"limit 0", workspace(func(w *Workspace) { w.Limit = 0 }), ""},
+		{"limit below 0", workspace(func(w *Workspace) { w.Limit = -1 }), ReasonInvalid},
+		{"team of another workspace", workspace(func(w *Workspace) { w.Team = "one" }), ReasonExists},
+		{"unknown template", workspace(func(w *Workspace) { w.Template = "u" }), ReasonNotFound},
+		{"unknown open queue", workspace(func(w *Workspace) { w.OpenQueues = []string{"r"} }), ReasonNotFound},
+		{"workspace given to another team", &WorkspaceSet{Workspace: Workspace{Name: "w", Template: "t", Team: "two"}, Expected: 1}, ReasonInvalid},
+		{"template drops an open queue", templateAt("t", 1, "r"), ReasonInvalid},
+		{"new template at a version", templateAt("u", 1, "q"), ReasonVersion},
+		{"budget below 0", &PoolSet{Pool: Pool{Name: "c", MaxUnavailable: -1}}, ReasonInvalid},
+		{"key granted", &KeyGrant{Hash: "new", Workspace: "w"}, ""},
+		{"key granted twice", &KeyGrant{Hash: "live", Workspace: "w"}, ReasonExists},
+		{"withdrawn key granted again", &KeyGrant{Hash: "gone", Workspace: "w"}, ReasonWithdrawn},
+		{"key for no workspace", &KeyGrant{Hash: "new", Workspace: "v"}, ReasonNotFound},
+		{"key withdrawn twice", &KeyWithdraw{Hash: "gone"}, ""},
+		{"unknown key withdrawn", &KeyWithdraw{Hash: "new"}, ReasonNotFound},
+		{"VM added twice", &VMAdd{VM: VM{ID: "vm", Pool: "b"}}, ReasonExists},
+		{"VM added to no pool", &VMAdd{VM: VM{ID: "vm2", Pool: "c"}}, ReasonNotFound},
+		{"VM moved from another pool", &VMMove{VM: "vm", From: "b", To: "a", Expected: 1}, ReasonVersion},
+		{"VM moved to no pool", &VMMove{VM: "vm", From: "a", To: "c", Expected: 1}, ReasonNotFound},
+		{"entry joins as another", &EntryJoin{Entry: Entry{Incarnation: "y"}}, ReasonWriter},
+		{"entry leaves for another", &EntryLeave{Incarnation: "y"}, ReasonWriter},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			before := base(t)
+			after, result := run(t, before, "x", c.command)
+			if c.void == "" {
+				require.Nil(t, result.Void)
+				return
+			}
+			require.NotNil(t, result.Void)
+			require.Equal(t, c.void, result.Void.Reason)
+			require.Equal(t, content(t, before), content(t, after))
+		})
+	}
+}
+
+// TestApply_NextNeverDecreases checks old offsets and skipped payloads.
+func TestApply_NextNeverDecreases(t *testing.T) {
+	s := base(t)
+	batch := Batch{Writer: "x", Records: []Record{{Seq: 1, Command: &PoolSet{Pool: Pool{Name: "late"}}}}}
+	old, results := s.Apply(s.Next-1, batch)
+	require.Same(t, s, old)
+	require.Empty(t, results)
+	require.Same(t, s, s.Skip(s.Next-1))
+	require.Equal(t, s.Next+1, s.Skip(s.Next).Next)
+}
--- /dev/null
+++ b/statemachine/schedule_test.go
@@ -0,0 +1,89 @@
+package statemachine
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	// The same schedules at every run, unless the command line names a seed.
+	_ = flag.Set("rapid.seed", "1")
+}
+
+// modelState is what the schedule test expects: versions by pool and the
+// highest record number by writer.
+type modelState struct {
+	versions map[string]uint64
+	marks    map[string]uint64
+}
+
+// apply returns whether the record takes effect.
+func (m *modelState) apply(writer string, seq uint64, c *PoolSet) bool {
+	if seq <= m.marks[writer] {
+		return false
+	}
+	m.marks[writer] = seq
+	if m.versions[c.Pool.Name] != c.Expected {
+		return false
+	}
+	m.versions[c.Pool.Name]++
+	return true
+}
+
+// drawBatches makes the batches of a few writers, numbered as a writer does.
+func drawBatches(t *rapid.T) []Batch {
+	var out []Batch
+	for w := range rapid.IntRange(1, 3).Draw(t, "writers") {
+		var seq uint64
+		for range rapid.IntRange(1, 4).Draw(t, "batches") {
+			batch := Batch{Writer: fmt.Sprintf("w%d", w)}
+			for range rapid.IntRange(1, 3).Draw(t, "records") {
+				seq++
+				pool := Pool{Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool")}
+				expected := rapid.Uint64Range(0, 4).Draw(t, "expected")
+				batch.Records = append(batch.Records, Record{Seq: seq, Command: &PoolSet{Pool: pool, Expected: expected}})
+			}
+			out = append(out, batch)
+		}
+	}
+	return out
+}
+
+// TestApply_RandomSchedules delivers batches doubled, late, in any order or
+// not at all, and compares each result with the model.
+func TestApply_RandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batches := drawBatches(t)
+		schedule := rapid.SliceOfN(rapid.IntRange(0, len(batches)-1), 1, 24).Draw(t, "schedule")
+		state := New()
+		model := &modelState{versions: map[string]uint64{}, marks: map[string]uint64{}}
+		effects := map[ID]int{}
+		for _, index := range schedule {
+			next, results := state.Apply(state.Next, batches[index])
+			require.Equal(t, state.Next+1, next.Next)
+			for i, result := range results {
+				record := batches[index].Records[i]
+				took := model.apply(batches[index].Writer, record.Seq, record.Command.(*PoolSet))
+				require.Equal(t, took, result.Void == nil)
+				if took {
+					effects[result.ID]++
+				}
+			}
+			state = next
+		}
+		for id, count := range effects {
+			require.Equal(t, 1, count, "record %v took effect more than once", id)
+		}
+		for name, version := range model.versions {
+			pool, ok := state.Pools.Get(name)
+			require.Equal(t, version > 0, ok)
+			if ok {
+				require.Equal(t, version, pool.Version)
+			}
+		}
+	})
+}
--- a/statemachine/workspace.go
+++ b/statemachine/workspace.go
@@ -85,13 +85,16 @@
 	if owned, ok := s.ByTeam.Get(w.Team); ok && owned.Name != w.Name {
 		return voidf(ReasonExists, "team %s owns workspace %s already", w.Team, owned.Name)
 	}
+	if w.SharePermille < 0 || w.SharePermille > ShareWhole {
+		return voidf(ReasonInvalid, "share %d is outside 0 to %d", w.SharePermille, ShareWhole)
+	}
 	total := w.SharePermille
 	for name, other := range s.Workspaces.All() {
 		if name != w.Name && other.Template == w.Template {
 			total += other.SharePermille
 		}
 	}
-	if w.SharePermille < 0 || total > ShareWhole {
+	if total > ShareWhole {
 		return voidf(ReasonInvalid, "the shares of template %s would add up to %d of %d", w.Template, total, ShareWhole)
 	}
 	return nil
