--- a/standin/faults.go
+++ b/standin/faults.go
@@ -8,6 +8,10 @@
 	SlowMS int `json:"slow_ms"`
 	// LoseReplies drops the reply of this many appends after the write.
 	LoseReplies int `json:"lose_replies"`
+	// LoseAppends drops this many appends before the write, without a reply.
+	LoseAppends int `json:"lose_appends"`
+	// RateLimit refuses this many appends as over the rate limit.
+	RateLimit int `json:"rate_limit"`
 	// Cut lists the names of the clients that cannot reach the log.
 	Cut []string `json:"cut"`
 }
--- a/standin/log.go
+++ b/standin/log.go
@@ -81,26 +81,37 @@
 		writeError(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
 		return
 	}
-	if !l.limiter.Allow() {
+	if l.takeFault(func(f *LogFaults) *int { return &f.LoseAppends }) {
+		panic(http.ErrAbortHandler)
+	}
+	if !l.limiter.Allow() || l.takeFault(func(f *LogFaults) *int { return &f.RateLimit }) {
 		writeError(w, http.StatusTooManyRequests, platform.CodeRateLimited, "the append rate limit is exceeded")
 		return
 	}
 	offset := l.stream(r.PathValue("stream")).append(body.Payloads, time.Now())
-	if l.countAppend(r.UserAgent()) {
+	l.countAppend(r.UserAgent())
+	if l.takeFault(func(f *LogFaults) *int { return &f.LoseReplies }) {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, platform.AppendReply{Offset: offset})
 }
 
-// countAppend counts an append and reports whether its reply is to be lost.
-func (l *log) countAppend(client string) bool {
+// countAppend counts an append of the client.
+func (l *log) countAppend(client string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends[client]++
-	if l.faults.LoseReplies == 0 {
+}
+
+// takeFault counts a switch down and reports whether it was on.
+func (l *log) takeFault(count func(*LogFaults) *int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := count(&l.faults)
+	if *left == 0 {
 		return false
 	}
-	l.faults.LoseReplies--
+	*left--
 	return true
 }
 
