logstream: settle unknown proposals, bound what waits, stop on a foreign log

Cause: a proposer that gave up after an append without a reply was told "unknown" for good. Records that were written and not read back could pile up without bound. A log made anew, or one that had lost its latest records, was applied at the old offsets, and reaching its shorter end even counted as proof that the state was current.

Ruled out: repeating the abandoned append until it succeeds. It settles the record too, but brings it into force long after its proposer has left.

Change: an Unknown error of Propose carries a Pending. The writer follows an abandoned append with a fence record; once any later record of the writer has been applied, those before it that were not are void for good and their Pending ends as Refused. Between refused appends a proposer that gives up is refused at once. The writer holds while MaxQueued records are written and not read back. A page of another stream identity, or one that ends before the applied offset, stops the stream for good: Fault tells why, Age is beyond any bound and proposals are refused. A page at another offset than the one asked for is not applied. One read is bounded by 1.5 s.

Before, by switching the mechanism off: without the fence the rows "append lost" and "append late" of TestPropose_Faults never end; without the identity check "made anew and longer" fails; without the check of the end "lost its latest records" fails. After: go test -race -count=30 ./logstream passes; go test -race ./cmd/anvilcourse passes.

--- a/logstream/config.go
+++ b/logstream/config.go
@@ -34,6 +34,8 @@
 	MaxQueued int
 	// ReadWait is the longest wait for new records in one read.
 	ReadWait time.Duration
+	// ReadTimeout bounds one read beyond its wait.
+	ReadTimeout time.Duration
 	// ReadLimit is the number of payloads in one read.
 	ReadLimit int
 	// RetryDelay is the pause after a failed call to the log.
@@ -50,6 +52,7 @@
 		MaxBatchAge:     4 * time.Millisecond,
 		MaxQueued:       4096,
 		ReadWait:        500 * time.Millisecond,
+		ReadTimeout:     time.Second,
 		ReadLimit:       512,
 		RetryDelay:      50 * time.Millisecond,
 		CallTimeout:     2 * time.Second,
--- /dev/null
+++ b/logstream/faults_test.go
@@ -0,0 +1,213 @@
+package logstream
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+)
+
+// TestPropose_Faults is the fault table of a proposal. Each row switches a
+// fault on, proposes, and heals the log. The record takes effect once or, if
+// it was refused, never.
+func TestPropose_Faults(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(*fakelog.Faults)
+		// giveUp ends the proposer's wait while the fault is on.
+		giveUp bool
+		// blind keeps the stream from reading while the fault is on.
+		blind bool
+		// last is the outcome in the end, "" for success: what the proposer
+		// sees or, after Unknown, what Pending tells once the log has healed.
+		last platform.Outcome
+		// effects is the number of times the record is in effect at the end.
+		effects uint64
+	}{
+		{name: "no fault", fault: func(*fakelog.Faults) {}, effects: 1},
+		{name: "reply lost after the write", fault: func(f *fakelog.Faults) { f.LoseReplies = 3 }, effects: 1},
+		{name: "append lost", fault: func(f *fakelog.Faults) { f.LoseAppends = 3 }, effects: 1},
+		{name: "append late", fault: func(f *fakelog.Faults) { f.HoldAppends = 2 }, effects: 1},
+		{name: "rate limited", fault: func(f *fakelog.Faults) { f.RateLimit = 3 }, effects: 1},
+		{name: "slow", fault: func(f *fakelog.Faults) { f.Slow = 5 * time.Millisecond }, effects: 1},
+		{name: "down, given up", fault: func(f *fakelog.Faults) { f.Down = true }, giveUp: true, last: platform.Refused},
+		{name: "rate limited, given up", fault: func(f *fakelog.Faults) { f.RateLimit = 1 << 40 }, giveUp: true, last: platform.Refused},
+		{name: "append lost, given up", fault: func(f *fakelog.Faults) { f.LoseAppends = 1 << 40 }, giveUp: true, last: platform.Refused},
+		{name: "append late, given up", fault: func(f *fakelog.Faults) { f.HoldAppends = 1 << 40 }, giveUp: true, last: platform.Refused},
+		{name: "written but not read, given up", fault: func(*fakelog.Faults) {}, giveUp: true, blind: true, effects: 1},
+		{name: "reply lost and not read, given up", fault: func(f *fakelog.Faults) { f.LoseReplies = 1 << 40 }, giveUp: true, blind: true, effects: 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			log := fakelog.New(clockwork.NewRealClock())
+			h := startHarness(t, log, "w", nil)
+			h.gate.blind.Store(row.blind)
+			log.Set(row.fault)
+			a := h.propose(pool("p", 0))
+			if row.giveUp {
+				h.eventually(func() bool { return h.stream.attempts.Load() > 1 || log.Appends() > 0 })
+				a.cancel()
+			}
+			a.wait(t)
+			if pending, ok := PendingOf(a.err); ok && !row.blind {
+				// The writer has taken the record back, or has turned to the
+				// fence, which meets the fault too.
+				sent := h.stream.attempts.Load()
+				h.eventually(func() bool { return pending.proposal.isDone() || h.stream.attempts.Load() >= sent+2 })
+			}
+			log.Set(func(f *fakelog.Faults) { *f = fakelog.Faults{} })
+			h.gate.blind.Store(false)
+			if pending, ok := PendingOf(a.err); ok {
+				require.Equal(t, platform.Unknown, outcome(a.err))
+				a.result, a.err = pending.Wait(t.Context())
+			}
+			require.Equal(t, row.last, outcome(a.err))
+			require.Nil(t, a.result.Void)
+			log.Release()
+			after := h.propose(pool("after", 0))
+			after.wait(t)
+			require.NoError(t, after.err)
+			require.Equal(t, row.effects, h.version("p"))
+			h.eventually(func() bool { return h.stream.waiting.len() == 0 })
+		})
+	}
+}
+
+// outcome returns the outcome of the error, or "" without one.
+func outcome(err error) platform.Outcome {
+	if err == nil {
+		return ""
+	}
+	return platform.OutcomeOf(err)
+}
+
+// TestPropose_QueueIsBounded checks that a log that is down makes proposals
+// refused, not kept.
+func TestPropose_QueueIsBounded(t *testing.T) {
+	const queued, batch, proposals = 4, 2, 40
+	log := fakelog.New(clockwork.NewRealClock())
+	h := startHarness(t, log, "w", func(c *Config) {
+		c.Limits.MaxQueued, c.Limits.MaxBatchRecords = queued, batch
+	})
+	log.Set(func(f *fakelog.Faults) { f.Down = true })
+	var attempts []*attempt
+	for i := range proposals {
+		attempts = append(attempts, h.propose(pool(fmt.Sprint(i), 0)))
+	}
+	refused := func() (n int) {
+		for _, a := range attempts {
+			select {
+			case <-a.done:
+				if pending, ok := PendingOf(a.err); ok {
+					_, a.err = pending.Wait(t.Context())
+				}
+				require.Equal(t, platform.Refused, outcome(a.err))
+				n++
+			default:
+			}
+		}
+		return n
+	}
+	h.eventually(func() bool { return refused() >= proposals-queued-2*batch })
+	for _, a := range attempts {
+		a.cancel()
+	}
+	h.eventually(func() bool { return refused() == proposals })
+	h.eventually(func() bool { return h.stream.waiting.len() == 0 && len(h.stream.queue) == 0 })
+	log.Set(func(f *fakelog.Faults) { f.Down = false })
+	last := h.propose(pool("last", 0))
+	last.wait(t)
+	require.NoError(t, last.err)
+	require.Equal(t, 1, h.stream.State().Pools.Len())
+}
+
+// TestPropose_RefusedAtOnce checks that a proposer that gives up between two
+// refused appends learns at once that its record is not there.
+func TestPropose_RefusedAtOnce(t *testing.T) {
+	log := fakelog.New(clockwork.NewRealClock())
+	log.Set(func(f *fakelog.Faults) { f.Down = true })
+	h := startHarness(t, log, "w", func(c *Config) { c.Limits.RetryDelay = time.Hour })
+	a := h.propose(pool("p", 0))
+	h.eventually(func() bool { return h.stream.attempts.Load() == 1 && h.stream.waiting.len() == 0 })
+	a.cancel()
+	a.wait(t)
+	require.Equal(t, platform.Refused, outcome(a.err))
+}
+
+// TestWaiting_IsBounded checks that records that are written and not read
+// back do not pile up: the writer holds until they are.
+func TestWaiting_IsBounded(t *testing.T) {
+	const queued = 4
+	log := fakelog.New(clockwork.NewRealClock())
+	h := startHarness(t, log, "w", func(c *Config) {
+		c.Limits.MaxQueued, c.Limits.MaxBatchRecords = queued, 1
+	})
+	h.gate.blind.Store(true)
+	for i := range 8 * queued {
+		a := h.propose(pool(fmt.Sprint(i), 0))
+		h.eventually(func() bool { return h.stream.waiting.len() == queued || log.Appends() == i+1 })
+		a.cancel()
+		a.wait(t)
+	}
+	require.LessOrEqual(t, h.stream.waiting.len(), queued)
+	h.gate.blind.Store(false)
+	h.eventually(func() bool { return h.stream.waiting.len() == 0 })
+}
+
+// TestFollow_UndecodablePayload checks that every process steps over a payload
+// that it cannot decode in the same way.
+func TestFollow_UndecodablePayload(t *testing.T) {
+	log := fakelog.New(clockwork.NewRealClock())
+	_, err := log.Append(context.Background(), "control", [][]byte{[]byte("garbage"), nil, []byte(`{"schema":99}`)})
+	require.NoError(t, err)
+	h, other := startHarness(t, log, "w", nil), startHarness(t, log, "v", nil)
+	a := h.propose(pool("p", 0))
+	a.wait(t)
+	require.NoError(t, a.err)
+	require.Equal(t, uint64(3), a.result.Offset)
+	other.eventually(func() bool { return other.stream.State().Next == 4 })
+	require.Equal(t, uint64(1), other.version("p"))
+}
+
+// TestFollow_ForeignOffsets checks that a log whose offsets are no longer
+// those of the state stops the stream instead of being applied.
+func TestFollow_ForeignOffsets(t *testing.T) {
+	faults := map[string]func(*fakelog.Log){
+		"made anew":                   func(l *fakelog.Log) { l.Recreate("control") },
+		"made anew and longer":        recreateLonger,
+		"lost its latest records":     func(l *fakelog.Log) { l.Truncate("control", 1) },
+		"made anew while unreachable": func(l *fakelog.Log) { l.Set(func(f *fakelog.Faults) { f.Down = true }); recreateLonger(l) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			log := fakelog.New(clockwork.NewRealClock())
+			h := startHarness(t, log, "w", nil)
+			for i := range 3 {
+				a := h.propose(pool("p", uint64(i)))
+				a.wait(t)
+				require.NoError(t, a.err)
+			}
+			fault(log)
+			log.Set(func(f *fakelog.Faults) { f.Down = false })
+			h.eventually(func() bool { return h.stream.Fault() != nil })
+			require.ErrorContains(t, h.stream.Fault(), "control")
+			require.Equal(t, uint64(3), h.stream.State().Next)
+			require.Equal(t, uint64(3), h.version("p"))
+			require.Greater(t, h.stream.Age(), time.Hour)
+			a := h.propose(pool("q", 0))
+			a.wait(t)
+			require.Equal(t, platform.Refused, outcome(a.err))
+		})
+	}
+}
+
+func recreateLonger(l *fakelog.Log) {
+	l.Recreate("control")
+	_, _ = l.Append(context.Background(), "control", [][]byte{{1}, {2}, {3}, {4}, {5}})
+}
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-
-	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// follow reads the stream and applies its records until the context ends.
+// follow reads the stream and applies its records until the context ends or
+// the stream has a Fault.
 func (s *Stream) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.readOnce(ctx); err != nil {
+	for ctx.Err() == nil && s.Fault() == nil {
+		err := s.readOnce(ctx)
+		s.readable.Store(err == nil)
+		if err != nil {
 			s.cfg.Logger.Debug("read failed", "stream", s.cfg.Name, "error", err.Error())
 			s.pause(ctx)
 		}
@@ -20,7 +21,7 @@
 // that the state was current when the read was sent.
 func (s *Stream) readOnce(ctx context.Context) error {
 	limits := s.cfg.Limits
-	callCtx, cancel := context.WithTimeout(ctx, limits.ReadWait+limits.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, limits.ReadWait+limits.ReadTimeout)
 	defer cancel()
 	sent := s.cfg.Clock.Now()
 	from := s.State().Next
@@ -28,15 +29,30 @@
 	if err != nil {
 		return err
 	}
-	s.applyPage(page)
+	if err := s.checkPage(page, from); err != nil {
+		return err
+	}
+	s.applyAll(page.From, page.Payloads)
 	if s.State().Next >= page.Next {
 		s.confirm(sent)
 	}
 	return nil
 }
 
-func (s *Stream) applyPage(page platform.Page) {
-	for i, payload := range page.Payloads {
-		s.publish(page.From+uint64(i), payload)
+// applyAll applies consecutive payloads, of which the first has the offset.
+// Payloads that have been applied are passed over, and a gap applies none.
+func (s *Stream) applyAll(from uint64, payloads [][]byte) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if from > s.State().Next {
+		return
 	}
+	for i, payload := range payloads {
+		s.publish(from+uint64(i), payload)
+	}
+}
+
+// Readable reports whether the last read of the log succeeded.
+func (s *Stream) Readable() bool {
+	return s.readable.Load() && s.Fault() == nil
 }
--- a/logstream/freshness.go
+++ b/logstream/freshness.go
@@ -9,21 +9,26 @@
 
 // confirm records that the state was current at the given time.
 func (s *Stream) confirm(asOf time.Time) {
-	current := s.fresh.Load()
-	if current != nil && !asOf.After(current.asOf) {
-		return
+	next := &freshness{asOf: asOf}
+	for {
+		current := s.fresh.Load()
+		if current != nil && !asOf.After(current.asOf) {
+			return
+		}
+		if s.fresh.CompareAndSwap(current, next) {
+			return
+		}
 	}
-	s.fresh.Store(&freshness{asOf: asOf})
 }
 
 // Age returns the time since the state is known to have been current. A
-// stream that was never current has an age beyond any bound. The age is the
+// stream that was never current, or that has a Fault, has an age beyond any bound. The age is the
 // larger of the wall and the monotonic difference, because the monotonic
 // clock stops while a VM is suspended.
 func (s *Stream) Age() time.Duration {
 	const never = time.Duration(1<<63 - 1)
 	f := s.fresh.Load()
-	if f == nil {
+	if f == nil || s.Fault() != nil {
 		return never
 	}
 	now := s.cfg.Clock.Now()
--- /dev/null
+++ b/logstream/harness_test.go
@@ -0,0 +1,127 @@
+package logstream
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	waitFor  = 10 * time.Second
+	waitPoll = time.Millisecond
+)
+
+// gatedLog can refuse reads while appends go through.
+type gatedLog struct {
+	platform.Log
+	blind atomic.Bool
+}
+
+func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+	if g.blind.Load() {
+		return platform.Page{}, &platform.Error{Op: "log.read", Outcome: platform.Refused, Code: platform.CodeUnavailable}
+	}
+	return g.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// harness is a running stream on a log with faults.
+type harness struct {
+	t      *testing.T
+	log    *fakelog.Log
+	gate   *gatedLog
+	stream *Stream
+	stop   context.CancelFunc
+}
+
+func testLimits() Limits {
+	limits := DefaultLimits()
+	limits.MaxBatchAge = time.Millisecond
+	limits.ReadWait = 5 * time.Millisecond
+	limits.RetryDelay = time.Millisecond
+	return limits
+}
+
+func testConfig(log platform.Log, writer string) Config {
+	return Config{
+		Name: "control", Writer: writer, Log: log, Clock: clockwork.NewRealClock(),
+		Logger: hclog.NewNullLogger(), Limits: testLimits(),
+	}
+}
+
+func startHarness(t *testing.T, log *fakelog.Log, writer string, change func(*Config)) *harness {
+	t.Helper()
+	gate := &gatedLog{Log: log.For(writer)}
+	cfg := testConfig(gate, writer)
+	if change != nil {
+		change(&cfg)
+	}
+	h := &harness{t: t, log: log, gate: gate, stream: New(cfg, statemachine.New())}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		h.stream.Run(ctx)
+		close(done)
+	}()
+	h.stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(h.stop)
+	return h
+}
+
+// attempt is a proposal that a test can give up.
+type attempt struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	result statemachine.Result
+	err    error
+}
+
+func (h *harness) propose(command statemachine.Command) *attempt {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &attempt{cancel: cancel, done: make(chan struct{})}
+	h.t.Cleanup(cancel)
+	go func() {
+		a.result, a.err = h.stream.Propose(ctx, command)
+		close(a.done)
+	}()
+	return a
+}
+
+// wait returns once the attempt has ended.
+func (a *attempt) wait(t *testing.T) {
+	t.Helper()
+	select {
+	case <-a.done:
+	case <-time.After(waitFor):
+		require.Fail(t, "the proposal did not end")
+	}
+}
+
+func (h *harness) eventually(condition func() bool) {
+	h.t.Helper()
+	require.Eventually(h.t, condition, waitFor, waitPoll)
+}
+
+// version returns the pool's version, which counts the records in effect.
+func (h *harness) version(pool string) uint64 {
+	p, ok := h.stream.State().Pools.Get(pool)
+	if !ok {
+		return 0
+	}
+	return p.Version
+}
+
+func pool(name string, expected uint64) *statemachine.PoolSet {
+	return &statemachine.PoolSet{Pool: statemachine.Pool{Name: name}, Expected: expected}
+}
--- a/logstream/proposal.go
+++ b/logstream/proposal.go
@@ -3,23 +3,32 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
+// proposalState says how far a proposal has come.
+type proposalState int32
+
+const (
+	proposalQueued proposalState = iota
+	proposalSent
+	proposalDropped
+)
+
 // proposal is one command on its way into the log.
 type proposal struct {
 	ctx     context.Context
 	command statemachine.Command
 	seq     uint64
-	once    sync.Once
-	done    chan struct{}
-	result  statemachine.Result
-	err     error
+	state   atomic.Int32
 
-	mu   sync.Mutex
-	sent bool
+	once   sync.Once
+	done   chan struct{}
+	result statemachine.Result
+	err    error
 }
 
 func newProposal(ctx context.Context, command statemachine.Command) *proposal {
@@ -34,29 +43,47 @@
 	})
 }
 
+// isDone reports whether the proposal has ended.
+func (p *proposal) isDone() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// wanted reports whether the proposer still waits.
+func (p *proposal) wanted() bool {
+	return !p.isDone() && p.ctx.Err() == nil
+}
+
+// left reports whether the proposer has given up on an unsent record, which is
+// then left out.
+func (p *proposal) left() bool {
+	if p.ctx.Err() == nil {
+		return false
+	}
+	p.refuseUnsent("in time")
+	return p.isDone()
+}
+
 // markSent records that an append with the proposal goes out. It reports
 // false if the proposer has given up before, so that the record is left out.
 func (p *proposal) markSent() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.sent && p.ctx.Err() != nil {
-		return false
-	}
-	p.sent = true
-	return true
+	return p.state.CompareAndSwap(int32(proposalQueued), int32(proposalSent))
 }
 
-// abandon ends the proposal for a proposer that waits no longer. An unsent
-// record is refused: it is never sent later.
-func (p *proposal) abandon() {
-	p.mu.Lock()
-	sent := p.sent
-	p.mu.Unlock()
-	if sent {
-		p.finish(statemachine.Result{}, proposeError(platform.Unknown, platform.CodeTimeout, "the record was sent and not read back in time"))
+// refuseUnsent leaves the record out of the log for good, unless it has been
+// sent.
+func (p *proposal) refuseUnsent(when string) {
+	if p.state.CompareAndSwap(int32(proposalQueued), int32(proposalDropped)) {
+		p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeTimeout, "the record was not sent "+when))
 		return
 	}
-	p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeTimeout, "the record was not sent in time"))
+	if p.state.Load() == int32(proposalDropped) {
+		<-p.done
+	}
 }
 
 func proposeError(outcome platform.Outcome, code platform.Code, message string) error {
@@ -64,10 +91,14 @@
 }
 
 // Propose writes the command and waits until it has been read back. The
-// result tells whether the record took effect or is void. The error is a
-// *platform.Error: Refused if the record is not in the stream and never will
-// be, Unknown if it may be, now or later.
+// result tells whether the record took effect or is void. The error wraps a
+// *platform.Error: Refused if the record is not in the stream and never takes
+// effect, Unknown if it may, now or later. PendingOf gives what follows an
+// Unknown.
 func (s *Stream) Propose(ctx context.Context, command statemachine.Command) (statemachine.Result, error) {
+	if s.Fault() != nil {
+		return statemachine.Result{}, proposeError(platform.Refused, platform.CodeUnavailable, s.Fault().Error())
+	}
 	p := newProposal(ctx, command)
 	select {
 	case s.queue <- p:
@@ -77,8 +108,20 @@
 	select {
 	case <-p.done:
 	case <-ctx.Done():
-		p.abandon()
-		<-p.done
+		return p.leave("in time")
+	case <-s.ended:
+		return p.leave("before the stream ended")
 	}
 	return p.result, p.err
 }
+
+// leave ends the proposer's wait. A record that was not sent is refused: it
+// is never sent later.
+func (p *proposal) leave(when string) (statemachine.Result, error) {
+	p.refuseUnsent(when)
+	if p.isDone() {
+		return p.result, p.err
+	}
+	err := proposeError(platform.Unknown, platform.CodeTimeout, "the record was sent and not read back "+when)
+	return statemachine.Result{}, &unresolvedError{error: err, pending: &Pending{proposal: p}}
+}
--- a/logstream/stream.go
+++ b/logstream/stream.go
@@ -12,16 +12,27 @@
 // applies it. It must not block.
 type Observer func(state *statemachine.State, results []statemachine.Result)
 
+// InstallObserver is told of a state that was installed in place of applying
+// its records. It must not block.
+type InstallObserver func(state *statemachine.State)
+
 // Stream follows and writes one stream of the log.
 type Stream struct {
-	cfg   Config
-	state atomic.Pointer[statemachine.State]
-	fresh atomic.Pointer[freshness]
-	queue chan *proposal
+	cfg      Config
+	state    atomic.Pointer[statemachine.State]
+	fresh    atomic.Pointer[freshness]
+	fault    atomic.Pointer[streamFault]
+	identity atomic.Pointer[string]
+	readable atomic.Bool
+	attempts atomic.Uint64
+	queue    chan *proposal
+	ended    chan struct{}
+	waiting  waiting
 
-	mu        sync.Mutex
-	waiting   map[uint64]*proposal
+	// applying orders the processes that apply: the follower and relayed pages.
+	applying  sync.Mutex
 	observers []Observer
+	installed []InstallObserver
 }
 
 // New returns a stream at the given state. Run starts it.
@@ -29,7 +40,8 @@
 	s := &Stream{
 		cfg:     cfg,
 		queue:   make(chan *proposal, cfg.Limits.MaxQueued),
-		waiting: make(map[uint64]*proposal),
+		ended:   make(chan struct{}),
+		waiting: waiting{bySeq: make(map[uint64]*proposal)},
 	}
 	s.state.Store(initial)
 	return s
@@ -45,15 +57,23 @@
 	s.observers = append(s.observers, o)
 }
 
-// Run follows and writes the stream until the context ends.
+// ObserveInstall registers an observer of installed states. It must be called
+// before Run.
+func (s *Stream) ObserveInstall(o InstallObserver) {
+	s.installed = append(s.installed, o)
+}
+
+// Run follows and writes the stream until the context ends. It may run once.
 func (s *Stream) Run(ctx context.Context) {
+	defer close(s.ended)
 	var wg sync.WaitGroup
 	wg.Go(func() { s.follow(ctx) })
 	wg.Go(func() { s.write(ctx) })
 	wg.Wait()
 }
 
-// publish applies one payload and makes the new state visible.
+// publish applies one payload and makes the new state visible. The caller
+// holds the mutex.
 func (s *Stream) publish(offset uint64, payload []byte) {
 	current := s.state.Load()
 	if offset < current.Next {
@@ -70,22 +90,10 @@
 	for _, o := range s.observers {
 		o(next, results)
 	}
-	for _, result := range results {
-		s.resolve(result)
-	}
-}
-
-// resolve hands the result of an own record to its proposal. A duplicate is
-// not the proposal's outcome: the first copy was.
-func (s *Stream) resolve(result statemachine.Result) {
-	if result.ID.Writer != s.cfg.Writer {
+	if batch.Writer != s.cfg.Writer {
 		return
 	}
-	s.mu.Lock()
-	p := s.waiting[result.ID.Seq]
-	delete(s.waiting, result.ID.Seq)
-	s.mu.Unlock()
-	if p != nil {
-		p.finish(result, nil)
+	for _, result := range results {
+		s.waiting.resolve(result)
 	}
 }
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -3,36 +3,52 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
+// writer numbers the records of one Stream.
+type writer struct {
+	*Stream
+	seq uint64
+}
+
 // write appends the proposals in batches, one append at a time, so that the
 // record numbers reach the log in their order.
 func (s *Stream) write(ctx context.Context) {
-	var seq uint64
+	w := &writer{Stream: s}
 	for {
 		batch := s.collect(ctx)
 		if batch == nil {
 			return
 		}
-		sent := batch[:0]
-		for _, p := range batch {
-			if !p.markSent() {
-				p.abandon()
-				continue
-			}
-			seq++
-			p.seq = seq
-			sent = append(sent, p)
-		}
-		if len(sent) > 0 {
-			s.flush(ctx, sent)
+		s.awaitRoom(ctx)
+		if sent := w.number(batch); len(sent) > 0 {
+			w.flush(ctx, sent)
 		}
 	}
 }
 
+// number gives the next numbers to the proposals that are still wanted.
+func (w *writer) number(batch []*proposal) []*proposal {
+	batch = slices.DeleteFunc(batch, (*proposal).left)
+	for _, p := range batch {
+		w.seq++
+		p.seq = w.seq
+	}
+	return batch
+}
+
+// awaitRoom holds the writer while too many records are written and not read
+// back.
+func (s *Stream) awaitRoom(ctx context.Context) {
+	for s.waiting.len() >= s.cfg.Limits.MaxQueued && ctx.Err() == nil {
+		s.pause(ctx)
+	}
+}
+
 // collect gathers the next batch. It returns nil once the context has ended.
 func (s *Stream) collect(ctx context.Context) []*proposal {
 	var batch []*proposal
@@ -80,36 +96,83 @@
 	return len(raw)
 }
 
-// flush appends the batch until every proposal in it is resolved or given up.
-// A repeated append is harmless: the reducer drops record numbers it has seen.
-func (s *Stream) flush(ctx context.Context, batch []*proposal) {
-	payload, err := s.encode(batch)
-	if err != nil {
-		finishAll(batch, proposeError(platform.Refused, platform.CodeInvalid, err.Error()))
-		return
-	}
-	s.await(batch)
-	everUnknown := false
-	for !allDone(batch) && ctx.Err() == nil {
-		outcome := s.append(ctx, payload)
+// flush appends the batch until it is written or no proposer waits for it any
+// more. A repeated append is harmless: the reducer drops record numbers it has
+// seen. While no append can have reached the log, a proposer that gives up is
+// left out.
+func (w *writer) flush(ctx context.Context, batch []*proposal) {
+	for ctx.Err() == nil && w.Fault() == nil {
+		batch = slices.DeleteFunc(batch, func(p *proposal) bool { return p.left() || !p.markSent() })
+		if len(batch) == 0 {
+			return
+		}
+		payload, err := w.encode(batch)
+		if err != nil {
+			finishAll(batch, proposeError(platform.Refused, platform.CodeInvalid, err.Error()))
+			return
+		}
+		w.waiting.add(batch)
+		outcome := w.append(ctx, payload)
 		if outcome == "" {
 			return
 		}
-		everUnknown = everUnknown || outcome == platform.Unknown
-		if !everUnknown && allExpired(batch) {
-			s.forget(batch)
-			finishAll(batch, proposeError(platform.Refused, platform.CodeUnavailable, "the log takes no records"))
+		if outcome == platform.Unknown {
+			w.repeat(ctx, batch, payload)
 			return
 		}
-		s.pause(ctx)
+		w.takeBack(batch)
+		w.pause(ctx)
+	}
+	finishAll(batch, proposeError(platform.Refused, platform.CodeUnavailable, "the stream has ended"))
+}
+
+// takeBack returns a refused batch to the state before it was sent. A proposer
+// that gave up meanwhile learns that its record was refused.
+func (w *writer) takeBack(batch []*proposal) {
+	w.waiting.remove(batch)
+	for _, p := range batch {
+		if p.ctx.Err() != nil {
+			p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeUnavailable, "the log takes no records"))
+			continue
+		}
+		p.state.Store(int32(proposalQueued))
+	}
+}
+
+// repeat appends a batch that may stand in the log until it is written, read
+// back or wanted no more.
+func (w *writer) repeat(ctx context.Context, batch []*proposal, payload []byte) {
+	for w.pause(ctx); slices.ContainsFunc(batch, (*proposal).wanted); w.pause(ctx) {
+		if ctx.Err() != nil || w.Fault() != nil || w.append(ctx, payload) == "" {
+			return
+		}
+	}
+	w.fence(ctx)
+}
+
+// fence settles the records whose appends may yet reach the log: once a later
+// record of this writer stands in the stream, they can take effect no more.
+func (w *writer) fence(ctx context.Context) {
+	w.seq++
+	fence := newProposal(ctx, &statemachine.Fence{})
+	fence.seq = w.seq
+	payload, err := w.encode([]*proposal{fence})
+	if err != nil {
+		return
+	}
+	for w.waiting.len() > 0 && ctx.Err() == nil && w.Fault() == nil {
+		if w.append(ctx, payload) == "" {
+			return
+		}
+		w.pause(ctx)
 	}
-	s.forget(batch)
 }
 
 // append sends one append and returns its outcome, or "" on success.
 func (s *Stream) append(ctx context.Context, payload []byte) platform.Outcome {
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Limits.CallTimeout)
 	defer cancel()
+	s.attempts.Add(1)
 	_, err := s.cfg.Log.Append(callCtx, s.cfg.Name, [][]byte{payload})
 	if err == nil {
 		return ""
@@ -126,23 +189,6 @@
 	return statemachine.EncodeBatch(out)
 }
 
-// await registers the proposals for their results.
-func (s *Stream) await(batch []*proposal) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range batch {
-		s.waiting[p.seq] = p
-	}
-}
-
-func (s *Stream) forget(batch []*proposal) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range batch {
-		delete(s.waiting, p.seq)
-	}
-}
-
 func (s *Stream) pause(ctx context.Context) {
 	select {
 	case <-s.cfg.Clock.After(s.cfg.Limits.RetryDelay):
@@ -155,23 +201,3 @@
 		p.finish(statemachine.Result{}, err)
 	}
 }
-
-func allDone(batch []*proposal) bool {
-	for _, p := range batch {
-		select {
-		case <-p.done:
-		default:
-			return false
-		}
-	}
-	return true
-}
-
-func allExpired(batch []*proposal) bool {
-	for _, p := range batch {
-		if p.ctx.Err() == nil {
-			return false
-		}
-	}
-	return true
-}
--- a/statemachine/command.go
+++ b/statemachine/command.go
@@ -31,6 +31,7 @@
 
 // commandTypes makes an empty command of each kind.
 var commandTypes = mergeCommands(
+	streamCommands,
 	configCommands,
 	fleetCommands,
 	entryCommands,
--- /dev/null
+++ b/statemachine/fence.go
@@ -0,0 +1,18 @@
+package statemachine
+
+// KindFence is the kind of Fence.
+const KindFence Kind = "fence"
+
+// Fence changes nothing. Once it has been applied, the writer's records with
+// lower numbers that have not been applied are void for good.
+type Fence struct{}
+
+// Kind implements Command.
+func (*Fence) Kind() Kind { return KindFence }
+
+func (*Fence) apply(*State, applyContext) *Void { return nil }
+
+// streamCommands are the commands that concern the stream itself.
+var streamCommands = map[Kind]newCommand{
+	KindFence: func() Command { return &Fence{} },
+}
