--- a/entry/control.go
+++ b/entry/control.go
@@ -15,27 +15,28 @@
 type control struct {
 	*logstream.Stream
 	membership *membership.Membership
+	self       string
 }
 
-// Current implements dispatch.Control. The state is current if this entry has
-// read the end of the stream lately. Without the log it is current only while
-// more than half of the entries, this one included, are reachable and none of
-// them can read the log or has applied more: then nothing new can have been
-// accepted.
+// Current implements dispatch.Control.
 func (c *control) Current() bool {
-	if c.Age() <= currentFor {
-		return true
+	wall, monotonic := c.Ages()
+	v := controlView{wallAge: wall, monotonicAge: monotonic, faulted: c.Fault() != nil}
+	if max(wall, monotonic) > currentFor {
+		c.addPeers(&v)
 	}
+	return v.current()
+}
+
+// addPeers adds what decides while there is no young proof.
+func (c *control) addPeers(v *controlView) {
 	state := c.State()
-	reached := 1
+	v.next, v.entries = state.Next, state.Entries.Len()
+	_, v.member = state.Entries.Get(c.self)
 	for _, member := range c.membership.Reachable() {
 		if _, ok := state.Entries.Get(member.Incarnation); !ok {
 			continue
 		}
-		if member.Last.GetLogReadable() || member.Last.GetApplied() > state.Next {
-			return false
-		}
-		reached++
+		v.peers = append(v.peers, peerView{readable: member.Last.GetLogReadable(), applied: member.Last.GetApplied()})
 	}
-	return 2*reached > state.Entries.Len()
 }
--- /dev/null
+++ b/entry/freshness.go
@@ -0,0 +1,56 @@
+package entry
+
+import "time"
+
+// peerView is what a reachable member of the control state last said.
+type peerView struct {
+	readable bool
+	applied  uint64
+}
+
+// controlView is what one entry knows when it decides whether its control
+// state is current.
+type controlView struct {
+	// wallAge and monotonicAge are the ages of the latest proof by either
+	// clock. The monotonic clock stops while a VM is suspended, and the wall
+	// clock may be set back.
+	wallAge, monotonicAge time.Duration
+	// faulted means that the log's offsets are no longer those of the state.
+	faulted bool
+	// member means that this entry is a member of its control state.
+	member bool
+	// next is the offset that this entry applies next.
+	next uint64
+	// entries is the number of members of the control state.
+	entries int
+	// peers are the other members of the control state that are reachable.
+	peers []peerView
+}
+
+// current reports whether keyed work may be admitted. With a young proof it
+// may. Without one it may only while this entry reaches more than half of the
+// members, itself included, and none of them can read the log or has applied
+// more: a change is accepted once more than half of the members have applied
+// it, so that one of those reached would have.
+func (v controlView) current() bool {
+	if v.faulted {
+		return false
+	}
+	if max(v.wallAge, v.monotonicAge) <= currentFor {
+		return true
+	}
+	if !v.member {
+		return false
+	}
+	for _, p := range v.peers {
+		if p.readable || p.applied > v.next {
+			return false
+		}
+	}
+	return isMajority(1+len(v.peers), v.entries)
+}
+
+// isMajority reports whether count is more than half of the whole.
+func isMajority(count, whole int) bool {
+	return 2*count > whole
+}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -17,11 +17,13 @@
 }
 
 func (d *describer) describe() *peerpb.Heartbeat {
+	// The age is taken before the offset, which may only be later.
+	age := d.stream.Age()
 	out := &peerpb.Heartbeat{
 		Incarnation:  d.id.incarnation,
 		Applied:      d.stream.State().Next,
-		ControlAgeMs: ageMS(d.stream.Age()),
-		LogReadable:  d.stream.Age() <= currentFor,
+		ControlAgeMs: ageMS(age),
+		LogReadable:  d.stream.Readable() && age <= readableFor,
 	}
 	for team, usage := range d.ledger.Teams() {
 		out.Teams = append(out.Teams, &peerpb.TeamLoad{Team: team, Running: int64(usage.Running)})
@@ -29,12 +31,18 @@
 	return out
 }
 
-// ageMS converts an age to milliseconds, or -1 if it is beyond a day.
+// readableFor is the age of the latest proof up to which the log counts as
+// readable. It is below currentFor, so that the others know of an outage before
+// their own proofs run out.
+const readableFor = time.Second
+
+// ageMS converts an age to milliseconds, rounded up, or -1 if it is beyond a
+// day.
 func ageMS(age time.Duration) int64 {
 	if age > 24*time.Hour {
 		return -1
 	}
-	return age.Milliseconds()
+	return (age + time.Millisecond - 1).Milliseconds()
 }
 
 // newHeartbeatHandler answers heartbeats with the own one.
--- a/entry/module.go
+++ b/entry/module.go
@@ -35,6 +35,7 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
 		fx.Invoke(register),
 	)
 }
@@ -104,9 +105,10 @@
 	return platform.NewHTTPWorkers(client)
 }
 
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -117,6 +119,7 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
@@ -152,8 +155,8 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
--- /dev/null
+++ b/entry/module_log.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
+
+const (
+	// snapshotRecords is the number of control payloads between snapshots.
+	snapshotRecords = 4096
+	// snapshotsPerRetention is the number of snapshots that the log keeps at
+	// any time.
+	snapshotsPerRetention = 5
+)
+
+// logModule provides what keeps the control stream readable: snapshots, and
+// pages relayed between entries.
+var logModule = fx.Module("log",
+	fx.Provide(
+		newSnapshots,
+		newSnapshotter,
+		newRelay,
+		fx.Annotate(newLogTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newRelayHandler, fx.ResultTags(`group:"peers"`)),
+	),
+)
+
+func newSnapshots(log platform.Log) *logstream.Snapshots {
+	return logstream.NewSnapshots(log, controlStream)
+}
+
+func newSnapshotter(s settings.Entry, id identity, stream *logstream.Stream, snapshots *logstream.Snapshots) *logstream.Snapshotter {
+	policy := logstream.SnapshotPolicy{Records: snapshotRecords, MaxAge: s.LogRetention.Duration() / snapshotsPerRetention}
+	return logstream.NewSnapshotter(stream, snapshots, policy, func() bool { return isFirst(stream.State(), id.incarnation) })
+}
+
+func newLogTasks(snapshotter *logstream.Snapshotter, r *relay) []task {
+	return []task{
+		{name: "snapshots", run: snapshotter.Run},
+		{name: "relayed pages", run: r.run},
+	}
+}
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -14,6 +14,9 @@
 	if r.stopping.Load() {
 		return "stopping"
 	}
+	if fault := r.control.Fault(); fault != nil {
+		return fault.Error()
+	}
 	if _, ok := r.control.State().Entries.Get(r.self); !ok {
 		return "not joined"
 	}
--- a/logstream/config.go
+++ b/logstream/config.go
@@ -1,6 +1,7 @@
 package logstream
 
 import (
+	"context"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -9,7 +10,7 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// Config holds what a Stream works with. All members but the limits are
+// Config holds what a Stream works with. All members but Restore are
 // required; DefaultLimits gives the limits.
 type Config struct {
 	// Name is the stream's name in the log.
@@ -20,6 +21,9 @@
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Limits Limits
+	// Restore returns the latest snapshot of the stream. Without it the stream
+	// starts at its first record.
+	Restore func(ctx context.Context) (Snapshot, error)
 }
 
 // Limits bounds the batches, the queue and the waits of a Stream.
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+
+	"github.com/anvilcourse/anvilcourse/platform"
 )
 
 // follow reads the stream and applies its records until the context ends or
 // the stream has a Fault.
 func (s *Stream) follow(ctx context.Context) {
+	if err := s.restore(ctx); err != nil {
+		s.cfg.Logger.Info("starting without a snapshot", "stream", s.cfg.Name, "reason", err.Error())
+	}
 	for ctx.Err() == nil && s.Fault() == nil {
 		err := s.readOnce(ctx)
 		s.readable.Store(err == nil)
+		if platform.CodeOf(err) == platform.CodeTrimmed {
+			s.restoreTrimmed(ctx)
+		}
 		if err != nil {
 			s.cfg.Logger.Debug("read failed", "stream", s.cfg.Name, "error", err.Error())
 			s.pause(ctx)
@@ -17,12 +25,23 @@
 	}
 }
 
+// restoreTrimmed installs a snapshot after the log has dropped the records that
+// the state needs next.
+func (s *Stream) restoreTrimmed(ctx context.Context) {
+	before := s.State().Next
+	if err := s.restore(ctx); err != nil || s.State().Next == before {
+		s.cfg.Logger.Error("the log has dropped records that were not applied, and there is no later snapshot",
+			"stream", s.cfg.Name, "offset", before)
+	}
+}
+
 // readOnce reads and applies one page. Reaching the end of the stream proves
 // that the state was current when the read was sent.
 func (s *Stream) readOnce(ctx context.Context) error {
 	limits := s.cfg.Limits
 	callCtx, cancel := context.WithTimeout(ctx, limits.ReadWait+limits.ReadTimeout)
 	defer cancel()
+	s.reads.Add(1)
 	sent := s.cfg.Clock.Now()
 	from := s.State().Next
 	page, err := s.cfg.Log.Read(callCtx, s.cfg.Name, from, limits.ReadLimit, limits.ReadWait)
--- a/logstream/freshness.go
+++ b/logstream/freshness.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// never is the age of a state that is not known to have been current.
+const never = time.Duration(1<<63 - 1)
+
 // freshness is the latest proof that the state was current.
 type freshness struct {
 	asOf time.Time
@@ -21,18 +24,26 @@
 	}
 }
 
-// Age returns the time since the state is known to have been current. A
-// stream that was never current, or that has a Fault, has an age beyond any bound. The age is the
-// larger of the wall and the monotonic difference, because the monotonic
-// clock stops while a VM is suspended.
+// Age returns the time since the state is known to have been current: the
+// larger one of Ages.
 func (s *Stream) Age() time.Duration {
-	const never = time.Duration(1<<63 - 1)
+	return max(s.Ages())
+}
+
+// Ages returns the time since the state is known to have been current by the
+// wall clock and by the monotonic clock, which stops while a VM is suspended. A
+// stream that was never current, or that has a Fault, has ages beyond any
+// bound.
+func (s *Stream) Ages() (wall, monotonic time.Duration) {
 	f := s.fresh.Load()
 	if f == nil || s.Fault() != nil {
-		return never
+		return never, never
 	}
 	now := s.cfg.Clock.Now()
-	monotonic := now.Sub(f.asOf)
-	wall := now.Round(0).Sub(f.asOf.Round(0))
-	return max(monotonic, wall)
+	return now.Round(0).Sub(f.asOf.Round(0)), now.Sub(f.asOf)
+}
+
+// elapsed is the larger of the wall and the monotonic difference.
+func elapsed(now, then time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
--- /dev/null
+++ b/logstream/recent.go
@@ -0,0 +1,48 @@
+package logstream
+
+import "sync"
+
+const (
+	recentPayloads = 1024
+	recentBytes    = 1 << 20
+)
+
+// recent keeps the latest payloads of the stream for processes that cannot
+// read the log. It is bounded in number and in bytes.
+type recent struct {
+	mu       sync.Mutex
+	first    uint64
+	payloads [][]byte
+	bytes    int
+}
+
+// add appends the payload at the offset. After a gap only it is kept.
+func (r *recent) add(offset uint64, payload []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if offset != r.first+uint64(len(r.payloads)) {
+		r.first, r.payloads, r.bytes = offset, nil, 0
+	}
+	r.payloads = append(r.payloads, payload)
+	r.bytes += len(payload)
+	for len(r.payloads) > recentPayloads || r.bytes > recentBytes {
+		r.bytes -= len(r.payloads[0])
+		r.payloads[0] = nil
+		r.payloads = r.payloads[1:]
+		r.first++
+	}
+}
+
+// from returns the payloads from the offset up to the end offset. ok is false
+// if some of them are not kept.
+func (r *recent) from(offset, end uint64) (payloads [][]byte, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if offset >= end {
+		return nil, true
+	}
+	if offset < r.first || end > r.first+uint64(len(r.payloads)) {
+		return nil, false
+	}
+	return append([][]byte(nil), r.payloads[offset-r.first:end-r.first]...), true
+}
--- /dev/null
+++ b/logstream/snapshot.go
@@ -0,0 +1,130 @@
+package logstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	snapshotSuffix = "-snapshots"
+	// maxChunkBytes is the size of a chunk's data; base64 and the envelope
+	// keep a payload below 512 KiB.
+	maxChunkBytes = 360 << 10
+	// pastTheEnd is an offset that no stream reaches.
+	pastTheEnd = 1 << 62
+	loadTries  = 3
+)
+
+// ErrNoSnapshot means that the log keeps no whole snapshot of the stream.
+var ErrNoSnapshot = errors.New("the log keeps no whole snapshot")
+
+// Snapshot is a state of one stream of the log.
+type Snapshot struct {
+	// Identity is the identity of the stream in the log.
+	Identity string
+	State    *statemachine.State
+}
+
+// snapshotChunk is one payload of the snapshot stream.
+type snapshotChunk struct {
+	Schema   int    `json:"schema"`
+	Identity string `json:"identity"`
+	Next     uint64 `json:"next"`
+	Index    int    `json:"index"`
+	Count    int    `json:"count"`
+	// Sum is the checksum of the whole data.
+	Sum  uint64 `json:"sum"`
+	Data []byte `json:"data"`
+}
+
+// key tells the chunks of one snapshot from those of others.
+func (c snapshotChunk) key() string {
+	return fmt.Sprintf("%s/%d/%d/%x", c.Identity, c.Next, c.Count, c.Sum)
+}
+
+// Snapshots keeps the snapshots of one stream in a stream of their own.
+type Snapshots struct {
+	log        platform.Log
+	name       string
+	chunkBytes int
+}
+
+// NewSnapshots returns the snapshots of the named stream.
+func NewSnapshots(log platform.Log, stream string) *Snapshots {
+	return &Snapshots{log: log, name: stream + snapshotSuffix, chunkBytes: maxChunkBytes}
+}
+
+// Save appends the snapshot in chunks. After an error a part of it may stand
+// in the log, which does no harm.
+func (s *Snapshots) Save(ctx context.Context, snapshot Snapshot) error {
+	data, err := statemachine.EncodeSnapshot(snapshot.State)
+	if err != nil {
+		return err
+	}
+	for _, chunk := range split(snapshot, data, s.chunkBytes) {
+		payload, err := json.Marshal(chunk)
+		if err != nil {
+			return errors.Wrap(err, "encode chunk")
+		}
+		if _, err := s.log.Append(ctx, s.name, [][]byte{payload}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func split(snapshot Snapshot, data []byte, size int) []snapshotChunk {
+	count := (len(data) + size - 1) / size
+	out := make([]snapshotChunk, 0, count)
+	for index := range count {
+		end := min((index+1)*size, len(data))
+		out = append(out, snapshotChunk{
+			Schema: statemachine.SchemaVersion, Identity: snapshot.Identity, Next: snapshot.State.Next,
+			Index: index, Count: count, Sum: xxhash.Sum64(data), Data: data[index*size : end],
+		})
+	}
+	return out
+}
+
+// Load returns the whole snapshot with the highest offset, or ErrNoSnapshot.
+func (s *Snapshots) Load(ctx context.Context) (Snapshot, error) {
+	var err error
+	for range loadTries {
+		var out Snapshot
+		out, err = s.loadOnce(ctx)
+		if platform.CodeOf(err) != platform.CodeTrimmed {
+			return out, err
+		}
+	}
+	return Snapshot{}, err
+}
+
+// loadOnce reads the snapshot stream from its oldest payload to its end.
+func (s *Snapshots) loadOnce(ctx context.Context) (Snapshot, error) {
+	end, err := s.log.Read(ctx, s.name, pastTheEnd, 1, 0)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	assembly := newAssembly()
+	for from := end.Oldest; from < end.Next; {
+		page, err := s.log.Read(ctx, s.name, from, 1, 0)
+		if err != nil {
+			return Snapshot{}, err
+		}
+		if len(page.Payloads) == 0 {
+			break
+		}
+		for _, payload := range page.Payloads {
+			assembly.add(payload)
+		}
+		from += uint64(len(page.Payloads))
+	}
+	return assembly.best()
+}
--- /dev/null
+++ b/logstream/snapshot_test.go
@@ -0,0 +1,229 @@
+package logstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const snapshotStream = "control" + snapshotSuffix
+
+// history returns payloads that write the pools of a few names, some twice.
+func history(t *testing.T, n int) [][]byte {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 2))
+	var out [][]byte
+	for i := range n {
+		batch := statemachine.Batch{Writer: fmt.Sprint("w", random.IntN(3)), AtMS: int64(i), Records: []statemachine.Record{
+			{Seq: uint64(random.IntN(n) + 1), Command: pool(fmt.Sprint("p", random.IntN(4)), uint64(random.IntN(3)))},
+		}}
+		payload, err := statemachine.EncodeBatch(batch)
+		require.NoError(t, err)
+		out = append(out, payload)
+	}
+	return out
+}
+
+// replay applies the payloads to the state.
+func replay(t *testing.T, s *statemachine.State, payloads [][]byte) *statemachine.State {
+	t.Helper()
+	for _, payload := range payloads {
+		batch, err := statemachine.DecodeBatch(payload)
+		require.NoError(t, err)
+		s, _ = s.Apply(s.Next, batch)
+	}
+	return s
+}
+
+func encoded(t *testing.T, s *statemachine.State) string {
+	t.Helper()
+	raw, err := json.Marshal(s)
+	require.NoError(t, err)
+	return string(raw)
+}
+
+// TestSnapshot_TailEqualsReplay checks at every offset that a snapshot and the
+// records after it give the state that all records give.
+func TestSnapshot_TailEqualsReplay(t *testing.T) {
+	payloads := history(t, 60)
+	want := encoded(t, replay(t, statemachine.New(), payloads))
+	for cut := range payloads {
+		raw, err := statemachine.EncodeSnapshot(replay(t, statemachine.New(), payloads[:cut]))
+		require.NoError(t, err)
+		restored, err := statemachine.DecodeSnapshot(raw)
+		require.NoError(t, err)
+		require.Equal(t, uint64(cut), restored.Next)
+		require.Equal(t, want, encoded(t, replay(t, restored, payloads[cut:])))
+	}
+}
+
+// bigState returns a state whose snapshot takes several chunks.
+func bigState(t *testing.T, next uint64) *statemachine.State {
+	t.Helper()
+	random := rand.New(rand.NewPCG(3, 4))
+	var name bytes.Buffer
+	for range 1500 {
+		fmt.Fprintf(&name, "%016x", random.Uint64())
+	}
+	s := statemachine.New()
+	s.Pools = s.Pools.Set("p", &statemachine.Pool{Name: name.String(), Version: next})
+	s.Next = next
+	return s
+}
+
+// TestSnapshots_Load is the table of what a reader may find in the stream.
+func TestSnapshots_Load(t *testing.T) {
+	old, latest := bigState(t, 10), bigState(t, 20)
+	chunksOf := func(s *statemachine.State) [][]byte {
+		log := fakelog.New(clockwork.NewRealClock())
+		snapshots := NewSnapshots(log, "control")
+		snapshots.chunkBytes = 4 << 10
+		require.NoError(t, snapshots.Save(context.Background(), Snapshot{Identity: "i", State: s}))
+		return log.Payloads(snapshotStream)
+	}
+	a, b := chunksOf(old), chunksOf(latest)
+	require.Greater(t, len(b), 2)
+	largest, err := json.Marshal(snapshotChunk{
+		Identity: "a UUID or another name of a stream", Next: math.MaxUint64, Sum: math.MaxUint64, Data: make([]byte, maxChunkBytes),
+	})
+	require.NoError(t, err)
+	require.Less(t, len(largest), 512<<10)
+	damaged := bytes.Replace(b[1], []byte(`"data":"`), []byte(`"data":"AAAA`), 1)
+	join := func(parts ...[][]byte) (out [][]byte) {
+		for _, p := range parts {
+			out = append(out, p...)
+		}
+		return out
+	}
+	cases := []struct {
+		name     string
+		payloads [][]byte
+		next     uint64
+	}{
+		{"none", nil, 0},
+		{"one", b, 20},
+		{"older after later", join(b, a), 20},
+		{"later not whole", join(a, b[1:]), 10},
+		{"two interleaved", join(a[:1], b[:1], a[1:], b[1:]), 20},
+		{"chunks doubled and in another order", join(b[2:], b[1:], b[:1]), 20},
+		{"a chunk damaged", join(a, b[:1], [][]byte{damaged}, b[2:]), 10},
+		{"garbage between", join([][]byte{nil, []byte("x"), []byte(`{"schema":1,"count":-1}`)}, a), 10},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log := fakelog.New(clockwork.NewRealClock())
+			_, err := log.Append(context.Background(), snapshotStream, c.payloads)
+			require.NoError(t, err)
+			got, err := NewSnapshots(log, "control").Load(context.Background())
+			if c.next == 0 {
+				require.ErrorIs(t, err, ErrNoSnapshot)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.next, got.State.Next)
+			kept, _ := got.State.Pools.Get("p")
+			require.Equal(t, c.next, kept.Version)
+		})
+	}
+}
+
+// TestStream_StartsFromSnapshot checks a start, and a catching up, past a
+// trimmed log, and that without the snapshot the stream gets nowhere.
+func TestStream_StartsFromSnapshot(t *testing.T) {
+	log := fakelog.New(clockwork.NewRealClock())
+	snapshots := NewSnapshots(log, "control")
+	restore := func(c *Config) { c.Restore = snapshots.Load }
+	writer := startHarness(t, log, "w", restore)
+	behind := startHarness(t, log, "b", restore)
+	put := func(version uint64) {
+		a := writer.propose(pool("p", version))
+		a.wait(t)
+		require.NoError(t, a.err)
+	}
+	put(0)
+	behind.eventually(func() bool { return behind.version("p") == 1 })
+	log.Set(func(f *fakelog.Faults) { f.Cut = []string{"b"} })
+	put(1)
+	put(2)
+	saver := NewSnapshotter(writer.stream, snapshots, SnapshotPolicy{Records: 100, MaxAge: time.Hour}, func() bool { return true })
+	saver.once(context.Background())
+	put(3)
+	log.Trim("control", 3)
+
+	fresh := startHarness(t, log, "f", restore)
+	fresh.eventually(func() bool { return fresh.version("p") == 4 })
+	require.Equal(t, encoded(t, writer.stream.State()), encoded(t, fresh.stream.State()))
+
+	log.Set(func(f *fakelog.Faults) { f.Cut = nil })
+	behind.eventually(func() bool { return behind.version("p") == 4 })
+	require.Equal(t, uint64(4), behind.stream.State().Next)
+
+	naive := startHarness(t, log, "n", nil)
+	naive.eventually(func() bool { return naive.stream.reads.Load() > 3 })
+	require.Zero(t, naive.stream.State().Next)
+	require.Greater(t, naive.stream.Age(), time.Hour)
+}
+
+// TestInstall_NeverGoesBack checks older, equal and foreign snapshots.
+func TestInstall_NeverGoesBack(t *testing.T) {
+	s := New(testConfig(fakelog.New(clockwork.NewRealClock()), "w"), statemachine.New())
+	var told []uint64
+	s.ObserveInstall(func(state *statemachine.State) { told = append(told, state.Next) })
+	at := func(next uint64) *statemachine.State {
+		return &statemachine.State{Next: next}
+	}
+	require.NoError(t, s.Install(Snapshot{Identity: "i", State: at(5)}))
+	require.NoError(t, s.Install(Snapshot{Identity: "i", State: at(4)}))
+	require.NoError(t, s.Install(Snapshot{Identity: "i", State: at(5)}))
+	require.Error(t, s.Install(Snapshot{Identity: "j", State: at(9)}))
+	require.NoError(t, s.Install(Snapshot{Identity: "i", State: at(6)}))
+	require.Equal(t, []uint64{5, 6}, told)
+	require.Equal(t, uint64(6), s.State().Next)
+}
+
+// TestSnapshotter_Due is the table of when a snapshot is written.
+func TestSnapshotter_Due(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	log := fakelog.New(clock)
+	cfg := testConfig(log, "w")
+	cfg.Clock = clock
+	stream := New(cfg, statemachine.New())
+	elected := true
+	s := NewSnapshotter(stream, NewSnapshots(log, "control"), SnapshotPolicy{Records: 10, MaxAge: time.Minute}, func() bool { return elected })
+	steps := []struct {
+		name    string
+		next    uint64
+		pass    time.Duration
+		elected bool
+		written int
+	}{
+		{"nothing applied", 0, 0, true, 0},
+		{"another is elected", 3, time.Hour, false, 0},
+		{"the first one", 3, 0, true, 1},
+		{"too early", 12, time.Second, true, 1},
+		{"by records", 13, time.Second, true, 2},
+		{"by age", 13, time.Minute, true, 3},
+		{"elected again", 13, time.Second, false, 3},
+		{"without knowing of others", 13, time.Second, true, 4},
+	}
+	for _, step := range steps {
+		clock.Advance(step.pass)
+		elected = step.elected
+		if step.next > stream.State().Next {
+			require.NoError(t, stream.Install(Snapshot{Identity: "i", State: &statemachine.State{Next: step.next}}))
+		}
+		s.once(context.Background())
+		require.Len(t, log.Payloads(snapshotStream), step.written, step.name)
+	}
+}
--- /dev/null
+++ b/logstream/snapshotter.go
@@ -0,0 +1,79 @@
+package logstream
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	snapshotCheck   = time.Second
+	snapshotTimeout = 10 * time.Second
+)
+
+// SnapshotPolicy says when a snapshot is due.
+type SnapshotPolicy struct {
+	// Records is the number of payloads after which one is due.
+	Records uint64
+	// MaxAge is the age of the latest one after which one is due. It is a part
+	// of the time for which the log keeps records.
+	MaxAge time.Duration
+}
+
+// Snapshotter writes snapshots of a stream while it is the one that should.
+// Two at once cost appends and nothing else.
+type Snapshotter struct {
+	stream    *Stream
+	snapshots *Snapshots
+	policy    SnapshotPolicy
+	elected   func() bool
+	lastNext  uint64
+	lastAt    time.Time
+}
+
+// NewSnapshotter returns a Snapshotter. The function elected says whether this
+// process is the one to write.
+func NewSnapshotter(stream *Stream, snapshots *Snapshots, policy SnapshotPolicy, elected func() bool) *Snapshotter {
+	return &Snapshotter{stream: stream, snapshots: snapshots, policy: policy, elected: elected}
+}
+
+// Run writes snapshots when they are due until the context ends.
+func (s *Snapshotter) Run(ctx context.Context) {
+	ticker := s.stream.cfg.Clock.NewTicker(snapshotCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			s.once(ctx)
+		}
+	}
+}
+
+// once writes a snapshot if one is due.
+func (s *Snapshotter) once(ctx context.Context) {
+	if !s.elected() {
+		s.lastAt = time.Time{}
+		return
+	}
+	now := s.stream.cfg.Clock.Now()
+	state, identity := s.stream.State(), s.stream.Identity()
+	if state.Next == 0 || identity == "" || s.stream.Fault() != nil || !s.due(now, state.Next) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	if err := s.snapshots.Save(ctx, Snapshot{Identity: identity, State: state}); err != nil {
+		s.stream.cfg.Logger.Warn("snapshot not written", "stream", s.stream.cfg.Name, "error", err.Error())
+		return
+	}
+	s.lastNext, s.lastAt = state.Next, now
+}
+
+// due reports whether the latest snapshot is too old or too far behind.
+func (s *Snapshotter) due(now time.Time, next uint64) bool {
+	if s.lastAt.IsZero() || next-s.lastNext >= s.policy.Records {
+		return true
+	}
+	return elapsed(now, s.lastAt) >= s.policy.MaxAge
+}
--- a/logstream/stream.go
+++ b/logstream/stream.go
@@ -25,9 +25,11 @@
 	identity atomic.Pointer[string]
 	readable atomic.Bool
 	attempts atomic.Uint64
+	reads    atomic.Uint64
 	queue    chan *proposal
 	ended    chan struct{}
 	waiting  waiting
+	recent   recent
 
 	// applying orders the processes that apply: the follower and relayed pages.
 	applying  sync.Mutex
@@ -79,6 +81,7 @@
 	if offset < current.Next {
 		return
 	}
+	s.recent.add(offset, payload)
 	batch, err := statemachine.DecodeBatch(payload)
 	if err != nil {
 		s.cfg.Logger.Error("payload skipped", "stream", s.cfg.Name, "offset", offset, "error", err.Error())
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -61,7 +61,7 @@
 	ticker := m.cfg.Clock.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		m.round(ctx)
+		m.Beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -88,8 +88,8 @@
 	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
 
-// round sends one heartbeat to each address and waits for the answers.
-func (m *Membership) round(ctx context.Context) {
+// Beat sends one heartbeat to each address at once and waits for the answers.
+func (m *Membership) Beat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -138,6 +138,9 @@
 func (m *Membership) store(member Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if known, ok := (*m.members.Load())[member.Incarnation]; ok && known.SentAt.After(member.SentAt) {
+		return
+	}
 	next := make(map[string]Member, len(*m.members.Load())+1)
 	for k, v := range *m.members.Load() {
 		next[k] = v
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,8 @@
 	DefaultTimeout Duration `json:"default_timeout" validate:"min=1"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" validate:"min=1"`
+	// LogRetention is the time for which the platform's log keeps a record.
+	LogRetention Duration `json:"log_retention" validate:"min=1000000000"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error"`
 }
@@ -36,6 +38,7 @@
 		MaxBodyBytes:   1 << 20,
 		DefaultTimeout: Duration(10 * time.Second),
 		StopTimeout:    Duration(30 * time.Second),
+		LogRetention:   Duration(10 * time.Minute),
 		LogLevel:       "info",
 	}
 }
--- a/statemachine/apply.go
+++ b/statemachine/apply.go
@@ -25,7 +25,12 @@
 		if void == nil {
 			current = next
 		}
-		current.mark(id, batch.AtMS)
+		if !current.isForgotten(batch) {
+			current.mark(id, batch.AtMS)
+		}
+		if void == nil && record.Command.Kind() == KindEntryJoin {
+			current.prune()
+		}
 		results = append(results, Result{ID: id, Kind: record.Command.Kind(), Offset: offset, Void: void})
 	}
 	return &current, results
@@ -47,6 +52,9 @@
 	if record.Seq <= mark.Seq {
 		return State{}, voidf(ReasonDuplicate, "record %d of %s is not above %d", record.Seq, batch.Writer, mark.Seq)
 	}
+	if s.isForgotten(batch) {
+		return State{}, voidf(ReasonDuplicate, "the batch of %s is as old as those of writers that were forgotten", batch.Writer)
+	}
 	next := *s
 	ctx := applyContext{writer: batch.Writer, offset: offset, atMS: batch.AtMS}
 	if void := record.Command.apply(&next, ctx); void != nil {
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -7,6 +7,9 @@
 	Next uint64 `json:"next"`
 	// Writers holds the highest record number applied, by writer.
 	Writers Table[WriterMark] `json:"writers"`
+	// ForgottenMS is the latest wall clock among the writers whose marks were
+	// dropped, in Unix milliseconds.
+	ForgottenMS int64 `json:"forgotten_ms"`
 
 	Templates  Table[*Template]  `json:"templates"`
 	Workspaces Table[*Workspace] `json:"workspaces"`
