--- a/dispatch/authority.go
+++ b/dispatch/authority.go
@@ -26,24 +26,32 @@
 // freshRetryAfter is the advice to a caller refused for a stale configuration.
 const freshRetryAfter = time.Second
 
-// authorize finds the queue and checks the key. Without a Grant the Outcome
-// says why.
+// authorize hashes the shown key and finds what the request may use.
 func authorize(control Control, req Request) (*Grant, Outcome) {
-	state := control.State()
-	grant := findQueue(state, req.Queue)
+	hash := ""
+	if req.Key != "" {
+		hash = statemachine.HashKey(req.Key)
+	}
+	return Authorize(control.State(), control.Current(), req.Queue, hash)
+}
+
+// Authorize finds the queue and checks the key, given by its hash or "" for
+// none, against the state. Without a Grant the Outcome says why. It is pure.
+func Authorize(state *statemachine.State, current bool, queue, keyHash string) (*Grant, Outcome) {
+	grant := findQueue(state, queue)
 	if grant == nil {
-		return nil, notRun(CodeNoQueue, "there is no queue "+req.Queue, 0)
+		return nil, notRun(CodeNoQueue, "there is no queue "+queue, 0)
 	}
-	if !control.Current() {
+	if !current {
 		return nil, notRun(CodeNotFresh, "this entry cannot confirm that its configuration is current", freshRetryAfter)
 	}
 	if grant.Workspace.IsOpen(grant.Queue.Name) {
 		return grant, Outcome{}
 	}
-	if req.Key == "" {
+	if keyHash == "" {
 		return nil, notRun(CodeNoKey, "the queue takes work only with a key", 0)
 	}
-	key, ok := state.Keys.Get(statemachine.HashKey(req.Key))
+	key, ok := state.Keys.Get(keyHash)
 	if !ok || key.Withdrawn {
 		return nil, notRun(CodeUnknownKey, "the key is not in force", 0)
 	}
