Count outcomes and reasons, and show the entry's gauges in /debug/vars

Cause: the metrics page held only the runtime's own variables, so an operator could not see refusals, unsettled starts or the age of the configuration.

Ruled out: publishing in expvar's global map, which panics when several entries run in one process, as the demo does.

Change: an expvar.Map per entry, served beside the process's variables.

Conclusion: alarms can be set on outcomes, reasons and control_age_ms.

--- a/cmd/anvilcourse/path_test.go
+++ b/cmd/anvilcourse/path_test.go
@@ -85,6 +85,27 @@
 	require.NoError(t, <-withdrawn)
 }
 
+// TestPath_Metrics checks that the entry counts what it answers.
+func TestPath_Metrics(t *testing.T) {
+	sys, catalog := startUser(t, "apitt", 1)
+	queue := catalog.Workspaces[0].Name + ".quotes"
+	key := sys.GrantKey(catalog.Workspaces[0].Name)
+	submitOK(t, sys.Caller(0, key.Key), queue, `{"work_ms":1}`)
+	_, err := sys.Caller(0, "").Submit(context.Background(), queue, nil, 0, "")
+	require.Equal(t, 401, statusOf(err))
+	var vars struct {
+		Anvilcourse struct {
+			Requests map[string]int `json:"requests"`
+			Reasons  map[string]int `json:"requests_without_answer"`
+			Current  bool           `json:"control_current"`
+		} `json:"anvilcourse"`
+	}
+	require.NoError(t, sys.Operator(0).Get(context.Background(), "/debug/vars", &vars))
+	require.Equal(t, map[string]int{"answered": 1, "not_run": 1}, vars.Anvilcourse.Requests)
+	require.Equal(t, map[string]int{"no_key": 1}, vars.Anvilcourse.Reasons)
+	require.True(t, vars.Anvilcourse.Current)
+}
+
 // TestPath_GracefulStop checks that a planned stop of an entry cuts nothing.
 func TestPath_GracefulStop(t *testing.T) {
 	sys, catalog := startUser(t, "pakhtun", 2)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -22,10 +22,11 @@
 type callers struct {
 	settings   settings.Entry
 	dispatcher *dispatch.Dispatcher
+	metrics    *metrics
 }
 
-func newCallersHandler(s settings.Entry, d *dispatch.Dispatcher, routes []callerRoutes) *gin.Engine {
-	c := &callers{settings: s, dispatcher: d}
+func newCallersHandler(s settings.Entry, d *dispatch.Dispatcher, m *metrics, routes []callerRoutes) *gin.Engine {
+	c := &callers{settings: s, dispatcher: d, metrics: m}
 	engine := newEngine()
 	engine.POST("/v1/queues/:queue/requests", c.submit)
 	for _, add := range routes {
@@ -59,6 +60,7 @@
 		Timeout:        timeout,
 		IdempotencyKey: g.GetHeader(api.HeaderIdempotencyKey),
 	})
+	c.metrics.count(outcome)
 	writeOutcome(g, outcome)
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -41,6 +41,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Operators  *operators
 	Ready      *readiness
+	Metrics    *metrics
 
 	Tasks          []task           `group:"tasks"`
 	OperatorRoutes []operatorRoutes `group:"operator_routes"`
@@ -75,7 +76,7 @@
 	}
 	d.peers = peer.NewServer(listeners[0], peerRoutes(d.Peers), d.Logger)
 	d.operators = newHTTPServer(d.Operators.handler(d.OperatorRoutes))
-	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.CallerRoutes))
+	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.Metrics, d.CallerRoutes))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.run(d.peers.Serve)
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/quota"
+)
+
+// metrics are the entry's counters and gauges. They are kept per entry, not
+// in expvar's global map, so that several entries can run in one process.
+type metrics struct {
+	vars *expvar.Map
+	// outcomes counts the ended requests by outcome.
+	outcomes *expvar.Map
+	// refusals counts the requests without an answer by reason.
+	refusals *expvar.Map
+}
+
+func newMetrics(c *control, d *dispatch.Dispatcher, limbo *dispatch.Limbo, ledger *quota.Ledger) *metrics {
+	m := &metrics{vars: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map)}
+	m.vars.Set("requests", m.outcomes)
+	m.vars.Set("requests_without_answer", m.refusals)
+	m.gauge("control_offset", func() any { return c.State().Next })
+	m.gauge("control_age_ms", func() any { return ageMS(c.Age()) })
+	m.gauge("control_current", func() any { return c.Current() })
+	m.gauge("inflight", func() any { return d.Inflight() })
+	m.gauge("unsettled_starts", func() any { return limbo.Len() })
+	m.gauge("teams", func() any { return ledger.Teams() })
+	return m
+}
+
+func (m *metrics) gauge(name string, read func() any) {
+	m.vars.Set(name, expvar.Func(read))
+}
+
+// count counts the end of a request.
+func (m *metrics) count(o dispatch.Outcome) {
+	m.outcomes.Add(string(o.Kind), 1)
+	if o.Code != "" {
+		m.refusals.Add(string(o.Code), 1)
+	}
+}
+
+// ServeHTTP writes the process's and the entry's variables as one JSON object.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprint(w, "{\n")
+	expvar.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value) })
+	fmt.Fprintf(w, "%q: %s\n}\n", "anvilcourse", m.vars)
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"expvar"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,13 +38,15 @@
 	ledger     *quota.Ledger
 	ring       *timeline.Ring
 	ready      *readiness
+	metrics    *metrics
 }
 
-func newOperators(s settings.Entry, id identity, c *control, m *membership.Membership, d *dispatch.Dispatcher,
-	limbo *dispatch.Limbo, ledger *quota.Ledger, ring *timeline.Ring, ready *readiness,
+func newOperators(s settings.Entry, id identity, c *control, members *membership.Membership, d *dispatch.Dispatcher,
+	limbo *dispatch.Limbo, ledger *quota.Ledger, ring *timeline.Ring, ready *readiness, m *metrics,
 ) *operators {
 	return &operators{
-		settings: s, id: id, control: c, membership: m, dispatcher: d, limbo: limbo, ledger: ledger, ring: ring, ready: ready,
+		settings: s, id: id, control: c, membership: members, dispatcher: d, limbo: limbo, ledger: ledger, ring: ring, ready: ready,
+		metrics: m,
 	}
 }
 
@@ -53,7 +54,7 @@
 	engine := newEngine()
 	engine.GET("/healthz", func(g *gin.Context) { g.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", o.readyz)
-	engine.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	engine.GET("/debug/vars", gin.WrapH(o.metrics))
 	group := engine.Group("/v1", o.authenticate)
 	group.GET("/status", o.status)
 	group.GET("/timeline", o.timeline)
