--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -42,6 +42,7 @@
 	Operators  *operators
 	Ready      *readiness
 	Metrics    *metrics
+	Traffic    *traffic
 
 	Tasks          []task           `group:"tasks"`
 	OperatorRoutes []operatorRoutes `group:"operator_routes"`
@@ -74,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	d.peers = peer.NewServer(listeners[0], peerRoutes(d.Peers), d.Logger)
+	d.peers = peer.NewServer(d.Traffic.peers.Listener(listeners[0]), peerRoutes(d.Peers), d.Logger)
 	d.operators = newHTTPServer(d.Operators.handler(d.OperatorRoutes))
 	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.Metrics, d.CallerRoutes))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,7 +19,7 @@
 	refusals *expvar.Map
 }
 
-func newMetrics(c *control, d *dispatch.Dispatcher, limbo *dispatch.Limbo, ledger *quota.Ledger) *metrics {
+func newMetrics(c *control, d *dispatch.Dispatcher, limbo *dispatch.Limbo, ledger *quota.Ledger, t *traffic) *metrics {
 	m := &metrics{vars: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map)}
 	m.vars.Set("requests", m.outcomes)
 	m.vars.Set("requests_without_answer", m.refusals)
@@ -29,6 +29,10 @@
 	m.gauge("inflight", func() any { return d.Inflight() })
 	m.gauge("unsettled_starts", func() any { return limbo.Len() })
 	m.gauge("teams", func() any { return ledger.Teams() })
+	m.gauge("platform_bytes_in", func() any { return t.platform.In() })
+	m.gauge("platform_bytes_out", func() any { return t.platform.Out() })
+	m.gauge("peer_bytes_in", func() any { return t.peers.In() })
+	m.gauge("peer_bytes_out", func() any { return t.peers.Out() })
 	return m
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"os"
 	"time"
 
@@ -48,7 +47,10 @@
 		clockwork.NewRealClock,
 		newLogger,
 		newIdentity,
-		newPlatformClient,
+		newTraffic,
+		newControlClient,
+		newWorkerClient,
+		newPeerClient,
 		newLog,
 		newVMs,
 		newWorkers,
@@ -63,7 +65,6 @@
 		newPlacer,
 		newRing,
 		newLimbo,
-		peer.NewClient,
 		newDescriber,
 		newMembership,
 		newControl,
@@ -86,23 +87,16 @@
 	}).With("entry", id.incarnation)
 }
 
-// newPlatformClient names the entry to the platform in the User-Agent header.
-func newPlatformClient(s settings.Entry) *http.Client {
-	client := platform.NewHTTPClient()
-	client.Transport = &userAgent{name: s.Name, next: client.Transport}
-	return client
+func newLog(s settings.Entry, client controlClient) platform.Log {
+	return platform.NewHTTPLog(s.Platform, client.Client)
 }
 
-func newLog(s settings.Entry, client *http.Client) platform.Log {
-	return platform.NewHTTPLog(s.Platform, client)
+func newVMs(s settings.Entry, client controlClient) platform.VMs {
+	return platform.NewHTTPVMs(s.Platform, client.Client)
 }
 
-func newVMs(s settings.Entry, client *http.Client) platform.VMs {
-	return platform.NewHTTPVMs(s.Platform, client)
-}
-
-func newWorkers(client *http.Client) platform.Workers {
-	return platform.NewHTTPWorkers(client)
+func newWorkers(client workerClient) platform.Workers {
+	return platform.NewHTTPWorkers(client.Client)
 }
 
 func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
--- a/peer/client.go
+++ b/peer/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
@@ -15,20 +14,21 @@
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 )
 
-const (
-	dialTimeout     = 500 * time.Millisecond
-	maxMessageBytes = 8 << 20
-)
+const maxMessageBytes = 8 << 20
+
+// DialFunc opens a connection to an address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Client calls other entries by their peer address.
 type Client struct {
+	dial     DialFunc
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
 }
 
 // NewClient returns a client without sessions.
-func NewClient() *Client {
-	return &Client{sessions: make(map[string]*yamux.Session)}
+func NewClient(dial DialFunc) *Client {
+	return &Client{dial: dial, sessions: make(map[string]*yamux.Session)}
 }
 
 // Call sends the request to the entry at the address and returns its answer.
@@ -74,8 +74,7 @@
 	if session != nil && !session.IsClosed() {
 		return session, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
--- a/testbed/process.go
+++ b/testbed/process.go
@@ -93,3 +93,6 @@
 	const limit = 8000
 	return s[max(0, len(s)-limit):]
 }
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
