--- a/command/checksettings.go
+++ b/command/checksettings.go
@@ -12,20 +12,29 @@
 
 type checkSettingsCommand struct {
 	*output
-	kind string
+	kind      string
+	reference bool
 }
 
 func (*checkSettingsCommand) Name() string     { return "check-settings" }
 func (*checkSettingsCommand) Synopsis() string { return "check settings without starting anything" }
 func (*checkSettingsCommand) Usage() string {
-	return "check-settings -kind entry|standin|catalog FILE...\n  Check the files and name every fault.\n"
+	return `check-settings -kind entry|standin|catalog FILE...
+  Check the files and name every fault.
+check-settings -reference -kind entry|standin
+  Print a table of the settings in Markdown.
+`
 }
 
 func (c *checkSettingsCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.kind, "kind", "entry", "what the files hold: entry, standin or catalog")
+	f.BoolVar(&c.reference, "reference", false, "print a table of the settings")
 }
 
 func (c *checkSettingsCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.reference {
+		return c.printReference()
+	}
 	check, ok := settingsCheckers[c.kind]
 	if !ok {
 		return c.usage("-kind must be entry, standin or catalog, not %q", c.kind)
@@ -44,6 +53,22 @@
 	return status
 }
 
+func (c *checkSettingsCommand) printReference() subcommands.ExitStatus {
+	var defaults any
+	switch c.kind {
+	case "entry":
+		defaults = settings.DefaultEntry()
+	case "standin":
+		defaults = settings.DefaultStandin()
+	default:
+		return c.usage("-reference takes -kind entry or standin, not %q", c.kind)
+	}
+	if err := settings.WriteReference(c.stdout, defaults); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
 // settingsCheckers checks a file by the kind of its content.
 var settingsCheckers = map[string]func(path string) error{
 	"entry":   func(path string) error { _, err := settings.LoadEntry(path); return err },
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -5,29 +5,29 @@
 // Entry configures one entry process.
 type Entry struct {
 	// Name is the entry's stable name, unique among the entries.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64" help:"the entry's stable name, unique among the entries"`
 	// AvailabilityZone is the zone that the entry's VM is in.
-	AvailabilityZone string `json:"availability_zone" validate:"required"`
+	AvailabilityZone string `json:"availability_zone" validate:"required" help:"the zone that the entry's VM is in"`
 	// Callers is the address for callers, an IP number and a port.
-	Callers string `json:"callers" validate:"required,ip_port"`
+	Callers string `json:"callers" validate:"required,ip_port" help:"the address for callers, an IP number and a port"`
 	// Operators is the address for operators, metrics and health.
-	Operators string `json:"operators" validate:"required,ip_port"`
+	Operators string `json:"operators" validate:"required,ip_port" help:"the address for operators, metrics and health"`
 	// Peers is the address for other entries.
-	Peers string `json:"peers" validate:"required,ip_port"`
+	Peers string `json:"peers" validate:"required,ip_port" help:"the address for other entries"`
 	// Platform is the base URL of the platform's log and VM list.
-	Platform string `json:"platform" validate:"required,ip_url"`
+	Platform string `json:"platform" validate:"required,ip_url" help:"the base URL of the platform's log and VM list"`
 	// Seeds are peer addresses to try while the log cannot be read.
-	Seeds []string `json:"seeds" validate:"dive,ip_port"`
+	Seeds []string `json:"seeds" validate:"dive,ip_port" help:"peer addresses to try while the log cannot be read"`
 	// OperatorKeyHashes are the SHA-256 hashes, in hex, of the operators' keys.
-	OperatorKeyHashes []string `json:"operator_key_hashes" validate:"min=1,dive,len=64,hexadecimal"`
+	OperatorKeyHashes []string `json:"operator_key_hashes" validate:"min=1,dive,len=64,hexadecimal" help:"the SHA-256 hashes, in hex, of the operators' keys"`
 	// MaxBodyBytes bounds a caller's request body.
-	MaxBodyBytes int64 `json:"max_body_bytes" validate:"min=1,max=16777216"`
+	MaxBodyBytes int64 `json:"max_body_bytes" validate:"min=1,max=16777216" help:"bound of a caller's request body"`
 	// DefaultTimeout is the caller's patience when it names none.
-	DefaultTimeout Duration `json:"default_timeout" validate:"min=1"`
+	DefaultTimeout Duration `json:"default_timeout" validate:"min=1" help:"the caller's patience when it names none"`
 	// StopTimeout bounds a graceful stop.
-	StopTimeout Duration `json:"stop_timeout" validate:"min=1"`
+	StopTimeout Duration `json:"stop_timeout" validate:"min=1" help:"bound of a graceful stop"`
 	// LogLevel is the lowest level that is logged.
-	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error"`
+	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
 
 // DefaultEntry returns the values of the members that may be left out.
