Removal and clearing of entries in the control stream

Cause: an entry that died held its part of every upper limit for ever, and nothing bounded when that part could be handed on. Two more faults were found on the way. A lowering whose reply was lost could land after the ledger had been raised again, or twice, so that the log gave away what the ledger still used. And "more than half of the entries of now have applied the removal" is not enough to clear: two of three entries that are cut off together are more than half of the three they know, whoever joins meanwhile.

Change: EntryRemove, EntryClear and EntryAck. An entry acknowledges each membership version; the reducer keeps, per entry, the size it acknowledged and the least balance of joins over leaves since (Electorate), from which CanHaveMajority tells whether a cut-off entry can still find a majority in any state it can be at. Cleared entries vanish but for a mark that voids a late join. AllotmentAdjust names what the writer holds, so a repeat is void, and the allotter does not raise its ledger while a lowering is unsettled.

Before and after: each naive form fails the new tests and the change passes (go test -race ./statemachine ./quota): CanHaveMajority without the cleared entries, without the balance and with the latest in place of the least balance; a raise without the min with the room; the allotter without the unsettled mark; the adjustment without Held. Considered and left: voting members apart from joined ones, changed one at a time as in a consensus group; the acknowledgement needs no such order.

--- a/entry/fleetwatch.go
+++ b/entry/fleetwatch.go
@@ -89,7 +89,7 @@
 // isFirst reports whether the incarnation is the first member in order. It
 // spares the others the work, and two first ones at once do no harm.
 func isFirst(state *statemachine.State, self string) bool {
-	for incarnation := range state.Entries.All() {
+	for incarnation := range state.Members() {
 		return incarnation == self
 	}
 	return false
--- a/quota/allotter.go
+++ b/quota/allotter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,11 +30,16 @@
 	ledger   *Ledger
 	clock    clockwork.Clock
 	logger   hclog.Logger
+
+	mu sync.Mutex
+	// unsettled holds the teams with a lowering record whose outcome is not
+	// known.
+	unsettled map[string]bool
 }
 
 // NewAllotter returns the allotter of the entry incarnation.
 func NewAllotter(self string, proposer Proposer, ledger *Ledger, clock clockwork.Clock, logger hclog.Logger) *Allotter {
-	return &Allotter{self: self, proposer: proposer, ledger: ledger, clock: clock, logger: logger}
+	return &Allotter{self: self, proposer: proposer, ledger: ledger, clock: clock, logger: logger, unsettled: make(map[string]bool)}
 }
 
 // Run adjusts the allotments until the context ends.
@@ -50,66 +56,110 @@
 	}
 }
 
+// adjustAll adjusts all teams side by side, so that their records share
+// appends.
 func (a *Allotter) adjustAll(ctx context.Context) {
 	state := a.proposer.State()
-	if _, ok := state.Entries.Get(a.self); !ok {
+	if _, ok := state.Member(a.self); !ok {
 		return
 	}
+	var wg sync.WaitGroup
 	for team, workspace := range state.ByTeam.All() {
-		a.adjust(ctx, state, team, workspace.Limit)
+		wg.Go(func() { a.adjust(ctx, state, team, workspace.Limit) })
 	}
+	wg.Wait()
 }
 
 // adjust proposes the difference between what the entry holds and its even
-// part of the limit. It lowers the ledger before it gives anything up.
+// part of the limit. It lowers the ledger before it gives anything up, and
+// does not raise it while a record that gives up may still take effect.
 func (a *Allotter) adjust(ctx context.Context, state *statemachine.State, team string, limit int) {
-	held := 0
-	total := 0
-	if allotments, ok := state.Allotments.Get(team); ok {
-		held = allotments.ByEntry[a.self]
-		total = allotments.Total()
+	held, total := holding(state, team, a.self)
+	if a.isUnsettled(team) {
+		a.settle(ctx, team, held)
+		return
 	}
 	wanted := EvenPart(state, a.self, limit)
-	switch {
-	case held < wanted && total < limit:
-		a.propose(ctx, team, min(wanted-held, limit-total))
-	case held > wanted:
-		a.ledger.SetAllotted(team, wanted)
-		unused := held - max(wanted, a.ledger.Usage(team).Running)
-		if unused > 0 {
-			a.propose(ctx, team, -unused)
-		}
+	if held > wanted {
+		a.lower(ctx, team, held, wanted)
 		return
 	}
-	a.ledger.SetAllotted(team, a.heldNow(team))
+	if held < wanted && total < limit {
+		_ = a.propose(ctx, team, held, min(wanted-held, limit-total))
+		held, _ = holding(a.proposer.State(), team, a.self)
+	}
+	a.ledger.SetAllotted(team, held)
 }
 
-func (a *Allotter) heldNow(team string) int {
-	allotments, ok := a.proposer.State().Allotments.Get(team)
+// lower gives up what the entry holds beyond wanted and does not use.
+func (a *Allotter) lower(ctx context.Context, team string, held, wanted int) {
+	a.ledger.SetAllotted(team, wanted)
+	usage := a.ledger.Usage(team)
+	unused := held - max(wanted, usage.Running+usage.Lent)
+	if unused <= 0 {
+		return
+	}
+	a.setUnsettled(team, true)
+	a.settleAfter(team, a.propose(ctx, team, held, -unused))
+}
+
+// settle writes a record that changes nothing. Once it is read back, every
+// earlier record of this writer has taken effect or is void for good.
+func (a *Allotter) settle(ctx context.Context, team string, held int) {
+	a.settleAfter(team, a.propose(ctx, team, held, 0))
+}
+
+func (a *Allotter) settleAfter(team string, err error) {
+	if err == nil {
+		a.setUnsettled(team, false)
+	}
+}
+
+func (a *Allotter) isUnsettled(team string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unsettled[team]
+}
+
+func (a *Allotter) setUnsettled(team string, unsettled bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if unsettled {
+		a.unsettled[team] = true
+		return
+	}
+	delete(a.unsettled, team)
+}
+
+// holding returns the entry's allotment of the team and the sum of all.
+func holding(state *statemachine.State, team, entry string) (held, total int) {
+	allotments, ok := state.Allotments.Get(team)
 	if !ok {
-		return 0
+		return 0, 0
 	}
-	return allotments.ByEntry[a.self]
+	return allotments.ByEntry[entry], allotments.Total()
 }
 
-func (a *Allotter) propose(ctx context.Context, team string, delta int) {
+// propose returns an error unless the record has been read back.
+func (a *Allotter) propose(ctx context.Context, team string, held, delta int) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := a.proposer.Propose(ctx, &statemachine.AllotmentAdjust{Team: team, Delta: delta})
+	result, err := a.proposer.Propose(ctx, &statemachine.AllotmentAdjust{Team: team, Held: held, Delta: delta})
 	if err != nil {
 		a.logger.Debug("allotment not adjusted", "team", team, "error", err.Error())
-		return
+		return err
 	}
 	if result.Void != nil {
 		a.logger.Debug("allotment adjustment is void", "team", team, "reason", result.Void.Message)
 	}
+	return nil
 }
 
 // EvenPart returns the entry's part of a limit that is divided evenly among
-// the entries. The first entries in order get one more if it does not divide.
+// the members. The first entries in order get one more if it does not divide.
 func EvenPart(state *statemachine.State, self string, limit int) int {
 	rank, count := 0, 0
-	for incarnation := range state.Entries.All() {
+	for incarnation := range state.Members() {
 		if incarnation == self {
 			rank = count
 		}
--- /dev/null
+++ b/quota/allotter_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const testTeam = "team"
+
+// fakeLog applies records at once, or holds them back while it is down.
+type fakeLog struct {
+	state *statemachine.State
+	seqs  map[string]uint64
+	down  bool
+	held  []heldRecord
+}
+
+type heldRecord struct {
+	writer string
+	record statemachine.Record
+}
+
+func newFakeLog(t *testing.T, limit int, entries ...string) *fakeLog {
+	l := &fakeLog{state: statemachine.New(), seqs: map[string]uint64{}}
+	l.write("operator", &statemachine.PoolSet{Pool: statemachine.Pool{Name: "p"}})
+	void := l.write("operator", &statemachine.TemplateSet{Template: statemachine.Template{Name: "t", Pools: []string{"p"}}})
+	require.Nil(t, void.Void)
+	require.Nil(t, l.setLimit(limit, 0).Void)
+	for _, entry := range entries {
+		require.Nil(t, l.write(entry, &statemachine.EntryJoin{Entry: statemachine.Entry{Incarnation: entry}}).Void)
+	}
+	return l
+}
+
+func (l *fakeLog) setLimit(limit int, expected uint64) statemachine.Result {
+	return l.write("operator", &statemachine.WorkspaceSet{
+		Workspace: statemachine.Workspace{Name: "w", Template: "t", Team: testTeam, Limit: limit}, Expected: expected,
+	})
+}
+
+func (l *fakeLog) write(writer string, command statemachine.Command) statemachine.Result {
+	l.seqs[writer]++
+	return l.apply(writer, statemachine.Record{Seq: l.seqs[writer], Command: command})
+}
+
+func (l *fakeLog) apply(writer string, record statemachine.Record) statemachine.Result {
+	next, results := l.state.Apply(l.state.Next, statemachine.Batch{Writer: writer, Records: []statemachine.Record{record}})
+	l.state = next
+	return results[0]
+}
+
+// land applies the records that were held back.
+func (l *fakeLog) land() {
+	for _, h := range l.held {
+		l.apply(h.writer, h.record)
+	}
+	l.held = nil
+}
+
+func (l *fakeLog) amount(entry string) int {
+	held, _ := holding(l.state, testTeam, entry)
+	return held
+}
+
+// proposer is one entry's access to the log.
+type proposer struct {
+	log    *fakeLog
+	writer string
+}
+
+func (p *proposer) State() *statemachine.State { return p.log.state }
+
+func (p *proposer) Propose(_ context.Context, command statemachine.Command) (statemachine.Result, error) {
+	if !p.log.down {
+		p.log.land()
+		return p.log.write(p.writer, command), nil
+	}
+	p.log.seqs[p.writer]++
+	p.log.held = append(p.log.held, heldRecord{writer: p.writer, record: statemachine.Record{Seq: p.log.seqs[p.writer], Command: command}})
+	return statemachine.Result{}, &platform.Error{Op: "log.propose", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+}
+
+func newTestAllotter(log *fakeLog, entry string) *Allotter {
+	return NewAllotter(entry, &proposer{log: log, writer: entry}, NewLedger(), clockwork.NewFakeClock(), hclog.NewNullLogger())
+}
+
+// TestAllotter_DividesTheLimit checks the even parts after joins and after the
+// limit was lowered below what runs.
+func TestAllotter_DividesTheLimit(t *testing.T) {
+	log := newFakeLog(t, 10, "a", "b")
+	a, b := newTestAllotter(log, "a"), newTestAllotter(log, "b")
+	ctx := context.Background()
+	a.adjustAll(ctx)
+	b.adjustAll(ctx)
+	require.Equal(t, [2]int{5, 5}, [2]int{log.amount("a"), log.amount("b")})
+	for range 4 {
+		require.True(t, a.ledger.Acquire(testTeam))
+	}
+	log.setLimit(4, 1)
+	a.adjustAll(ctx)
+	b.adjustAll(ctx)
+	require.Equal(t, [2]int{4, 2}, [2]int{log.amount("a"), log.amount("b")}, "what runs stays allotted")
+	require.False(t, a.ledger.Acquire(testTeam), "nothing new starts above the part")
+	for range 4 {
+		a.ledger.Release(testTeam)
+	}
+	a.adjustAll(ctx)
+	require.Equal(t, [2]int{2, 2}, [2]int{log.amount("a"), log.amount("b")})
+}
+
+// TestAllotter_UnknownLowering lowers while replies are lost: the ledger must
+// never hold more than the log once the late record lands.
+func TestAllotter_UnknownLowering(t *testing.T) {
+	log := newFakeLog(t, 10, "a")
+	a := newTestAllotter(log, "a")
+	ctx := context.Background()
+	a.adjustAll(ctx)
+	require.Equal(t, 10, a.ledger.Usage(testTeam).Allotted)
+	log.setLimit(8, 1)
+	log.down = true
+	a.adjustAll(ctx)
+	log.setLimit(10, 2)
+	for range 3 {
+		a.adjustAll(ctx)
+		require.LessOrEqual(t, a.ledger.Usage(testTeam).Allotted, 8, "the lowering may still land")
+	}
+	log.land()
+	require.Equal(t, 8, log.amount("a"))
+	require.LessOrEqual(t, a.ledger.Usage(testTeam).Allotted, log.amount("a"))
+	log.down = false
+	a.adjustAll(ctx)
+	a.adjustAll(ctx)
+	require.Equal(t, 10, a.ledger.Usage(testTeam).Allotted)
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -17,6 +17,8 @@
 type account struct {
 	allotted atomic.Int64
 	running  atomic.Int64
+	// lent is the part of allotted that other entries use.
+	lent atomic.Int64
 	// demand counts the attempts to acquire, successful or not.
 	demand atomic.Int64
 }
@@ -38,7 +40,7 @@
 		return false
 	}
 	a.demand.Add(1)
-	if a.running.Add(1) > a.allotted.Load() {
+	if a.running.Add(1) > a.allotted.Load()-a.lent.Load() {
 		a.running.Add(-1)
 		return false
 	}
@@ -65,6 +67,8 @@
 type Usage struct {
 	Allotted int
 	Running  int
+	// Lent is the part of Allotted that other entries use.
+	Lent int
 	// Demand counts the attempts to acquire since the start.
 	Demand int64
 }
@@ -75,7 +79,7 @@
 	if a == nil {
 		return Usage{}
 	}
-	return Usage{Allotted: int(a.allotted.Load()), Running: int(a.running.Load()), Demand: a.demand.Load()}
+	return Usage{Allotted: int(a.allotted.Load()), Running: int(a.running.Load()), Lent: int(a.lent.Load()), Demand: a.demand.Load()}
 }
 
 // Teams returns the lines of all teams.
--- a/statemachine/allotment.go
+++ b/statemachine/allotment.go
@@ -21,37 +21,37 @@
 // KindAllotmentAdjust is the kind of AllotmentAdjust.
 const KindAllotmentAdjust Kind = "allotment_adjust"
 
-// AllotmentAdjust changes the writer's own allotment of a team's limit. A
-// raise is granted as far as the limit has room, and is void without room.
-// Before it writes a negative Delta the holder has lowered what it uses.
+// AllotmentAdjust changes the writer's own allotment of a team's limit. It is
+// void unless the writer is a member that holds Held, so that a repeated
+// adjustment changes nothing. A raise is granted as far as the limit has room,
+// and is void without room. Before it writes a negative Delta the holder has
+// lowered what it uses.
 type AllotmentAdjust struct {
-	Team  string `json:"team"`
-	Delta int    `json:"delta"`
+	Team string `json:"team"`
+	// Held is what the writer holds before the adjustment.
+	Held  int `json:"held"`
+	Delta int `json:"delta"`
 }
 
 // Kind implements Command.
 func (*AllotmentAdjust) Kind() Kind { return KindAllotmentAdjust }
 
 func (c *AllotmentAdjust) apply(next *State, ctx applyContext) *Void {
-	if _, ok := next.Entries.Get(ctx.writer); !ok {
+	if _, ok := next.Member(ctx.writer); !ok {
 		return voidf(ReasonWriter, "%s is not a member", ctx.writer)
 	}
-	workspace, ok := next.ByTeam.Get(c.Team)
-	if !ok && c.Delta > 0 {
-		return voidf(ReasonNotFound, "team %s owns no workspace", c.Team)
-	}
 	current, ok := next.Allotments.Get(c.Team)
 	if !ok {
 		current = &Allotments{}
 	}
-	delta := c.Delta
-	if delta > 0 {
-		delta = min(delta, workspace.Limit-current.Total())
-		if delta <= 0 {
-			return voidf(ReasonInvalid, "the limit of team %s has no room", c.Team)
-		}
-	}
 	held := current.ByEntry[ctx.writer]
+	if held != c.Held {
+		return voidf(ReasonVersion, "%s holds %d of team %s, not %d", ctx.writer, held, c.Team, c.Held)
+	}
+	delta, void := c.granted(next, current)
+	if void != nil {
+		return void
+	}
 	if held+delta < 0 {
 		return voidf(ReasonInvalid, "%s holds %d of team %s", ctx.writer, held, c.Team)
 	}
@@ -59,6 +59,22 @@
 	return nil
 }
 
+// granted returns the part of the adjustment that the limit has room for.
+func (c *AllotmentAdjust) granted(s *State, current *Allotments) (int, *Void) {
+	if c.Delta <= 0 {
+		return c.Delta, nil
+	}
+	workspace, ok := s.ByTeam.Get(c.Team)
+	if !ok {
+		return 0, voidf(ReasonNotFound, "team %s owns no workspace", c.Team)
+	}
+	room := workspace.Limit - current.Total()
+	if room <= 0 {
+		return 0, voidf(ReasonInvalid, "the limit of team %s has no room", c.Team)
+	}
+	return min(c.Delta, room), nil
+}
+
 // with returns a copy in which the entry holds the amount.
 func (a *Allotments) with(entry string, amount int) *Allotments {
 	out := &Allotments{ByEntry: maps.Clone(a.ByEntry)}
--- a/statemachine/apply.go
+++ b/statemachine/apply.go
@@ -61,5 +61,6 @@
 	if id.Seq <= mark.Seq {
 		return
 	}
-	s.Writers = s.Writers.Set(id.Writer, WriterMark{Seq: id.Seq, AtMS: atMS})
+	mark.Seq, mark.AtMS = id.Seq, atMS
+	s.Writers = s.Writers.Set(id.Writer, mark)
 }
--- /dev/null
+++ b/statemachine/electorate.go
@@ -0,0 +1,59 @@
+package statemachine
+
+// Electorate bounds the groups of entries that an entry can have found in any
+// control state from its latest acknowledgement on. An entry that cannot read
+// the log works on while it reaches more than half of the members that it
+// knows; the bound tells when it can no longer find such a group.
+type Electorate struct {
+	// Size is the number of entries in the acknowledged state.
+	Size int `json:"size"`
+	// Balance is joined plus cleared minus left entries since then.
+	Balance int `json:"balance"`
+	// LeastBalance is the lowest Balance since then.
+	LeastBalance int `json:"least_balance"`
+	// Cleared counts the entries that were cleared since then.
+	Cleared int `json:"cleared"`
+}
+
+// CanHaveMajority reports whether the entry may still reach more than half of
+// the members of one of its states, itself included, if at most unconfirmed
+// entries have not applied its removal. Entries that were cleared since the
+// acknowledgement count as unconfirmed too: they may be paused or cut off
+// together with it.
+func (e Electorate) CanHaveMajority(unconfirmed int) bool {
+	return 2*(unconfirmed+e.Cleared) > e.Size+e.LeastBalance
+}
+
+// shifted returns the electorate after a change of the membership.
+func (e Electorate) shifted(change membershipChange) Electorate {
+	switch change {
+	case entryJoined:
+		e.Balance++
+	case entryLeft:
+		e.Balance--
+	case entryCleared:
+		e.Balance++
+		e.Cleared++
+	}
+	e.LeastBalance = min(e.LeastBalance, e.Balance)
+	return e
+}
+
+// membershipChange is a change of the set of entries.
+type membershipChange int
+
+const (
+	entryJoined membershipChange = iota
+	entryLeft
+	entryCleared
+)
+
+// shiftElectorates records a change of the membership with every entry.
+func (s *State) shiftElectorates(change membershipChange) {
+	s.MembershipVersion++
+	for incarnation, entry := range s.Entries.All() {
+		shifted := *entry
+		shifted.Electorate = entry.Electorate.shifted(change)
+		s.Entries = s.Entries.Set(incarnation, &shifted)
+	}
+}
--- /dev/null
+++ b/statemachine/electorate_test.go
@@ -0,0 +1,125 @@
+package statemachine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// views is what entries can know: each state that the log has had, by the
+// offset that follows it.
+type views struct {
+	*history
+	members map[uint64][]string
+	// versions holds the first state of each membership version.
+	versions map[uint64]uint64
+	cleared  map[string]bool
+	joined   int
+}
+
+func newViews() *views {
+	return &views{history: newHistory(1), members: map[uint64][]string{}, versions: map[uint64]uint64{}, cleared: map[string]bool{}}
+}
+
+// step writes one random record and remembers the state after it.
+func (v *views) step(t *rapid.T) {
+	writer := fmt.Sprintf("e%d", rapid.IntRange(0, max(0, v.joined-1)).Draw(t, "writer"))
+	other := fmt.Sprintf("e%d", rapid.IntRange(0, max(0, v.joined-1)).Draw(t, "other"))
+	switch rapid.IntRange(0, 6).Draw(t, "record") {
+	case 0:
+		v.join(fmt.Sprintf("e%d", v.joined))
+		v.joined++
+	case 1:
+		v.write(writer, &EntryLeave{Incarnation: writer})
+	case 2, 3:
+		v.write(writer, &EntryAck{Version: v.state.MembershipVersion})
+	case 4, 5:
+		v.write(writer, &EntryRemove{Incarnation: other})
+	case 6:
+		if v.write(writer, &EntryClear{Incarnation: other}) == nil {
+			v.cleared[other] = true
+		}
+	}
+	for incarnation := range v.state.Entries.All() {
+		v.members[v.state.Next] = append(v.members[v.state.Next], incarnation)
+	}
+	if _, ok := v.versions[v.state.MembershipVersion]; !ok {
+		v.versions[v.state.MembershipVersion] = v.state.Next
+	}
+}
+
+// check compares CanHaveMajority of a removed entry with every state that the
+// entry can be at.
+func (v *views) check(t *rapid.T, removed *Entry, canHaveMajority func(Electorate, int) bool) error {
+	silent := map[string]bool{removed.Incarnation: true}
+	for other, entry := range v.state.Entries.All() {
+		if entry.JoinedAt < removed.RemovedAt && rapid.Bool().Draw(t, "silent") {
+			silent[other] = true
+		}
+	}
+	if canHaveMajority(removed.Electorate, len(silent)) {
+		return nil
+	}
+	for next := v.versions[removed.Acknowledged]; next <= removed.RemovedAt; next++ {
+		votes := 0
+		for _, member := range v.members[next] {
+			if silent[member] || v.cleared[member] {
+				votes++
+			}
+		}
+		if 2*votes > len(v.members[next]) {
+			return fmt.Errorf("%d votes of %d members at offset %d", votes, len(v.members[next]), next)
+		}
+	}
+	return nil
+}
+
+func (v *views) checkAll(t *rapid.T, canHaveMajority func(Electorate, int) bool) error {
+	for _, entry := range v.state.Entries.All() {
+		if entry.State != EntryRemoved {
+			continue
+		}
+		if err := v.check(t, entry, canHaveMajority); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TestElectorate_BoundsEveryMajority checks that once CanHaveMajority says no,
+// the entries that have not applied the removal, together with those cleared
+// meanwhile, are no majority of any state that the removed entry can be at.
+func TestElectorate_BoundsEveryMajority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newViews()
+		for range 40 {
+			v.step(t)
+			require.NoError(t, v.checkAll(t, Electorate.CanHaveMajority))
+		}
+	})
+}
+
+// TestElectorate_NaiveRule shows the schedule that breaks the rule "more than
+// half of the entries of now have applied the removal": two of three entries
+// are cut off, and others join.
+func TestElectorate_NaiveRule(t *testing.T) {
+	h := newHistory(1)
+	for _, entry := range []string{"a", "b", "c"} {
+		require.Nil(t, h.join(entry))
+	}
+	for _, entry := range []string{"a", "b", "c"} {
+		require.Nil(t, h.write(entry, &EntryAck{Version: h.state.MembershipVersion}))
+	}
+	for _, entry := range []string{"d", "e", "f"} {
+		require.Nil(t, h.join(entry))
+	}
+	require.Nil(t, h.write("c", &EntryRemove{Incarnation: "a"}))
+	removed, _ := h.state.Entries.Get("a")
+	const silent = 2
+	naive := 2*(h.state.Entries.Len()-silent) <= h.state.Entries.Len()
+	require.False(t, naive, "the naive rule lets the entry be cleared")
+	require.True(t, removed.Electorate.CanHaveMajority(silent), "a and b are more than half of the three that they know")
+	require.False(t, removed.Electorate.CanHaveMajority(1))
+}
--- a/statemachine/entry.go
+++ b/statemachine/entry.go
@@ -1,13 +1,17 @@
 package statemachine
 
+import "iter"
+
 // EntryState is the state of an entry incarnation.
 type EntryState string
 
 const (
 	// EntryJoined means that the incarnation is a member.
 	EntryJoined EntryState = "joined"
-	// EntryLeft means that the incarnation has left and holds nothing.
-	EntryLeft EntryState = "left"
+	// EntryRemoved means that the other entries have taken the incarnation out
+	// of the membership. It starts nothing more once it knows, and it holds its
+	// allotments until it is cleared.
+	EntryRemoved EntryState = "removed"
 )
 
 // Entry is one incarnation of an entry process.
@@ -24,6 +28,36 @@
 	// Operators is the address for operators.
 	Operators string     `json:"operators"`
 	State     EntryState `json:"state"`
+	// JoinedAt is the offset of the join.
+	JoinedAt uint64 `json:"joined_at"`
+	// RemovedAt is the offset of the removal of a removed entry.
+	RemovedAt uint64 `json:"removed_at,omitempty"`
+	// Acknowledged is the membership version that the entry has last said it
+	// had applied.
+	Acknowledged uint64 `json:"acknowledged"`
+	// Electorate bounds the members that the entry knows.
+	Electorate Electorate `json:"electorate"`
+}
+
+// Members yields the entries that are joined and not removed, in the order of
+// their incarnations.
+func (s *State) Members() iter.Seq2[string, *Entry] {
+	return func(yield func(string, *Entry) bool) {
+		for incarnation, entry := range s.Entries.All() {
+			if entry.State == EntryJoined && !yield(incarnation, entry) {
+				return
+			}
+		}
+	}
+}
+
+// Member returns the entry if it is joined and not removed.
+func (s *State) Member(incarnation string) (*Entry, bool) {
+	entry, ok := s.Entries.Get(incarnation)
+	if !ok || entry.State != EntryJoined {
+		return nil, false
+	}
+	return entry, true
 }
 
 const (
@@ -49,7 +83,14 @@
 	if _, ok := next.Entries.Get(entry.Incarnation); ok {
 		return voidf(ReasonExists, "incarnation %s has joined before", entry.Incarnation)
 	}
+	if mark, _ := next.Writers.Get(ctx.writer); mark.Gone {
+		return voidf(ReasonExists, "incarnation %s has left or was cleared", entry.Incarnation)
+	}
+	next.shiftElectorates(entryJoined)
 	entry.State = EntryJoined
+	entry.JoinedAt = ctx.offset
+	entry.RemovedAt = 0
+	entry.acknowledge(next.MembershipVersion, next.Entries.Len()+1)
 	next.Entries = next.Entries.Set(entry.Incarnation, &entry)
 	return nil
 }
@@ -69,17 +110,35 @@
 	if _, ok := next.Entries.Get(c.Incarnation); !ok {
 		return voidf(ReasonNotFound, "incarnation %s has not joined", c.Incarnation)
 	}
-	for team, allotments := range next.Allotments.All() {
-		if _, ok := allotments.ByEntry[c.Incarnation]; ok {
-			next.Allotments = next.Allotments.Set(team, allotments.with(c.Incarnation, 0))
+	next.release(c.Incarnation, entryLeft)
+	return nil
+}
+
+// release returns all allotments of the entry and forgets the entry.
+func (s *State) release(incarnation string, change membershipChange) {
+	for team, allotments := range s.Allotments.All() {
+		if _, ok := allotments.ByEntry[incarnation]; ok {
+			s.Allotments = s.Allotments.Set(team, allotments.with(incarnation, 0))
 		}
 	}
-	next.Entries = next.Entries.Delete(c.Incarnation)
-	return nil
+	s.Entries = s.Entries.Delete(incarnation)
+	mark, _ := s.Writers.Get(incarnation)
+	mark.Gone = true
+	s.Writers = s.Writers.Set(incarnation, mark)
+	s.shiftElectorates(change)
+}
+
+// acknowledge starts the entry's electorate anew from the given size.
+func (e *Entry) acknowledge(version uint64, size int) {
+	e.Acknowledged = version
+	e.Electorate = Electorate{Size: size}
 }
 
 // entryCommands are the commands that change the membership.
 var entryCommands = map[Kind]newCommand{
-	KindEntryJoin:  func() Command { return &EntryJoin{} },
-	KindEntryLeave: func() Command { return &EntryLeave{} },
+	KindEntryJoin:   func() Command { return &EntryJoin{} },
+	KindEntryLeave:  func() Command { return &EntryLeave{} },
+	KindEntryAck:    func() Command { return &EntryAck{} },
+	KindEntryRemove: func() Command { return &EntryRemove{} },
+	KindEntryClear:  func() Command { return &EntryClear{} },
 }
--- /dev/null
+++ b/statemachine/rapid_test.go
@@ -0,0 +1,11 @@
+package statemachine
+
+import "flag"
+
+// init fixes the seed of the property tests, so that their verdict is the same
+// every time.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/statemachine/removal.go
@@ -0,0 +1,83 @@
+package statemachine
+
+const (
+	// KindEntryAck is the kind of EntryAck.
+	KindEntryAck Kind = "entry_ack"
+	// KindEntryRemove is the kind of EntryRemove.
+	KindEntryRemove Kind = "entry_remove"
+	// KindEntryClear is the kind of EntryClear.
+	KindEntryClear Kind = "entry_clear"
+)
+
+// EntryAck says that the writer has applied the membership of the version. It
+// is void unless that is the latest one.
+type EntryAck struct {
+	Version uint64 `json:"version"`
+}
+
+// Kind implements Command.
+func (*EntryAck) Kind() Kind { return KindEntryAck }
+
+func (c *EntryAck) apply(next *State, ctx applyContext) *Void {
+	entry, ok := next.Member(ctx.writer)
+	if !ok {
+		return voidf(ReasonWriter, "%s is not a member", ctx.writer)
+	}
+	if c.Version != next.MembershipVersion {
+		return voidf(ReasonVersion, "the membership is at version %d, not %d", next.MembershipVersion, c.Version)
+	}
+	acknowledged := *entry
+	acknowledged.acknowledge(c.Version, next.Entries.Len())
+	next.Entries = next.Entries.Set(ctx.writer, &acknowledged)
+	return nil
+}
+
+// EntryRemove takes an incarnation that another member cannot reach out of the
+// membership. The incarnation keeps its allotments until EntryClear, its own
+// later records that raise an allotment or join are void, and it does not
+// become a member again.
+type EntryRemove struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// Kind implements Command.
+func (*EntryRemove) Kind() Kind { return KindEntryRemove }
+
+func (c *EntryRemove) apply(next *State, ctx applyContext) *Void {
+	if _, ok := next.Member(ctx.writer); !ok {
+		return voidf(ReasonWriter, "%s is not a member", ctx.writer)
+	}
+	if c.Incarnation == ctx.writer {
+		return voidf(ReasonWriter, "%s cannot remove itself", ctx.writer)
+	}
+	entry, ok := next.Member(c.Incarnation)
+	if !ok {
+		return voidf(ReasonNotFound, "%s is not a member", c.Incarnation)
+	}
+	removed := *entry
+	removed.State = EntryRemoved
+	removed.RemovedAt = ctx.offset
+	next.Entries = next.Entries.Set(c.Incarnation, &removed)
+	return nil
+}
+
+// EntryClear returns the allotments of a removed incarnation to the pool. The
+// writer has made sure that nothing runs under them and nothing will.
+type EntryClear struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// Kind implements Command.
+func (*EntryClear) Kind() Kind { return KindEntryClear }
+
+func (c *EntryClear) apply(next *State, ctx applyContext) *Void {
+	if _, ok := next.Member(ctx.writer); !ok {
+		return voidf(ReasonWriter, "%s is not a member", ctx.writer)
+	}
+	entry, ok := next.Entries.Get(c.Incarnation)
+	if !ok || entry.State != EntryRemoved {
+		return voidf(ReasonNotFound, "%s is not a removed entry", c.Incarnation)
+	}
+	next.release(c.Incarnation, entryCleared)
+	return nil
+}
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -16,6 +16,8 @@
 	VMs   Table[*VM]   `json:"vms"`
 	// Entries are the entry processes by incarnation.
 	Entries Table[*Entry] `json:"entries"`
+	// MembershipVersion counts the joined, left and cleared entries.
+	MembershipVersion uint64 `json:"membership_version"`
 	// Allotments divide the upper limits, by team.
 	Allotments Table[*Allotments] `json:"allotments"`
 	// ByTeam holds the workspace that each team owns.
@@ -28,6 +30,8 @@
 	Seq uint64 `json:"seq"`
 	// AtMS is the writer's wall clock at its latest batch, in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
+	// Gone is set once the writer has left or was cleared as an entry.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // New returns the state of an empty stream.
