--- a/entry/callers.go
+++ b/entry/callers.go
@@ -126,6 +126,7 @@
 	g.Header(api.HeaderRequest, o.Request)
 	if o.Kind == dispatch.Answered {
 		g.Header(api.HeaderVM, o.VM)
+		g.Header("Content-Length", strconv.Itoa(len(o.Answer)))
 		g.Data(http.StatusOK, "application/json", o.Answer)
 		return
 	}
--- a/standin/vm.go
+++ b/standin/vm.go
@@ -33,6 +33,11 @@
 	order    []string
 	last     []byte
 	thaw     chan struct{}
+	// record names the record of tasks, started counts its tasks and forgotten
+	// those that were dropped from it.
+	record    string
+	started   uint64
+	forgotten uint64
 }
 
 func newVM(info platform.VMInfo, recorder *recorder) *vm {
@@ -42,6 +47,7 @@
 		slots:    make(map[string]*slot),
 		tasks:    make(map[string]*task),
 		thaw:     make(chan struct{}),
+		record:   uuid.NewString(),
 	}
 }
 
@@ -66,7 +72,8 @@
 	}
 	id := uuid.NewString()
 	v.slots[id] = &slot{holder: req.Holder, expires: now.Add(req.TTL)}
-	return platform.SlotLease{ID: id, TTL: req.TTL, Free: v.info.Slots - len(v.slots)}, ""
+	free := v.info.Slots - len(v.slots)
+	return platform.SlotLease{ID: id, TTL: req.TTL, Free: free, Record: v.record, Started: v.started}, ""
 }
 
 func (v *vm) release(lease string) {
@@ -94,6 +101,7 @@
 	s.task = t.key()
 	v.tasks[t.key()] = t
 	v.order = append(v.order, t.key())
+	v.started++
 	v.forget()
 	v.recorder.started(t.status.ID, t.status.Team)
 	return ""
@@ -108,6 +116,7 @@
 		}
 		delete(v.tasks, v.order[0])
 		v.order = v.order[1:]
+		v.forgotten++
 	}
 }
 
@@ -185,7 +194,7 @@
 func (v *vm) list() platform.TaskList {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := platform.TaskList{VM: v.info.ID, Tasks: []platform.TaskStatus{}}
+	out := platform.TaskList{VM: v.info.ID, Record: v.record, Forgotten: v.forgotten, Tasks: []platform.TaskStatus{}}
 	for _, key := range v.order {
 		if t := v.tasks[key]; t != nil {
 			out.Tasks = append(out.Tasks, t.status)
--- a/standin/vmhandlers.go
+++ b/standin/vmhandlers.go
@@ -78,6 +78,8 @@
 		writeError(w, http.StatusBadRequest, platform.CodeInvalid, "the attempt must be a number")
 		return
 	}
+	w.Header().Set(platform.HeaderTask, r.Header.Get(platform.HeaderTask))
+	w.Header().Set(platform.HeaderAttempt, strconv.Itoa(attempt))
 	t := newTask(platform.Task{
 		ID:         r.Header.Get(platform.HeaderTask),
 		Attempt:    attempt,
@@ -138,6 +140,10 @@
 	if faults.LoseReplies > 0 || faults.Gone {
 		panic(http.ErrAbortHandler)
 	}
+	crossed := faults.Crossed && previous != nil
+	if crossed {
+		w.Header().Set(platform.HeaderTask, "crossed-"+t.status.ID)
+	}
 	switch state {
 	case platform.TaskFailed:
 		writeOutcome(w, http.StatusInternalServerError, platform.ErrorBody{Code: platform.CodeTaskFailed, Outcome: platform.Failed, Message: "the task failed"})
@@ -146,19 +152,17 @@
 		writeOutcome(w, http.StatusConflict, platform.ErrorBody{Code: platform.CodeTaskStopped, Outcome: platform.Failed, Message: t.status.Checkpoint})
 		return
 	}
-	id := t.status.ID
-	if faults.Crossed && previous != nil {
-		out, id = previous, "crossed-"+id
+	if crossed {
+		out = previous
 	}
 	v.mu.Lock()
 	free := v.free(time.Now())
 	v.mu.Unlock()
-	w.Header().Set(platform.HeaderTask, id)
-	w.Header().Set(platform.HeaderAttempt, strconv.Itoa(t.status.Attempt))
 	w.Header().Set(platform.HeaderFree, strconv.Itoa(free))
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if faults.Truncate {
 		_, _ = w.Write(out[:len(out)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(out)
