Void a maintenance step that would break an availability budget

Cause: nothing in the control stream says that a VM drains, reboots or has failed, so two planners, or a planner and an operator, can each take the last VM that a budget allows.

Ruled out: a check in the planner alone. Counting the VMs at each drain was ruled out because its cost grows with the fleet.

Change: drain, reboot, return, failed and recovered records, each but a failure conditional on the VM's version, and those of a wave on the epoch of the maintenance lease. Counters per pool and availability zone are kept with every change of a VM; a drain is void when its pool or zone has no room. A VM moves only out of a drain, which the source pool's budget allows, and serves in the new pool at once; moving a VM is now such a drain. A serving VM is not removed. The placer keeps work away from a VM under maintenance by the record alone.

Conclusion: budgets hold at every offset except through failures.

--- a/entry/module.go
+++ b/entry/module.go
@@ -123,11 +123,8 @@
 // changesFleet reports whether a record that took effect concerns VMs.
 func changesFleet(results []statemachine.Result) bool {
 	for _, r := range results {
-		switch r.Kind {
-		case statemachine.KindVMAdd, statemachine.KindVMRemove, statemachine.KindVMMove:
-			if r.Void == nil {
-				return true
-			}
+		if r.Void == nil && statemachine.ChangesFleet(r.Kind) {
+			return true
 		}
 	}
 	return false
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -184,12 +184,13 @@
 	return false
 }
 
+// moveVM drains the VM for its new pool. It joins the pool once it is empty.
 func (o *operators) moveVM(g *gin.Context) {
 	var req api.VMMoveRequest
 	if !readStrict(g, &req) {
 		return
 	}
-	o.propose(g, &statemachine.VMMove{VM: g.Param("name"), From: req.From, To: req.To, Expected: req.Version})
+	o.propose(g, &statemachine.VMDrain{VM: g.Param("name"), Pool: req.From, MoveTo: req.To, Expected: req.Version})
 }
 
 func (o *operators) grantKey(g *gin.Context) {
@@ -255,7 +256,7 @@
 		return http.StatusPreconditionFailed
 	case statemachine.ReasonNotFound:
 		return http.StatusNotFound
-	case statemachine.ReasonExists, statemachine.ReasonWithdrawn:
+	case statemachine.ReasonExists, statemachine.ReasonWithdrawn, statemachine.ReasonBudget, statemachine.ReasonStep:
 		return http.StatusConflict
 	default:
 		return http.StatusUnprocessableEntity
--- /dev/null
+++ b/placement/cordon_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// grantingWorkers grants every slot.
+type grantingWorkers struct{ platform.Workers }
+
+func (grantingWorkers) AcquireSlot(context.Context, string, platform.SlotRequest) (platform.SlotLease, error) {
+	return platform.SlotLease{ID: "lease", TTL: LeaseTTL, Free: 1}, nil
+}
+
+// TestSetFleet_CordonsDrainedVM checks that the drain record alone keeps work
+// away, with a VM list that goes on calling the VM live, a worker that goes on
+// granting slots and a lease held from before.
+func TestSetFleet_CordonsDrainedVM(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	placer := New("e", grantingWorkers{}, clock)
+	vm := statemachine.VM{ID: "vm", Pool: "pool"}
+	set := func(step statemachine.Step) {
+		vm.Maintenance.Step = step
+		placer.SetFleet(&statemachine.State{VMs: statemachine.Table[*statemachine.VM]{}.Set("vm", &vm)})
+		placer.Observe([]platform.VMInfo{{ID: "vm", State: platform.VMLive}}, clock.Now())
+	}
+	set(statemachine.StepServing)
+	held, err := placer.Acquire(t.Context(), []string{"pool"}, "")
+	require.NoError(t, err)
+	placer.Release(held)
+
+	set(statemachine.StepDraining)
+	_, err = placer.Acquire(t.Context(), []string{"pool"}, "")
+	require.ErrorIs(t, err, ErrNoSlot)
+
+	set(statemachine.StepServing)
+	_, err = placer.Acquire(t.Context(), []string{"pool"}, "")
+	require.NoError(t, err)
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -67,6 +67,7 @@
 	next := &view{pools: make(map[string]*poolView), byID: make(map[string]*Target, state.VMs.Len())}
 	for id, vm := range state.VMs.All() {
 		target := reuse(old.byID[id], vm)
+		target.cordoned.Store(!vm.Available())
 		if target.confirmedUS.Load() == 0 {
 			target.confirm(p.clock.Now())
 		}
--- a/placement/target.go
+++ b/placement/target.go
@@ -16,6 +16,8 @@
 
 	// leaving is set once the target must take no new work.
 	leaving atomic.Bool
+	// cordoned is set while the control state keeps the target out of service.
+	cordoned atomic.Bool
 	// confirmedUS is when the target was last known to be live, in Unix
 	// microseconds.
 	confirmedUS atomic.Int64
@@ -35,7 +37,7 @@
 
 // usable reports whether the target may take new work.
 func (t *Target) usable(now time.Time) bool {
-	return !t.leaving.Load() && now.UnixMicro()-t.confirmedUS.Load() <= ConfirmedFor.Microseconds()
+	return !t.leaving.Load() && !t.cordoned.Load() && now.UnixMicro()-t.confirmedUS.Load() <= ConfirmedFor.Microseconds()
 }
 
 // recentlyFull reports whether the target has just refused a slot.
--- /dev/null
+++ b/statemachine/budget_property_test.go
@@ -0,0 +1,216 @@
+package statemachine
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	propertySeed  = "20261204"
+	scheduleSteps = 150
+	naiveRuns     = 20
+)
+
+// fixSeed lets rapid draw the same schedules in every run.
+func fixSeed(t testing.TB) {
+	t.Helper()
+	require.NoError(t, flag.Set("rapid.seed", propertySeed))
+	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
+}
+
+// naiveDrain drains whatever it is told to: the planner has looked before.
+type naiveDrain struct{ VMDrain }
+
+func (c *naiveDrain) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	c.drain(next, vm, ctx)
+	return nil
+}
+
+// schedule is a random course of two planners, operators and failures. The
+// planners decide on states that may be old, and records arrive late, twice
+// or out of order.
+type schedule struct {
+	*fleet
+	draw    func(n int) int
+	naive   bool
+	views   map[string]*State
+	pending []Batch
+	grown   int
+}
+
+var planners = []string{"p1", "p2"}
+
+func (s *schedule) run() error {
+	for _, p := range planners {
+		s.views[p] = s.state
+	}
+	for range scheduleSteps {
+		s.act(planners[s.draw(2)])
+		if len(s.pending) > 0 && s.draw(3) > 0 {
+			if err := s.deliver(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// act lets a planner or someone else write one record.
+func (s *schedule) act(planner string) {
+	view := s.views[planner]
+	vm, pools := s.pick(view), []string{"a", "b", "spare"}
+	lease, _ := view.Leases.Get(MaintenanceLease)
+	to := pools[s.draw(3)]
+	switch s.draw(14) {
+	case 0, 1:
+		s.views[planner] = s.state
+	case 2, 3, 4:
+		drain := VMDrain{VM: vm.ID, Pool: vm.Pool, Expected: vm.Version, Wave: "w", Epoch: lease.Epoch}
+		if view.PoolRoom(vm.Pool) > 0 && view.ZoneRoom(vm.AvailabilityZone) > 0 {
+			s.write(planner, s.drainCommand(drain))
+		}
+	case 5:
+		s.write("op", s.drainCommand(VMDrain{VM: vm.ID, Pool: vm.Pool, Expected: vm.Version, MoveTo: to}))
+	case 6, 7:
+		s.write(planner, &VMReboot{VM: vm.ID, Expected: vm.Version, Epoch: lease.Epoch})
+	case 8, 9:
+		s.write(planner, &VMReturn{VM: vm.ID, Expected: vm.Version, Epoch: lease.Epoch})
+	case 10:
+		s.write(planner, &VMMove{VM: vm.ID, From: vm.Pool, To: vm.Maintenance.MoveTo, Expected: vm.Version, Epoch: lease.Epoch})
+	case 11:
+		s.write("watch", &VMFailed{VM: vm.ID, Condition: ConditionFailed})
+	case 12:
+		s.write("watch", &VMRecovered{VM: vm.ID, Expected: vm.Version})
+	default:
+		s.rare(planner, vm, lease)
+	}
+}
+
+// rare writes what happens seldom: a takeover, a VM replaced, a wave paused
+// or resumed.
+func (s *schedule) rare(planner string, vm *VM, lease *Lease) {
+	wave, _ := s.views[planner].Waves.Get("w")
+	switch s.draw(4) {
+	case 0:
+		s.write(planner, &LeaseAcquire{Name: MaintenanceLease, Expected: lease.Epoch})
+	case 1:
+		s.write("op", &VMRemove{VM: vm.ID, Expected: vm.Version})
+	case 2:
+		s.grown++
+		s.write("watch", &VMAdd{VM: VM{ID: fmt.Sprintf("n%d", s.grown), Pool: vm.Pool, AvailabilityZone: vm.AvailabilityZone}})
+	default:
+		s.write("op", &WaveSet{Wave: "w", Expected: wave.Version, State: []WaveState{WaveRunning, WavePaused}[s.draw(2)]})
+	}
+}
+
+func (s *schedule) drainCommand(drain VMDrain) Command {
+	if s.naive {
+		return &naiveDrain{VMDrain: drain}
+	}
+	return &drain
+}
+
+func (s *schedule) pick(view *State) *VM {
+	n := s.draw(view.VMs.Len())
+	for _, vm := range view.VMs.All() {
+		if n == 0 {
+			return vm
+		}
+		n--
+	}
+	panic("no VM")
+}
+
+func (s *schedule) write(writer string, c Command) {
+	s.seq[writer]++
+	s.pending = append(s.pending, Batch{Writer: writer, Records: []Record{{Seq: s.seq[writer], Command: c}}})
+}
+
+// deliver applies one of the latest pending records, sometimes to come again.
+func (s *schedule) deliver() error {
+	n := len(s.pending) - 1 - s.draw(min(4, len(s.pending)))
+	batch := s.pending[n]
+	if s.draw(5) > 0 {
+		s.pending = append(s.pending[:n:n], s.pending[n+1:]...)
+	}
+	before := s.state
+	after, results := before.Apply(before.Next, batch)
+	s.state = after
+	if results[0].Void != nil {
+		return nil
+	}
+	return violation(before, after, batch.Records[0].Command)
+}
+
+// violation names an invariant that the record has broken, by a count over
+// all VMs.
+func violation(before, after *State, c Command) error {
+	pools, zones := map[string]Usage{}, map[string]Usage{}
+	for _, vm := range after.VMs.All() {
+		pools[vm.Pool] = pools[vm.Pool].plus(vm, 1)
+		zones[vm.AvailabilityZone] = zones[vm.AvailabilityZone].plus(vm, 1)
+	}
+	for name, pool := range after.Pools.All() {
+		counted, _ := after.PoolUsage.Get(name)
+		old, _ := before.PoolUsage.Get(name)
+		if err := check(name, c, pools[name], counted, old, pool.MaxUnavailable); err != nil {
+			return err
+		}
+	}
+	for name, counted := range after.ZoneUsage.All() {
+		old, _ := before.ZoneUsage.Get(name)
+		if err := check(name, c, zones[name], counted, old, after.ZoneBudget(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func check(name string, c Command, real, counted, before Usage, budget int) error {
+	if real != counted {
+		return fmt.Errorf("%s: counted %+v, really %+v", name, counted, real)
+	}
+	_, failure := c.(*VMFailed)
+	if !failure && real.Unavailable > before.Unavailable && real.Unavailable > budget {
+		return fmt.Errorf("%s: %s made %d unavailable, budget %d", name, c.Kind(), real.Unavailable, budget)
+	}
+	return nil
+}
+
+func newSchedule(t testing.TB, naive bool, draw func(n int) int) *schedule {
+	return &schedule{fleet: newFleet(t), draw: draw, naive: naive, views: make(map[string]*State)}
+}
+
+// TestBudget_HoldsOverRandomSchedules checks that no step but a failure takes
+// a pool or zone over its budget, and that each VM counts in one pool.
+func TestBudget_HoldsOverRandomSchedules(t *testing.T) {
+	fixSeed(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSchedule(t, false, func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "draw") })
+		if err := s.run(); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// TestBudget_NaiveReducerBreaks shows that the same schedules break budgets
+// if only the planners check them.
+func TestBudget_NaiveReducerBreaks(t *testing.T) {
+	broken := 0
+	for seed := range uint64(naiveRuns) {
+		require.NoError(t, newSchedule(t, false, rand.New(rand.NewPCG(seed, 1)).IntN).run())
+		if newSchedule(t, true, rand.New(rand.NewPCG(seed, 1)).IntN).run() != nil {
+			broken++
+		}
+	}
+	require.Equal(t, naiveRuns, broken)
+}
--- a/statemachine/lease.go
+++ b/statemachine/lease.go
@@ -1,4 +1,116 @@
 package statemachine
 
-// leaseCommands are the commands that grant and renew leases.
-var leaseCommands = map[Kind]newCommand{}
+// MaintenanceLease is the lease under which waves are carried out.
+const MaintenanceLease = "maintenance"
+
+// Lease gives one writer a duty for a limited time. Its epoch fences records:
+// what was written under an older epoch is void.
+type Lease struct {
+	Name string `json:"name"`
+	// Holder is the writer that holds the lease, or empty after a release.
+	Holder string `json:"holder"`
+	// Epoch counts the acquisitions, from 1.
+	Epoch uint64 `json:"epoch"`
+	// Renewals counts the renewals under the epoch.
+	Renewals uint64 `json:"renewals"`
+}
+
+const (
+	// KindLeaseAcquire is the kind of LeaseAcquire.
+	KindLeaseAcquire Kind = "lease_acquire"
+	// KindLeaseRenew is the kind of LeaseRenew.
+	KindLeaseRenew Kind = "lease_renew"
+	// KindLeaseRelease is the kind of LeaseRelease.
+	KindLeaseRelease Kind = "lease_release"
+)
+
+// LeaseAcquire makes the writer the holder under the next epoch. It is void
+// unless Expected is the current epoch, so that one of several takers wins.
+// The reducer knows no time: the taker has waited until the lease ran out.
+type LeaseAcquire struct {
+	Name     string `json:"name"`
+	Expected uint64 `json:"expected"`
+}
+
+// Kind implements Command.
+func (*LeaseAcquire) Kind() Kind { return KindLeaseAcquire }
+
+func (c *LeaseAcquire) apply(next *State, ctx applyContext) *Void {
+	current, _ := next.Leases.Get(c.Name)
+	var epoch uint64
+	if current != nil {
+		epoch = current.Epoch
+	}
+	if epoch != c.Expected {
+		return voidf(ReasonEpoch, "lease %s is at epoch %d, not %d", c.Name, epoch, c.Expected)
+	}
+	next.Leases = next.Leases.Set(c.Name, &Lease{Name: c.Name, Holder: ctx.writer, Epoch: epoch + 1})
+	return nil
+}
+
+// LeaseRenew shows that the holder lives. It is void for any other writer and
+// under an older epoch.
+type LeaseRenew struct {
+	Name  string `json:"name"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Kind implements Command.
+func (*LeaseRenew) Kind() Kind { return KindLeaseRenew }
+
+func (c *LeaseRenew) apply(next *State, ctx applyContext) *Void {
+	current, void := leaseHeld(next, c.Name, ctx.writer, c.Epoch)
+	if void != nil {
+		return void
+	}
+	renewed := *current
+	renewed.Renewals++
+	next.Leases = next.Leases.Set(c.Name, &renewed)
+	return nil
+}
+
+// LeaseRelease ends the holder's lease, so that the next one need not wait.
+type LeaseRelease struct {
+	Name  string `json:"name"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Kind implements Command.
+func (*LeaseRelease) Kind() Kind { return KindLeaseRelease }
+
+func (c *LeaseRelease) apply(next *State, ctx applyContext) *Void {
+	current, void := leaseHeld(next, c.Name, ctx.writer, c.Epoch)
+	if void != nil {
+		return void
+	}
+	released := *current
+	released.Holder = ""
+	next.Leases = next.Leases.Set(c.Name, &released)
+	return nil
+}
+
+// leaseHeld returns the lease if the writer holds it under the epoch.
+func leaseHeld(s *State, name, writer string, epoch uint64) (*Lease, *Void) {
+	lease, ok := s.Leases.Get(name)
+	if !ok {
+		return nil, voidf(ReasonEpoch, "lease %s was never acquired", name)
+	}
+	if lease.Epoch != epoch || lease.Holder != writer {
+		return nil, voidf(ReasonEpoch, "%s does not hold lease %s at epoch %d", writer, name, epoch)
+	}
+	return lease, nil
+}
+
+// checkEpoch refuses a record of maintenance that was not written under the
+// current epoch of the maintenance lease.
+func checkEpoch(s *State, writer string, epoch uint64) *Void {
+	_, void := leaseHeld(s, MaintenanceLease, writer, epoch)
+	return void
+}
+
+// leaseCommands are the commands that pass leases on.
+var leaseCommands = map[Kind]newCommand{
+	KindLeaseAcquire: func() Command { return &LeaseAcquire{} },
+	KindLeaseRenew:   func() Command { return &LeaseRenew{} },
+	KindLeaseRelease: func() Command { return &LeaseRelease{} },
+}
--- a/statemachine/pool.go
+++ b/statemachine/pool.go
@@ -6,6 +6,8 @@
 	// MaxUnavailable is the number of the pool's VMs that may be out of
 	// service at once by maintenance and failures together.
 	MaxUnavailable int `json:"max_unavailable" validate:"min=0"`
+	// MinVMs is the number of VMs below which no VM moves out of the pool.
+	MinVMs int `json:"min_vms,omitempty" validate:"min=0"`
 	// Spare marks the pool that lends its VMs to others.
 	Spare bool `json:"spare"`
 	// Version counts the changes, from 1.
@@ -37,6 +39,9 @@
 	if pool.MaxUnavailable < 0 {
 		return voidf(ReasonInvalid, "max_unavailable %d is below 0", pool.MaxUnavailable)
 	}
+	if pool.MinVMs < 0 {
+		return voidf(ReasonInvalid, "min_vms %d is below 0", pool.MinVMs)
+	}
 	pool.Version = version + 1
 	next.Pools = next.Pools.Set(pool.Name, &pool)
 	return nil
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -14,6 +14,14 @@
 	Keys  Table[*Key]  `json:"keys"`
 	Pools Table[*Pool] `json:"pools"`
 	VMs   Table[*VM]   `json:"vms"`
+	// PoolUsage counts the VMs of each pool.
+	PoolUsage Table[Usage] `json:"pool_usage"`
+	// ZoneUsage counts the VMs of each availability zone.
+	ZoneUsage Table[Usage] `json:"zone_usage"`
+	// Zones are the availability zones whose budget was set.
+	Zones  Table[*Zone]  `json:"zones"`
+	Leases Table[*Lease] `json:"leases"`
+	Waves  Table[*Wave]  `json:"waves"`
 	// Entries are the entry processes by incarnation.
 	Entries Table[*Entry] `json:"entries"`
 	// Allotments divide the upper limits, by team.
--- /dev/null
+++ b/statemachine/step.go
@@ -0,0 +1,38 @@
+package statemachine
+
+// Step is a VM's place in its maintenance.
+type Step string
+
+const (
+	// StepServing means that the VM is not under maintenance.
+	StepServing Step = ""
+	// StepDraining means that the VM takes no new work and finishes its tasks.
+	StepDraining Step = "draining"
+	// StepRebooting means that the VM was seen empty and is restarted. It ends
+	// once the VM is confirmed healthy.
+	StepRebooting Step = "rebooting"
+)
+
+// Condition is the health of a VM.
+type Condition string
+
+const (
+	// ConditionHealthy means that nothing is known against the VM.
+	ConditionHealthy Condition = ""
+	// ConditionFailed means that the platform has lost the VM.
+	ConditionFailed Condition = "failed"
+	// ConditionUnconfirmed means that the VM is missing from the platform's
+	// list.
+	ConditionUnconfirmed Condition = "unconfirmed"
+)
+
+// Maintenance is the step that a VM is in. It is zero while the VM serves.
+type Maintenance struct {
+	Step Step `json:"step,omitempty"`
+	// Wave is the wave that the step belongs to, or empty for an operator's.
+	Wave string `json:"wave,omitempty"`
+	// MoveTo is the pool that the VM joins once it is empty, or empty.
+	MoveTo string `json:"move_to,omitempty"`
+	// SinceMS is the writer's wall clock at the drain, in Unix milliseconds.
+	SinceMS int64 `json:"since_ms,omitempty"`
+}
--- /dev/null
+++ b/statemachine/usage.go
@@ -0,0 +1,41 @@
+package statemachine
+
+// Usage counts the VMs of a pool or of an availability zone. The reducer keeps
+// it up to date, so that no record costs more in a larger fleet.
+type Usage struct {
+	VMs int `json:"vms"`
+	// Unavailable counts the VMs that drain, reboot, failed or are unconfirmed.
+	Unavailable int `json:"unavailable"`
+}
+
+// plus returns the usage with the VM counted n times more.
+func (u Usage) plus(vm *VM, n int) Usage {
+	u.VMs += n
+	if !vm.Available() {
+		u.Unavailable += n
+	}
+	return u
+}
+
+// replaceVM puts next in the place of current. Either may be nil, for a VM
+// that is new or goes away. It raises the version and keeps the usages.
+func (s *State) replaceVM(current, next *VM) {
+	if current != nil {
+		s.count(current, -1)
+	}
+	if next == nil {
+		s.VMs = s.VMs.Delete(current.ID)
+		return
+	}
+	next.Version++
+	s.count(next, 1)
+	s.VMs = s.VMs.Set(next.ID, next)
+}
+
+// count adds the VM n times to the usages of its pool and zone.
+func (s *State) count(vm *VM, n int) {
+	pool, _ := s.PoolUsage.Get(vm.Pool)
+	s.PoolUsage = s.PoolUsage.Set(vm.Pool, pool.plus(vm, n))
+	zone, _ := s.ZoneUsage.Get(vm.AvailabilityZone)
+	s.ZoneUsage = s.ZoneUsage.Set(vm.AvailabilityZone, zone.plus(vm, n))
+}
--- a/statemachine/vm.go
+++ b/statemachine/vm.go
@@ -8,17 +8,32 @@
 	AvailabilityZone string `json:"availability_zone"`
 	Rack             string `json:"rack"`
 	Slots            int    `json:"slots"`
+	// Condition is the VM's health as last recorded.
+	Condition Condition `json:"condition,omitempty"`
+	// Maintenance is the step that the VM is in.
+	Maintenance Maintenance `json:"maintenance"`
+	// MaintainedBy is the latest wave that has rebooted the VM.
+	MaintainedBy string `json:"maintained_by,omitempty"`
+	// SkippedBy is the latest wave that has given the VM up at its deadline.
+	SkippedBy string `json:"skipped_by,omitempty"`
+	// Home is the pool that has lent the VM, or empty.
+	Home string `json:"home,omitempty"`
+	// AddedAt is the offset at which the VM was registered.
+	AddedAt uint64 `json:"added_at"`
 	// Version counts the changes, from 1.
 	Version uint64 `json:"version"`
 }
 
+// Available reports whether the VM may take new work.
+func (v *VM) Available() bool {
+	return v.Maintenance.Step == StepServing && v.Condition == ConditionHealthy
+}
+
 const (
 	// KindVMAdd is the kind of VMAdd.
 	KindVMAdd Kind = "vm_add"
 	// KindVMRemove is the kind of VMRemove.
 	KindVMRemove Kind = "vm_remove"
-	// KindVMMove is the kind of VMMove.
-	KindVMMove Kind = "vm_move"
 )
 
 // VMAdd registers a VM in a pool. It is void if the VM is registered.
@@ -29,20 +44,24 @@
 // Kind implements Command.
 func (*VMAdd) Kind() Kind { return KindVMAdd }
 
-func (c *VMAdd) apply(next *State, _ applyContext) *Void {
-	vm := c.VM
-	if current, ok := next.VMs.Get(vm.ID); ok {
-		return voidf(ReasonExists, "VM %s is in pool %s", vm.ID, current.Pool)
+func (c *VMAdd) apply(next *State, ctx applyContext) *Void {
+	if current, ok := next.VMs.Get(c.VM.ID); ok {
+		return voidf(ReasonExists, "VM %s is in pool %s", c.VM.ID, current.Pool)
+	}
+	if _, ok := next.Pools.Get(c.VM.Pool); !ok {
+		return voidf(ReasonNotFound, "pool %s does not exist", c.VM.Pool)
 	}
-	if _, ok := next.Pools.Get(vm.Pool); !ok {
-		return voidf(ReasonNotFound, "pool %s does not exist", vm.Pool)
+	vm := VM{
+		ID: c.VM.ID, Address: c.VM.Address, Pool: c.VM.Pool,
+		AvailabilityZone: c.VM.AvailabilityZone, Rack: c.VM.Rack, Slots: c.VM.Slots,
+		AddedAt: ctx.offset,
 	}
-	vm.Version = 1
-	next.VMs = next.VMs.Set(vm.ID, &vm)
+	next.replaceVM(nil, &vm)
 	return nil
 }
 
-// VMRemove takes a VM out of the fleet.
+// VMRemove takes a VM out of the fleet. It is void while the VM is available,
+// so that a removal cannot get around the budgets.
 type VMRemove struct {
 	VM       string `json:"vm"`
 	Expected uint64 `json:"expected"`
@@ -52,40 +71,14 @@
 func (*VMRemove) Kind() Kind { return KindVMRemove }
 
 func (c *VMRemove) apply(next *State, _ applyContext) *Void {
-	if _, void := vmAt(next, c.VM, c.Expected); void != nil {
-		return void
-	}
-	next.VMs = next.VMs.Delete(c.VM)
-	return nil
-}
-
-// VMMove moves a VM from one pool to another. It is void unless the VM is in
-// From at the Expected version.
-type VMMove struct {
-	VM       string `json:"vm"`
-	From     string `json:"from"`
-	To       string `json:"to"`
-	Expected uint64 `json:"expected"`
-}
-
-// Kind implements Command.
-func (*VMMove) Kind() Kind { return KindVMMove }
-
-func (c *VMMove) apply(next *State, _ applyContext) *Void {
 	vm, void := vmAt(next, c.VM, c.Expected)
 	if void != nil {
 		return void
 	}
-	if vm.Pool != c.From {
-		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.From)
-	}
-	if _, ok := next.Pools.Get(c.To); !ok {
-		return voidf(ReasonNotFound, "pool %s does not exist", c.To)
+	if vm.Available() {
+		return voidf(ReasonStep, "VM %s is in service; drain it first", c.VM)
 	}
-	moved := *vm
-	moved.Pool = c.To
-	moved.Version++
-	next.VMs = next.VMs.Set(c.VM, &moved)
+	next.replaceVM(vm, nil)
 	return nil
 }
 
@@ -103,7 +96,19 @@
 
 // fleetCommands are the commands that change which VMs there are and where.
 var fleetCommands = map[Kind]newCommand{
-	KindVMAdd:    func() Command { return &VMAdd{} },
-	KindVMRemove: func() Command { return &VMRemove{} },
-	KindVMMove:   func() Command { return &VMMove{} },
+	KindVMAdd:       func() Command { return &VMAdd{} },
+	KindVMRemove:    func() Command { return &VMRemove{} },
+	KindVMMove:      func() Command { return &VMMove{} },
+	KindVMDrain:     func() Command { return &VMDrain{} },
+	KindVMReboot:    func() Command { return &VMReboot{} },
+	KindVMReturn:    func() Command { return &VMReturn{} },
+	KindVMFailed:    func() Command { return &VMFailed{} },
+	KindVMRecovered: func() Command { return &VMRecovered{} },
+	KindZoneSet:     func() Command { return &ZoneSet{} },
+}
+
+// ChangesFleet reports whether records of the kind change VMs.
+func ChangesFleet(kind Kind) bool {
+	_, ok := fleetCommands[kind]
+	return ok && kind != KindZoneSet
 }
--- /dev/null
+++ b/statemachine/vmdrain.go
@@ -0,0 +1,63 @@
+package statemachine
+
+// KindVMDrain is the kind of VMDrain.
+const KindVMDrain Kind = "vm_drain"
+
+// VMDrain takes a VM out of service. It is void unless the VM serves in Pool at
+// the Expected version and the budgets of its pool and zone have room.
+type VMDrain struct {
+	VM       string `json:"vm"`
+	Pool     string `json:"pool"`
+	Expected uint64 `json:"expected"`
+	// Wave is the wave that the step belongs to. An operator leaves it empty.
+	Wave string `json:"wave,omitempty"`
+	// Epoch is the epoch of the maintenance lease. A step of a wave needs it.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// MoveTo is the pool that the VM joins once it is empty, or empty to
+	// reboot it.
+	MoveTo string `json:"move_to,omitempty"`
+}
+
+// Kind implements Command.
+func (*VMDrain) Kind() Kind { return KindVMDrain }
+
+func (c *VMDrain) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if void := c.check(next, vm, ctx); void != nil {
+		return void
+	}
+	if void := checkBudgets(next, vm); void != nil {
+		return void
+	}
+	c.drain(next, vm, ctx)
+	return nil
+}
+
+// check refuses a drain for a reason other than the budgets.
+func (c *VMDrain) check(s *State, vm *VM, ctx applyContext) *Void {
+	if vm.Pool != c.Pool {
+		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.Pool)
+	}
+	if !vm.Available() {
+		return voidf(ReasonStep, "VM %s is not in service", c.VM)
+	}
+	if void := checkMove(s, vm, c.MoveTo); void != nil {
+		return void
+	}
+	if c.Wave == "" {
+		return nil
+	}
+	if void := checkEpoch(s, ctx.writer, c.Epoch); void != nil {
+		return void
+	}
+	return checkWave(s, c.Wave)
+}
+
+func (c *VMDrain) drain(next *State, vm *VM, ctx applyContext) {
+	drained := *vm
+	drained.Maintenance = Maintenance{Step: StepDraining, Wave: c.Wave, MoveTo: c.MoveTo, SinceMS: ctx.atMS}
+	next.replaceVM(vm, &drained)
+}
--- /dev/null
+++ b/statemachine/vmhealth.go
@@ -0,0 +1,60 @@
+package statemachine
+
+const (
+	// KindVMFailed is the kind of VMFailed.
+	KindVMFailed Kind = "vm_failed"
+	// KindVMRecovered is the kind of VMRecovered.
+	KindVMRecovered Kind = "vm_recovered"
+)
+
+// VMFailed says that a VM has failed or is unconfirmed. It is a fact: no
+// budget makes it void, and it needs no version.
+type VMFailed struct {
+	VM        string    `json:"vm"`
+	Condition Condition `json:"condition"`
+}
+
+// Kind implements Command.
+func (*VMFailed) Kind() Kind { return KindVMFailed }
+
+func (c *VMFailed) apply(next *State, _ applyContext) *Void {
+	vm, ok := next.VMs.Get(c.VM)
+	if !ok {
+		return voidf(ReasonNotFound, "VM %s is not registered", c.VM)
+	}
+	if c.Condition != ConditionFailed && c.Condition != ConditionUnconfirmed {
+		return voidf(ReasonInvalid, "%q is not the condition of a failed VM", c.Condition)
+	}
+	if vm.Condition == c.Condition {
+		return voidf(ReasonExists, "VM %s is %s already", c.VM, c.Condition)
+	}
+	failed := *vm
+	failed.Condition = c.Condition
+	next.replaceVM(vm, &failed)
+	return nil
+}
+
+// VMRecovered says that a failed or unconfirmed VM is healthy again. It is
+// void unless the VM is at the Expected version, so that a late one does not
+// hide a newer failure.
+type VMRecovered struct {
+	VM       string `json:"vm"`
+	Expected uint64 `json:"expected"`
+}
+
+// Kind implements Command.
+func (*VMRecovered) Kind() Kind { return KindVMRecovered }
+
+func (c *VMRecovered) apply(next *State, _ applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if vm.Condition == ConditionHealthy {
+		return voidf(ReasonExists, "VM %s is healthy already", c.VM)
+	}
+	recovered := *vm
+	recovered.Condition = ConditionHealthy
+	next.replaceVM(vm, &recovered)
+	return nil
+}
--- /dev/null
+++ b/statemachine/vmmove.go
@@ -0,0 +1,81 @@
+package statemachine
+
+// KindVMMove is the kind of VMMove.
+const KindVMMove Kind = "vm_move"
+
+// VMMove ends a drain by moving the VM to the pool that the drain has named.
+// The writer has seen the VM empty. It is void unless the VM drains in From
+// at the Expected version. The VM serves in the new pool at once.
+type VMMove struct {
+	VM       string `json:"vm"`
+	From     string `json:"from"`
+	To       string `json:"to"`
+	Expected uint64 `json:"expected"`
+	// Epoch is the epoch of the maintenance lease.
+	Epoch uint64 `json:"epoch"`
+}
+
+// Kind implements Command.
+func (*VMMove) Kind() Kind { return KindVMMove }
+
+func (c *VMMove) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if void := checkEpoch(next, ctx.writer, c.Epoch); void != nil {
+		return void
+	}
+	if vm.Pool != c.From {
+		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.From)
+	}
+	if vm.Maintenance.Step != StepDraining || vm.Maintenance.MoveTo != c.To || c.To == "" {
+		return voidf(ReasonStep, "VM %s does not drain for pool %s", c.VM, c.To)
+	}
+	if vm.Condition != ConditionHealthy {
+		return voidf(ReasonStep, "VM %s is %s", c.VM, vm.Condition)
+	}
+	if void := checkMove(next, vm, c.To); void != nil {
+		return void
+	}
+	moved := *vm
+	moved.Pool = c.To
+	moved.Home = homeAfter(next, vm, c.To)
+	moved.Maintenance = Maintenance{}
+	next.replaceVM(vm, &moved)
+	return nil
+}
+
+// homeAfter returns the pool that a VM is lent from after a move.
+func homeAfter(s *State, vm *VM, to string) string {
+	if vm.Home == to {
+		return ""
+	}
+	if vm.Home != "" {
+		return vm.Home
+	}
+	if from, ok := s.Pools.Get(vm.Pool); ok && from.Spare {
+		return vm.Pool
+	}
+	return ""
+}
+
+// checkMove refuses a move that leads nowhere or takes the VM's pool below
+// its least size.
+func checkMove(s *State, vm *VM, to string) *Void {
+	if to == "" {
+		return nil
+	}
+	if to == vm.Pool {
+		return voidf(ReasonInvalid, "VM %s is in pool %s already", vm.ID, to)
+	}
+	if _, ok := s.Pools.Get(to); !ok {
+		return voidf(ReasonNotFound, "pool %s does not exist", to)
+	}
+	pool, _ := s.Pools.Get(vm.Pool)
+	usage, _ := s.PoolUsage.Get(vm.Pool)
+	if pool != nil && usage.VMs <= pool.MinVMs {
+		return voidf(ReasonBudget, "pool %s keeps at least %d VMs", vm.Pool, pool.MinVMs)
+	}
+	return nil
+}
--- a/statemachine/void.go
+++ b/statemachine/void.go
@@ -21,6 +21,13 @@
 	ReasonDuplicate Reason = "duplicate"
 	// ReasonWriter means that the writer may not write the record.
 	ReasonWriter Reason = "writer"
+	// ReasonBudget means that an availability budget has no room.
+	ReasonBudget Reason = "budget"
+	// ReasonStep means that the VM or the wave is not in the step that the
+	// record needs.
+	ReasonStep Reason = "step"
+	// ReasonEpoch means that the writer does not hold the lease at the epoch.
+	ReasonEpoch Reason = "epoch"
 )
 
 // Void is the outcome of a record whose precondition failed.
--- a/statemachine/wave.go
+++ b/statemachine/wave.go
@@ -1,4 +1,186 @@
 package statemachine
 
+import "slices"
+
+// WaveState is the state of a wave.
+type WaveState string
+
+const (
+	// WaveRunning means that the wave takes steps.
+	WaveRunning WaveState = "running"
+	// WavePaused means that the wave takes no further drain step. Steps under
+	// way are finished.
+	WavePaused WaveState = "paused"
+	// WaveAborted means that the wave takes no further drain step and never
+	// will.
+	WaveAborted WaveState = "aborted"
+	// WaveDone means that every VM was maintained or given up.
+	WaveDone WaveState = "done"
+)
+
+// Ended reports whether the wave never takes a drain step again.
+func (s WaveState) Ended() bool {
+	return s == WaveAborted || s == WaveDone
+}
+
+// Wave is the maintenance of the VMs of some pools.
+type Wave struct {
+	ID    string   `json:"id" validate:"required,max=64,excludesall=./"`
+	Pools []string `json:"pools" validate:"min=1,dive,required"`
+	// DeadlineMS is the time after which the drain of a VM is given up, in
+	// milliseconds.
+	DeadlineMS int64 `json:"deadline_ms" validate:"min=1"`
+	// MaxParallel bounds the VMs that the wave has under maintenance at once.
+	MaxParallel int `json:"max_parallel" validate:"min=1"`
+	// MaxFailures is the number of maintained VMs that may fail before the
+	// wave pauses itself.
+	MaxFailures int       `json:"max_failures" validate:"min=0"`
+	State       WaveState `json:"state"`
+	// Cause tells why the wave is in its state.
+	Cause string `json:"cause,omitempty"`
+	// StartedAt is the offset of the start. VMs registered later are left out.
+	StartedAt uint64 `json:"started_at"`
+	// AcceptedFailures counts the failures that an operator has accepted with
+	// the latest resume.
+	AcceptedFailures int `json:"accepted_failures"`
+	// Version counts the changes, from 1.
+	Version uint64 `json:"version"`
+}
+
+// Covers reports whether the wave maintains the VM: one that is at home in a
+// pool of the wave and was registered before its start.
+func (w *Wave) Covers(vm *VM) bool {
+	home := vm.Pool
+	if vm.Home != "" {
+		home = vm.Home
+	}
+	return vm.AddedAt < w.StartedAt && slices.Contains(w.Pools, home)
+}
+
+const (
+	// KindWaveStart is the kind of WaveStart.
+	KindWaveStart Kind = "wave_start"
+	// KindWaveSet is the kind of WaveSet.
+	KindWaveSet Kind = "wave_set"
+	// maxEndedWaves bounds the ended waves that the state remembers.
+	maxEndedWaves = 32
+)
+
+// WaveStart starts a wave. It is void if another wave that has not ended
+// covers one of the pools.
+type WaveStart struct {
+	Wave Wave `json:"wave"`
+}
+
+// Kind implements Command.
+func (*WaveStart) Kind() Kind { return KindWaveStart }
+
+func (c *WaveStart) apply(next *State, ctx applyContext) *Void {
+	wave := c.Wave
+	if wave.ID == "" || len(wave.Pools) == 0 || wave.MaxParallel < 1 || wave.DeadlineMS < 1 {
+		return voidf(ReasonInvalid, "a wave needs an ID, pools, a deadline and at least one VM in parallel")
+	}
+	if _, ok := next.Waves.Get(wave.ID); ok {
+		return voidf(ReasonExists, "wave %s exists", wave.ID)
+	}
+	for _, pool := range wave.Pools {
+		if _, ok := next.Pools.Get(pool); !ok {
+			return voidf(ReasonNotFound, "pool %s does not exist", pool)
+		}
+	}
+	for id, other := range next.Waves.All() {
+		if !other.State.Ended() && overlap(other.Pools, wave.Pools) {
+			return voidf(ReasonExists, "wave %s covers one of the pools", id)
+		}
+	}
+	wave.State, wave.Cause = WaveRunning, ""
+	wave.StartedAt, wave.AcceptedFailures, wave.Version = ctx.offset, 0, 1
+	next.Waves = forgetEnded(next.Waves).Set(wave.ID, &wave)
+	return nil
+}
+
+func overlap(a, b []string) bool {
+	return slices.ContainsFunc(a, func(name string) bool { return slices.Contains(b, name) })
+}
+
+// forgetEnded drops the oldest ended wave once there are too many.
+func forgetEnded(waves Table[*Wave]) Table[*Wave] {
+	ended := 0
+	var oldest *Wave
+	for _, wave := range waves.All() {
+		if !wave.State.Ended() {
+			continue
+		}
+		ended++
+		if oldest == nil || wave.StartedAt < oldest.StartedAt {
+			oldest = wave
+		}
+	}
+	if ended < maxEndedWaves {
+		return waves
+	}
+	return waves.Delete(oldest.ID)
+}
+
+// WaveSet pauses, resumes, aborts or ends a wave. It is void unless Expected
+// is the wave's version, and for a wave that has ended.
+type WaveSet struct {
+	Wave     string    `json:"wave"`
+	Expected uint64    `json:"expected"`
+	State    WaveState `json:"state"`
+	Cause    string    `json:"cause,omitempty"`
+	// AcceptFailures counts the failures that a resume accepts.
+	AcceptFailures int `json:"accept_failures,omitempty"`
+	// Epoch is the epoch of the maintenance lease, or 0 for an operator.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
+// Kind implements Command.
+func (*WaveSet) Kind() Kind { return KindWaveSet }
+
+func (c *WaveSet) apply(next *State, ctx applyContext) *Void {
+	wave, ok := next.Waves.Get(c.Wave)
+	if !ok {
+		return voidf(ReasonNotFound, "wave %s does not exist", c.Wave)
+	}
+	if wave.Version != c.Expected {
+		return voidf(ReasonVersion, "wave %s is at version %d, not %d", c.Wave, wave.Version, c.Expected)
+	}
+	if wave.State.Ended() {
+		return voidf(ReasonStep, "wave %s is %s", c.Wave, wave.State)
+	}
+	switch c.State {
+	case WaveRunning, WavePaused, WaveAborted, WaveDone:
+	default:
+		return voidf(ReasonInvalid, "%q is not the state of a wave", c.State)
+	}
+	if c.Epoch != 0 || c.State == WaveDone {
+		if void := checkEpoch(next, ctx.writer, c.Epoch); void != nil {
+			return void
+		}
+	}
+	changed := *wave
+	changed.State, changed.Cause = c.State, c.Cause
+	changed.AcceptedFailures = max(wave.AcceptedFailures, c.AcceptFailures)
+	changed.Version++
+	next.Waves = next.Waves.Set(wave.ID, &changed)
+	return nil
+}
+
+// checkWave refuses a drain step of a wave that does not run.
+func checkWave(s *State, id string) *Void {
+	wave, ok := s.Waves.Get(id)
+	if !ok {
+		return voidf(ReasonNotFound, "wave %s does not exist", id)
+	}
+	if wave.State != WaveRunning {
+		return voidf(ReasonStep, "wave %s is %s", id, wave.State)
+	}
+	return nil
+}
+
 // waveCommands are the commands that carry out maintenance.
-var waveCommands = map[Kind]newCommand{}
+var waveCommands = map[Kind]newCommand{
+	KindWaveStart: func() Command { return &WaveStart{} },
+	KindWaveSet:   func() Command { return &WaveSet{} },
+}
