Return the allotments of a dead entry once nothing can run under them

Cause: an entry that is killed or paused held its part of each upper limit for ever; handing it on at once breaks the limit, since its tasks run on at the workers and it may wake up between the check and the send.

Change: heartbeats carry the set of members that the sender reaches (four bytes each). A member silent for 5 s, here and at more than half of the members reached, is removed by a record; a pause of the observer itself starts the count anew. Any member then clears the removed one, by a pure decision (quota.Bounds.Stage): no majority left for it to go on without the log, then the age of a trusted state, a loan, a slot lease, a margin and the usage lag by the slower clock, then every VM's own record, asked after that, without a running task of it. A start uses an allotment only if the entry is a member by a current state, asked after the slot lease was taken. An entry that finds itself removed finishes what runs and exits with a failure, so that its supervisor starts a new incarnation; an entry about to leave says so and counts in no majority. After a stop step that failed it does not leave, since it may still hold something.

The table test names each condition.

--- a/command/entry.go
+++ b/command/entry.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
+	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/entry"
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -37,11 +39,18 @@
 	if err := app.Start(ctx); err != nil {
 		return c.fail(err)
 	}
-	<-ctx.Done()
+	var shutdown fx.ShutdownSignal
+	select {
+	case <-ctx.Done():
+	case shutdown = <-app.Wait():
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(stopCtx); err != nil {
 		return c.fail(err)
 	}
+	if shutdown.ExitCode != 0 {
+		return c.fail(errors.New("the entry was removed from the membership; start it anew"))
+	}
 	return subcommands.ExitSuccess
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,8 +28,10 @@
 
 // Allotment counts running tasks against the entry's part of a team's limit.
 type Allotment interface {
-	Acquire(team string) bool
-	Release(team string)
+	// Acquire takes one unit and returns the holder to name in the start.
+	Acquire(team string) (holder string, ok bool)
+	// Release gives the unit of the holder back.
+	Release(team, holder string)
 }
 
 // Config holds what a Dispatcher works with. All members are required.
--- a/dispatch/limbo.go
+++ b/dispatch/limbo.go
@@ -24,7 +24,7 @@
 type Limbo struct {
 	workers platform.Workers
 	clock   clockwork.Clock
-	release func(team string)
+	release func(team, holder string)
 
 	mu    sync.Mutex
 	tasks map[limboKey]limboTask
@@ -37,12 +37,13 @@
 
 type limboTask struct {
 	team    string
+	holder  string
 	address string
 	since   time.Time
 }
 
 // NewLimbo returns an empty limbo. Release is called once per settled start.
-func NewLimbo(workers platform.Workers, clock clockwork.Clock, release func(team string)) *Limbo {
+func NewLimbo(workers platform.Workers, clock clockwork.Clock, release func(team, holder string)) *Limbo {
 	return &Limbo{workers: workers, clock: clock, release: release, tasks: make(map[limboKey]limboTask)}
 }
 
@@ -51,7 +52,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := limboKey{id: task.ID, attempt: task.Attempt}
-	l.tasks[key] = limboTask{team: task.Team, address: address, since: l.clock.Now()}
+	l.tasks[key] = limboTask{team: task.Team, holder: task.Holder, address: address, since: l.clock.Now()}
 }
 
 // Len returns the number of starts whose end is not known.
@@ -136,6 +137,6 @@
 	delete(l.tasks, key)
 	l.mu.Unlock()
 	if ok {
-		l.release(task.team)
+		l.release(task.team, task.holder)
 	}
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,7 +17,8 @@
 	for {
 		held, err := d.cfg.Slots.Acquire(ctx, grant.Template.Pools, avoid)
 		if err == nil {
-			if d.cfg.Allotment.Acquire(grant.Workspace.Team) {
+			if holder, ok := d.cfg.Allotment.Acquire(grant.Workspace.Team); ok {
+				held.Holder = holder
 				return held, Outcome{}
 			}
 			d.cfg.Slots.Release(held)
--- a/entry/control.go
+++ b/entry/control.go
@@ -19,7 +19,7 @@
 
 // Current implements dispatch.Control. The state is current if this entry has
 // read the end of the stream lately. Without the log it is current only while
-// more than half of the entries, this one included, are reachable and none of
+// more than half of the entries, this one included, are reachable, stay and none of
 // them can read the log or has applied more: then nothing new can have been
 // accepted.
 func (c *control) Current() bool {
@@ -35,6 +35,9 @@
 		if member.Last.GetLogReadable() || member.Last.GetApplied() > state.Next {
 			return false
 		}
+		if member.Last.GetLeaving() {
+			continue
+		}
 		reached++
 	}
 	return 2*reached > state.Entries.Len()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -126,8 +126,7 @@
 	if !d.drain(deadline) {
 		d.Logger.Error("graceful stop timed out", "inflight", d.Dispatcher.Inflight(), "unsettled", d.Limbo.Len())
 	} else {
-		d.runStopSteps(deadline)
-		d.leave(deadline)
+		d.finish(deadline)
 	}
 	_ = d.callers.Shutdown(deadline)
 	_ = d.operators.Shutdown(deadline)
@@ -151,13 +150,17 @@
 	return true
 }
 
-// runStopSteps runs the modules' parts of a graceful stop.
-func (d *daemon) runStopSteps(ctx context.Context) {
+// finish runs the modules' parts of a graceful stop and then leaves. After a
+// part that failed the entry does not leave, because it may still hold
+// something: the other entries remove it and make sure.
+func (d *daemon) finish(ctx context.Context) {
 	for _, step := range d.StopSteps {
 		if err := step.run(ctx); err != nil {
-			d.Logger.Error("a step of the graceful stop failed", "step", step.name, "error", err.Error())
+			d.Logger.Error("a step of the graceful stop failed; the entry exits without leaving", "step", step.name, "error", err.Error())
+			return
 		}
 	}
+	d.leave(ctx)
 }
 
 // leave gives up the membership and with it the allotments.
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 	"github.com/anvilcourse/anvilcourse/quota"
 )
@@ -14,6 +16,10 @@
 	id     identity
 	stream *logstream.Stream
 	ledger *quota.Ledger
+	zone   string
+	// leaving is set before the entry leaves: from then on it counts in no
+	// majority.
+	leaving atomic.Bool
 }
 
 func (d *describer) describe() *peerpb.Heartbeat {
@@ -22,9 +28,12 @@
 		Applied:      d.stream.State().Next,
 		ControlAgeMs: ageMS(d.stream.Age()),
 		LogReadable:  d.stream.Age() <= currentFor,
+
+		Leaving:          d.leaving.Load(),
+		AvailabilityZone: d.zone,
 	}
 	for team, usage := range d.ledger.Teams() {
-		out.Teams = append(out.Teams, &peerpb.TeamLoad{Team: team, Running: int64(usage.Running)})
+		out.Teams = append(out.Teams, &peerpb.TeamLoad{Team: team, Running: int64(usage.Running), Spare: int64(usage.Spare())})
 	}
 	return out
 }
@@ -38,12 +47,12 @@
 }
 
 // newHeartbeatHandler answers heartbeats with the own one.
-func newHeartbeatHandler(d *describer) peerRoute {
+func newHeartbeatHandler(m *membership.Membership) peerRoute {
 	return func(_ context.Context, req *peerpb.Request) *peerpb.Response {
 		if req.GetHeartbeat() == nil {
 			return nil
 		}
-		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: d.describe()}}
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: m.Heartbeat()}}
 	}
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -35,6 +35,7 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		limitsModule,
 		fx.Invoke(register),
 	)
 }
@@ -138,11 +139,11 @@
 }
 
 func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
-	return dispatch.NewLimbo(workers, clock, ledger.Release)
+	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -156,11 +157,11 @@
 	return &control{Stream: stream, membership: m}
 }
 
-func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
+func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
 	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
-		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
+		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 	})
 }
--- /dev/null
+++ b/entry/module_limits.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/quota"
+)
+
+const (
+	// clockMargin covers the drift between the clocks of two machines within
+	// the bounds of a holder.
+	clockMargin = 500 * time.Millisecond
+	// usageLag is the time by which the platform's records may lag.
+	usageLag = 2 * time.Second
+)
+
+// limitsModule provides what keeps the teams under their upper limits.
+var limitsModule = fx.Module("limits",
+	fx.Provide(
+		newPermit,
+		newGate,
+		newBounds,
+		quota.NewSurveyor,
+		newKeeper,
+		newClearer,
+		newExpulsion,
+		fx.Annotate(newLimitsTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newLeavingStep, fx.ResultTags(`group:"stop_steps"`)),
+	),
+)
+
+func newBounds() quota.Bounds {
+	return quota.Bounds{
+		Current: max(currentFor, membership.ReachableFor), Loan: quota.LoanTTL, SlotLease: placement.LeaseTTL,
+		Margin: clockMargin, UsageLag: usageLag,
+	}
+}
+
+func newGate(id identity, ledger *quota.Ledger, p *permit) *quota.Gate {
+	return quota.NewGate(id.incarnation, ledger, p)
+}
+
+func newKeeper(id identity, stream *logstream.Stream, m *membership.Membership, clock clockwork.Clock, logger hclog.Logger) *membership.Keeper {
+	return membership.NewKeeper(id.incarnation, stream, m, clock, logger)
+}
+
+func newClearer(id identity, stream *logstream.Stream, p *permit, surveyor *quota.Surveyor, bounds quota.Bounds,
+	clock clockwork.Clock, logger hclog.Logger,
+) *quota.Clearer {
+	return quota.NewClearer(id.incarnation, stream, p, surveyor, bounds, clock, logger)
+}
+
+func newLimitsTasks(keeper *membership.Keeper, clearer *quota.Clearer, e *expulsion) []task {
+	return []task{
+		{name: "membership records", run: keeper.Run},
+		{name: "removed entries", run: clearer.Run},
+		{name: "own removal", run: e.run},
+	}
+}
+
+// newLeavingStep takes the entry out of every majority before it leaves.
+func newLeavingStep(d *describer) stopStep {
+	return stopStep{name: "leave majorities", run: func(context.Context) error {
+		d.leaving.Store(true)
+		return nil
+	}}
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -290,7 +290,7 @@
 	for _, member := range o.membership.Reachable() {
 		applied[member.Incarnation] = member.Last.GetApplied() > offset
 	}
-	for incarnation := range o.control.State().Entries.All() {
+	for incarnation := range o.control.State().Members() {
 		done, heard := applied[incarnation]
 		if heard && !done || !heard && !silentAllowed {
 			return false
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -14,7 +14,7 @@
 	if r.stopping.Load() {
 		return "stopping"
 	}
-	if _, ok := r.control.State().Entries.Get(r.self); !ok {
+	if _, ok := r.control.State().Member(r.self); !ok {
 		return "not joined"
 	}
 	if !r.control.Current() {
--- /dev/null
+++ b/membership/detector_test.go
@@ -0,0 +1,54 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// reaching returns the reachable sets of members that reach one another and
+// the extra ones.
+func reaching(members []string, extra ...string) map[string][]uint32 {
+	out := make(map[string][]uint32)
+	for _, member := range members {
+		for _, other := range append(append([]string{}, members...), extra...) {
+			out[member] = append(out[member], HashOf(other))
+		}
+	}
+	return out
+}
+
+// TestDetector covers who is found unreachable after ten seconds of rounds.
+func TestDetector(t *testing.T) {
+	members := []string{"b", "c", "d"}
+	mixed := reaching([]string{"b", "c"})
+	mixed["b"] = append(mixed["b"], HashOf("d"))
+	cases := []struct {
+		name    string
+		reached map[string][]uint32
+		gap     time.Duration
+		rounds  int
+		want    []string
+	}{
+		{"all reached", reaching(members), HeartbeatInterval, 40, nil},
+		{"one silent for all", reaching([]string{"b", "c"}), HeartbeatInterval, 40, []string{"d"}},
+		{"not yet long enough", reaching([]string{"b", "c"}), HeartbeatInterval, 11, nil},
+		{"silent for this entry only", reaching([]string{"b", "c"}, "d"), HeartbeatInterval, 40, nil},
+		{"half of the others still reach it", mixed, HeartbeatInterval, 40, nil},
+		{"all silent", nil, HeartbeatInterval, 40, members},
+		{"this entry itself pauses between rounds", nil, 2 * maxRoundGap, 40, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := NewDetector()
+			at := time.Unix(1000, 0)
+			var found []string
+			for range c.rounds {
+				found = d.Observe(Round{At: at, Members: members, Reached: c.reached})
+				at = at.Add(c.gap)
+			}
+			require.Equal(t, c.want, found)
+		})
+	}
+}
--- /dev/null
+++ b/membership/keeper.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const keeperProposeTimeout = 2 * time.Second
+
+// Proposer writes records to the control stream and reads its state.
+type Proposer interface {
+	Propose(ctx context.Context, command statemachine.Command) (statemachine.Result, error)
+	State() *statemachine.State
+}
+
+// Keeper acknowledges the changes of the membership in the control stream and
+// removes members that are unreachable.
+type Keeper struct {
+	self     string
+	proposer Proposer
+	members  *Membership
+	detector *Detector
+	clock    clockwork.Clock
+	logger   hclog.Logger
+}
+
+// NewKeeper returns the keeper of the entry incarnation.
+func NewKeeper(self string, proposer Proposer, members *Membership, clock clockwork.Clock, logger hclog.Logger) *Keeper {
+	return &Keeper{self: self, proposer: proposer, members: members, detector: NewDetector(), clock: clock, logger: logger}
+}
+
+// Run works until the context ends. One record at a time is on its way, and
+// the rounds of the detector go on meanwhile.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := k.clock.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	idle := make(chan struct{}, 1)
+	idle <- struct{}{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		command := k.next()
+		if command == nil {
+			continue
+		}
+		select {
+		case <-idle:
+			wg.Go(func() {
+				k.propose(ctx, command)
+				idle <- struct{}{}
+			})
+		default:
+		}
+	}
+}
+
+// next observes a round and returns the record that is due, or nil.
+func (k *Keeper) next() statemachine.Command {
+	state := k.proposer.State()
+	unreachable := k.detector.Observe(k.round(state))
+	entry, ok := state.Member(k.self)
+	if !ok {
+		return nil
+	}
+	if entry.Acknowledged != state.MembershipVersion {
+		return &statemachine.EntryAck{Version: state.MembershipVersion}
+	}
+	if len(unreachable) > 0 {
+		return &statemachine.EntryRemove{Incarnation: unreachable[0]}
+	}
+	return nil
+}
+
+func (k *Keeper) round(state *statemachine.State) Round {
+	r := Round{At: k.clock.Now(), Reached: make(map[string][]uint32)}
+	for incarnation := range state.Members() {
+		if incarnation != k.self {
+			r.Members = append(r.Members, incarnation)
+		}
+	}
+	for _, member := range k.members.Reachable() {
+		if _, ok := state.Member(member.Incarnation); ok && member.Incarnation != k.self {
+			r.Reached[member.Incarnation] = member.Last.GetReachable()
+		}
+	}
+	return r
+}
+
+func (k *Keeper) propose(ctx context.Context, command statemachine.Command) {
+	ctx, cancel := context.WithTimeout(ctx, keeperProposeTimeout)
+	defer cancel()
+	result, err := k.proposer.Propose(ctx, command)
+	if err != nil {
+		k.logger.Debug("membership record not written", "kind", command.Kind(), "error", err.Error())
+		return
+	}
+	if remove, ok := command.(*statemachine.EntryRemove); ok && result.Void == nil {
+		k.logger.Warn("entry removed from the membership", "incarnation", remove.Incarnation, "offset", result.Offset)
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -82,6 +82,15 @@
 	return out
 }
 
+// Heartbeat returns the own heartbeat with the members that this entry reaches.
+func (m *Membership) Heartbeat() *peerpb.Heartbeat {
+	out := m.cfg.Describe()
+	for _, member := range m.Reachable() {
+		out.Reachable = append(out.Reachable, HashOf(member.Incarnation))
+	}
+	return out
+}
+
 // elapsed is the larger of the wall and the monotonic difference, because the
 // monotonic clock stops while a VM is suspended.
 func elapsed(now, then time.Time) time.Duration {
@@ -122,7 +131,7 @@
 
 func (m *Membership) beat(ctx context.Context, address string) error {
 	sent := m.cfg.Clock.Now()
-	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: m.cfg.Describe()}}
+	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: m.Heartbeat()}}
 	resp, err := m.cfg.Caller.Call(ctx, address, req)
 	if err != nil {
 		return err
--- a/placement/held.go
+++ b/placement/held.go
@@ -12,6 +12,9 @@
 	Expires time.Time
 	// Granted is when the lease was asked for.
 	Granted time.Time
+	// Holder is whose allotment the start uses. The caller that starts a task
+	// sets it.
+	Holder string
 }
 
 // valid reports whether a start that is sent now arrives under the lease. It
--- /dev/null
+++ b/quota/clearer.go
@@ -0,0 +1,185 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	clearInterval = 250 * time.Millisecond
+	// clearStagger is the head start of each member over the next one, so that
+	// usually one of them asks the VMs.
+	clearStagger = 2 * time.Second
+)
+
+// Peers tells what the other entries last said of themselves.
+type Peers interface {
+	// Applied returns the next control offset of each reached entry.
+	Applied() map[string]uint64
+}
+
+// Clearer returns the allotments of removed entries to the pool.
+type Clearer struct {
+	self     string
+	proposer Proposer
+	peers    Peers
+	surveyor *Surveyor
+	bounds   Bounds
+	clock    clockwork.Clock
+	logger   hclog.Logger
+	removed  map[string]*clearing
+}
+
+// clearing is what is known of one removed entry. All of it stays true.
+type clearing struct {
+	applied map[string]bool
+	// excluded is when the entry was first known to find no majority.
+	excluded time.Time
+	vms      map[string]VMEvidence
+}
+
+// NewClearer returns the clearer of the entry incarnation.
+func NewClearer(self string, proposer Proposer, peers Peers, surveyor *Surveyor, bounds Bounds, clock clockwork.Clock, logger hclog.Logger) *Clearer {
+	return &Clearer{
+		self: self, proposer: proposer, peers: peers, surveyor: surveyor, bounds: bounds, clock: clock, logger: logger,
+		removed: make(map[string]*clearing),
+	}
+}
+
+// Run clears removed entries until the context ends.
+func (c *Clearer) Run(ctx context.Context) {
+	ticker := c.clock.NewTicker(clearInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.once(ctx)
+		}
+	}
+}
+
+func (c *Clearer) once(ctx context.Context) {
+	state := c.proposer.State()
+	if _, ok := state.Member(c.self); !ok {
+		return
+	}
+	for incarnation := range c.removed {
+		if _, ok := state.Entries.Get(incarnation); !ok {
+			delete(c.removed, incarnation)
+		}
+	}
+	for _, entry := range state.Entries.All() {
+		if entry.State == statemachine.EntryRemoved {
+			c.advance(ctx, state, entry)
+		}
+	}
+}
+
+// advance brings the clearing of one entry as far as it goes now.
+func (c *Clearer) advance(ctx context.Context, state *statemachine.State, entry *statemachine.Entry) {
+	known := c.removed[entry.Incarnation]
+	if known == nil {
+		known = &clearing{applied: make(map[string]bool), vms: make(map[string]VMEvidence)}
+		c.removed[entry.Incarnation] = known
+	}
+	c.note(known, entry)
+	facts := c.facts(state, known, entry)
+	if c.bounds.Stage(facts) == ClearWaitsForMajority {
+		return
+	}
+	if known.excluded.IsZero() {
+		known.excluded = c.clock.Now()
+		return
+	}
+	if facts.Waited < c.bounds.ListAfter()+c.headStart(state) {
+		return
+	}
+	if !c.survey(ctx, state, known, entry) {
+		return
+	}
+	if c.bounds.Stage(c.facts(state, known, entry)) == ClearReady {
+		c.propose(ctx, entry)
+	}
+}
+
+// note remembers which entries have applied the removal.
+func (c *Clearer) note(known *clearing, entry *statemachine.Entry) {
+	known.applied[c.self] = true
+	for incarnation, next := range c.peers.Applied() {
+		if next > entry.RemovedAt {
+			known.applied[incarnation] = true
+		}
+	}
+}
+
+func (c *Clearer) facts(state *statemachine.State, known *clearing, entry *statemachine.Entry) ClearFacts {
+	out := ClearFacts{
+		Electorate:  entry.Electorate,
+		Unconfirmed: Unconfirmed(state, entry, func(incarnation string) bool { return known.applied[incarnation] }),
+	}
+	if !known.excluded.IsZero() {
+		out.Waited = sinceBoth(c.clock.Now(), known.excluded)
+	}
+	for _, evidence := range known.vms {
+		out.VMs = append(out.VMs, evidence)
+	}
+	return out
+}
+
+// headStart is how long the members before this one have to clear first.
+func (c *Clearer) headStart(state *statemachine.State) time.Duration {
+	reached := c.peers.Applied()
+	rank := 0
+	for incarnation := range state.Members() {
+		if incarnation == c.self {
+			break
+		}
+		if _, ok := reached[incarnation]; ok {
+			rank++
+		}
+	}
+	return time.Duration(rank) * clearStagger
+}
+
+// survey asks the VMs that have not shown yet that they run nothing for the
+// entry. It reports whether the set of VMs is known.
+func (c *Clearer) survey(ctx context.Context, state *statemachine.State, known *clearing, entry *statemachine.Entry) bool {
+	isEmpty := func(vm string) bool {
+		evidence := known.vms[vm]
+		return evidence.AskedAfter >= c.bounds.ListAfter() && evidence.Running == 0
+	}
+	ids, findings, err := c.surveyor.Survey(ctx, state, isEmpty)
+	if err != nil {
+		c.logger.Debug("VM list not read", "error", err.Error())
+		return false
+	}
+	for _, id := range ids {
+		if _, ok := known.vms[id]; !ok {
+			known.vms[id] = VMEvidence{}
+		}
+	}
+	for _, f := range findings {
+		known.vms[f.VM] = VMEvidence{AskedAfter: sinceBoth(f.Asked, known.excluded), Running: f.heldBy(entry.Incarnation)}
+	}
+	return true
+}
+
+func (c *Clearer) propose(ctx context.Context, entry *statemachine.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := c.proposer.Propose(ctx, &statemachine.EntryClear{Incarnation: entry.Incarnation})
+	if err != nil {
+		c.logger.Debug("entry not cleared", "incarnation", entry.Incarnation, "error", err.Error())
+		return
+	}
+	if result.Void == nil {
+		c.logger.Warn("allotments of a removed entry returned", "incarnation", entry.Incarnation, "offset", result.Offset)
+	}
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -106,3 +106,8 @@
 	l.teams.Store(&next)
 	return next[team]
 }
+
+// Spare is the part of the allotment that neither runs nor is lent.
+func (u Usage) Spare() int {
+	return max(0, u.Allotted-u.Lent-u.Running)
+}
--- /dev/null
+++ b/quota/surveyor.go
@@ -0,0 +1,130 @@
+package quota
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	surveyTimeout  = time.Second
+	surveyParallel = 8
+)
+
+// Finding is what one VM showed.
+type Finding struct {
+	VM string
+	// Asked is when the VM was asked.
+	Asked time.Time
+	// Holders counts the running tasks by holder.
+	Holders map[string]int
+}
+
+// Surveyor asks the VMs what runs on them.
+type Surveyor struct {
+	vms     platform.VMs
+	workers platform.Workers
+	clock   clockwork.Clock
+}
+
+// NewSurveyor returns a surveyor of the platform's VMs.
+func NewSurveyor(vms platform.VMs, workers platform.Workers, clock clockwork.Clock) *Surveyor {
+	return &Surveyor{vms: vms, workers: workers, clock: clock}
+}
+
+// Survey asks every VM that the platform lists or the control state knows, but
+// for those that skip names. It returns the IDs of all VMs and the findings of
+// those that answered. A VM that the platform lists as failed runs nothing.
+func (s *Surveyor) Survey(ctx context.Context, state *statemachine.State, skip func(vm string) bool) ([]string, []Finding, error) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	asked := s.clock.Now()
+	list, err := s.vms.List(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	targets := surveyTargets(list, state)
+	ids := make([]string, 0, len(targets))
+	findings := make([]*Finding, len(targets))
+	var group errgroup.Group
+	group.SetLimit(surveyParallel)
+	for i, vm := range targets {
+		ids = append(ids, vm.ID)
+		if skip(vm.ID) {
+			continue
+		}
+		if vm.State == platform.VMFailed {
+			findings[i] = &Finding{VM: vm.ID, Asked: asked}
+			continue
+		}
+		group.Go(func() error {
+			findings[i] = s.ask(ctx, vm)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return ids, answered(findings), nil
+}
+
+// surveyTargets joins the platform's list with the VMs of the control state.
+func surveyTargets(list []platform.VMInfo, state *statemachine.State) []platform.VMInfo {
+	out := append([]platform.VMInfo{}, list...)
+	listed := make(map[string]bool, len(list))
+	for _, vm := range list {
+		listed[vm.ID] = true
+	}
+	for id, vm := range state.VMs.All() {
+		if !listed[id] {
+			out = append(out, platform.VMInfo{ID: id, Address: vm.Address, State: platform.VMLive})
+		}
+	}
+	return out
+}
+
+// ask returns what the VM runs, or nil if it does not answer.
+func (s *Surveyor) ask(ctx context.Context, vm platform.VMInfo) *Finding {
+	asked := s.clock.Now()
+	list, err := s.workers.ListTasks(ctx, vm.Address)
+	if err != nil {
+		return nil
+	}
+	out := &Finding{VM: vm.ID, Asked: asked, Holders: make(map[string]int)}
+	for _, task := range list.Tasks {
+		if task.State == platform.TaskRunning {
+			out.Holders[task.Holder]++
+		}
+	}
+	return out
+}
+
+func answered(findings []*Finding) []Finding {
+	var out []Finding
+	for _, finding := range findings {
+		if finding != nil {
+			out = append(out, *finding)
+		}
+	}
+	return out
+}
+
+// loanSeparator stands between the lender and the loan in a task's holder.
+const loanSeparator = "/"
+
+// heldBy counts the running tasks that use the entry's allotment, be it by the
+// entry itself or under a loan.
+func (f Finding) heldBy(entry string) int {
+	count := 0
+	for holder, running := range f.Holders {
+		lender, _, _ := strings.Cut(holder, loanSeparator)
+		if lender == entry {
+			count += running
+		}
+	}
+	return count
+}
--- a/testbed/process.go
+++ b/testbed/process.go
@@ -77,6 +77,12 @@
 func (p *Process) Stop(t testing.TB) int {
 	t.Helper()
 	_ = p.cmd.Process.Signal(os.Interrupt)
+	return p.WaitExit(t)
+}
+
+// WaitExit waits until the process has ended and returns its exit code.
+func (p *Process) WaitExit(t testing.TB) int {
+	t.Helper()
 	select {
 	case <-p.done:
 	case <-time.After(stopTimeout):
