Plan waves from the records alone, with a canary and typed conditions

Cause: a wave over all VMs needs someone to decide which VM is next, and any entry must be able to go on with it after the one that did has gone.

Change: maintenance.Decide, a pure function of the control state, of what was observed and of the time, split into watchers with one job each. One VM first, twice as many after each doubling; a wave pauses itself when VMs fail during or after their maintenance, but not for a rack lost as a whole. A VM counts as empty only by its own list, asked after every slot lease from before the drain has lapsed.

Conclusion: what a wave does next follows from the log and from the VMs.

--- /dev/null
+++ b/maintenance/policy.go
@@ -0,0 +1,57 @@
+package maintenance
+
+import (
+	"math"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// minLentPools is the least number of pools that are lent a spare VM at once.
+const minLentPools = 2
+
+// Policy is how the weights of a template shape the waves over its pools.
+type Policy struct {
+	// KeepSize lends a pool one spare VM before it drains one of its own, so
+	// that the teams keep their shares. Without it a pool drains down to its
+	// observed need.
+	KeepSize bool
+	// ZoneByZone finishes a pool's VMs in one availability zone after another.
+	ZoneByZone bool
+	// Speed is the part of the budgets that is used at once, from 0 to 1.
+	Speed float64
+}
+
+// PolicyOf derives the policy from the weights. A lent VM costs two moves and
+// buffer and saves shares; parallel drains save time and cost buffer.
+func PolicyOf(w statemachine.Weights) Policy {
+	policy := Policy{KeepSize: w.Shares > w.Moves, ZoneByZone: w.Buffer > w.RolloutTime, Speed: 1}
+	if policy.ZoneByZone {
+		policy.Speed = w.RolloutTime / (w.RolloutTime + w.Buffer)
+	}
+	return policy
+}
+
+// lentPools is the number of pools that are lent a spare VM at once.
+func (p Policy) lentPools(budgets int) int {
+	return max(minLentPools, int(math.Floor(p.Speed*float64(budgets))))
+}
+
+// policies returns the policy of each pool. A pool without a template, such as
+// a spare pool, carries no team's work.
+func policies(s *statemachine.State) map[string]Policy {
+	out := make(map[string]Policy)
+	for name := range s.Pools.All() {
+		out[name] = Policy{Speed: 1}
+	}
+	for _, template := range s.Templates.All() {
+		for _, pool := range template.Pools {
+			out[pool] = strictest(out[pool], PolicyOf(template.Weights))
+		}
+	}
+	return out
+}
+
+// strictest joins the policies of two templates that share a pool.
+func strictest(a, b Policy) Policy {
+	return Policy{KeepSize: a.KeepSize || b.KeepSize, ZoneByZone: a.ZoneByZone || b.ZoneByZone, Speed: min(a.Speed, b.Speed)}
+}
--- /dev/null
+++ b/maintenance/watch_health.go
@@ -0,0 +1,65 @@
+package maintenance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// watchHealth stops a wave whose VMs fail, and reports whether it may go on. A
+// rack that failed as a whole does not count against the wave.
+func (d *planner) watchHealth(v *waveView) bool {
+	failures, settled := d.failures(v)
+	if failures <= v.wave.MaxFailures {
+		return true
+	}
+	message := fmt.Sprintf("%d of its VMs have failed", failures)
+	d.waitWave(ReasonHealth, v.wave.ID, "", message)
+	if settled > v.wave.MaxFailures {
+		d.act(Action{Kind: ActionPauseWave, Wave: v.wave.ID, WaveVersion: v.wave.Version, Cause: message})
+	}
+	return false
+}
+
+// failures counts the failed VMs that the wave has touched beyond those that
+// an operator has accepted, and those of them that are no news any more.
+func (d *planner) failures(v *waveView) (all, settled int) {
+	for _, vm := range v.failed {
+		if d.fleet.racks[vm.Rack].lost() {
+			continue
+		}
+		all++
+		if d.now.Sub(time.UnixMilli(vm.ConditionSinceMS)) >= d.params.FailureSettle {
+			settled++
+		}
+	}
+	return all - v.wave.AcceptedFailures, settled - v.wave.AcceptedFailures
+}
+
+// FailuresOf counts the failed VMs that a wave has touched, for an operator who
+// accepts them with a resume.
+func FailuresOf(s *statemachine.State, wave *statemachine.Wave) int {
+	return len(newFleetView(s, []*statemachine.Wave{wave}).waves[wave.ID].failed)
+}
+
+// reportSkipped names the VMs that the wave has given up.
+func (d *planner) reportSkipped(v *waveView) {
+	if v.skipped > 0 {
+		d.waitWave(ReasonDeadline, v.wave.ID, "", fmt.Sprintf("%d VMs were given up at their deadline", v.skipped))
+	}
+}
+
+// watchEnd ends a wave that has nothing left to do.
+func (d *planner) watchEnd(v *waveView) {
+	for _, vm := range v.blocked {
+		d.plan.Conditions = append(d.plan.Conditions, Condition{
+			Reason: ReasonVMFailed, Wave: v.wave.ID, Pool: vm.Pool, VM: vm.ID, Message: string(vm.Condition),
+		})
+	}
+	left := len(v.pending) + len(v.blocked) + len(v.active) + len(v.moving) + len(v.lent)
+	if left == 0 {
+		cause := fmt.Sprintf("%d VMs maintained, %d given up", v.done, v.skipped)
+		d.act(Action{Kind: ActionEndWave, Wave: v.wave.ID, WaveVersion: v.wave.Version, Cause: cause})
+	}
+}
--- a/statemachine/maintenance_test.go
+++ b/statemachine/maintenance_test.go
@@ -100,7 +100,7 @@
 func TestMaintenance_MovesEmptyVMsOnly(t *testing.T) {
 	f := newFleet(t)
 	f.void(ReasonStep, "p1", &VMMove{VM: "s0", From: "spare", To: "a", Expected: 1, Epoch: 1})
-	f.ok("op", &VMDrain{VM: "s0", Pool: "spare", Expected: 1, MoveTo: "a"})
+	f.ok("p1", &VMDrain{VM: "s0", Pool: "spare", Expected: 1, MoveTo: "a", Wave: "w", Epoch: 1})
 	f.void(ReasonStep, "p1", &VMMove{VM: "s0", From: "spare", To: "b", Expected: 2, Epoch: 1})
 	f.void(ReasonStep, "p1", &VMReboot{VM: "s0", Expected: 2, Epoch: 1})
 	f.void(ReasonEpoch, "op", &VMMove{VM: "s0", From: "spare", To: "a", Expected: 2})
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -18,6 +18,10 @@
 	PoolUsage Table[Usage] `json:"pool_usage"`
 	// ZoneUsage counts the VMs of each availability zone.
 	ZoneUsage Table[Usage] `json:"zone_usage"`
+	// UnderMaintenance holds the VMs that are in a step.
+	UnderMaintenance Table[bool] `json:"under_maintenance"`
+	// Lent holds the VMs that a spare pool has lent.
+	Lent Table[bool] `json:"lent"`
 	// Zones are the availability zones whose budget was set.
 	Zones  Table[*Zone]  `json:"zones"`
 	Leases Table[*Lease] `json:"leases"`
--- a/statemachine/usage.go
+++ b/statemachine/usage.go
@@ -25,11 +25,26 @@
 	}
 	if next == nil {
 		s.VMs = s.VMs.Delete(current.ID)
+		s.UnderMaintenance = s.UnderMaintenance.Delete(current.ID)
+		s.Lent = s.Lent.Delete(current.ID)
 		return
 	}
 	next.Version++
 	s.count(next, 1)
 	s.VMs = s.VMs.Set(next.ID, next)
+	s.UnderMaintenance = indexed(s.UnderMaintenance, next.ID, next.Maintenance.Step != StepServing)
+	s.Lent = indexed(s.Lent, next.ID, next.Home != "")
+}
+
+// indexed returns the index with or without the ID.
+func indexed(index Table[bool], id string, member bool) Table[bool] {
+	if _, ok := index.Get(id); ok == member {
+		return index
+	}
+	if member {
+		return index.Set(id, true)
+	}
+	return index.Delete(id)
 }
 
 // count adds the VM n times to the usages of its pool and zone.
--- a/statemachine/vm.go
+++ b/statemachine/vm.go
@@ -10,6 +10,9 @@
 	Slots            int    `json:"slots"`
 	// Condition is the VM's health as last recorded.
 	Condition Condition `json:"condition,omitempty"`
+	// ConditionSinceMS is the writer's wall clock at the latest change of the
+	// condition, in Unix milliseconds.
+	ConditionSinceMS int64 `json:"condition_since_ms,omitempty"`
 	// Maintenance is the step that the VM is in.
 	Maintenance Maintenance `json:"maintenance"`
 	// MaintainedBy is the latest wave that has rebooted the VM.
--- a/statemachine/vmhealth.go
+++ b/statemachine/vmhealth.go
@@ -17,7 +17,7 @@
 // Kind implements Command.
 func (*VMFailed) Kind() Kind { return KindVMFailed }
 
-func (c *VMFailed) apply(next *State, _ applyContext) *Void {
+func (c *VMFailed) apply(next *State, ctx applyContext) *Void {
 	vm, ok := next.VMs.Get(c.VM)
 	if !ok {
 		return voidf(ReasonNotFound, "VM %s is not registered", c.VM)
@@ -29,7 +29,7 @@
 		return voidf(ReasonExists, "VM %s is %s already", c.VM, c.Condition)
 	}
 	failed := *vm
-	failed.Condition = c.Condition
+	failed.Condition, failed.ConditionSinceMS = c.Condition, ctx.atMS
 	next.replaceVM(vm, &failed)
 	return nil
 }
@@ -45,7 +45,7 @@
 // Kind implements Command.
 func (*VMRecovered) Kind() Kind { return KindVMRecovered }
 
-func (c *VMRecovered) apply(next *State, _ applyContext) *Void {
+func (c *VMRecovered) apply(next *State, ctx applyContext) *Void {
 	vm, void := vmAt(next, c.VM, c.Expected)
 	if void != nil {
 		return void
@@ -54,7 +54,7 @@
 		return voidf(ReasonExists, "VM %s is healthy already", c.VM)
 	}
 	recovered := *vm
-	recovered.Condition = ConditionHealthy
+	recovered.Condition, recovered.ConditionSinceMS = ConditionHealthy, ctx.atMS
 	next.replaceVM(vm, &recovered)
 	return nil
 }
--- a/statemachine/vmmove.go
+++ b/statemachine/vmmove.go
@@ -46,9 +46,10 @@
 	return nil
 }
 
-// homeAfter returns the pool that a VM is lent from after a move.
+// homeAfter returns the pool that a VM is lent from after a move. A wave lends
+// VMs of spare pools; an operator's move is for good.
 func homeAfter(s *State, vm *VM, to string) string {
-	if vm.Home == to {
+	if vm.Home == to || vm.Maintenance.Wave == "" {
 		return ""
 	}
 	if vm.Home != "" {
