--- a/entry/module.go
+++ b/entry/module.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"os"
 	"time"
 
@@ -35,6 +34,7 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		profileModule,
 		fx.Invoke(register),
 	)
 }
@@ -48,7 +48,10 @@
 		clockwork.NewRealClock,
 		newLogger,
 		newIdentity,
-		newPlatformClient,
+		newTraffic,
+		newControlClient,
+		newWorkerClient,
+		newPeerClient,
 		newLog,
 		newVMs,
 		newWorkers,
@@ -63,7 +66,6 @@
 		newPlacer,
 		newRing,
 		newLimbo,
-		peer.NewClient,
 		newDescriber,
 		newMembership,
 		newControl,
@@ -72,6 +74,7 @@
 		newFleetWatch,
 		newReadiness,
 		newOperators,
+		newMetrics,
 		fx.Annotate(newCoreTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newHeartbeatHandler, fx.ResultTags(`group:"peers"`)),
 	),
@@ -85,23 +88,16 @@
 	}).With("entry", id.incarnation)
 }
 
-// newPlatformClient names the entry to the platform in the User-Agent header.
-func newPlatformClient(s settings.Entry) *http.Client {
-	client := platform.NewHTTPClient()
-	client.Transport = &userAgent{name: s.Name, next: client.Transport}
-	return client
+func newLog(s settings.Entry, client controlClient) platform.Log {
+	return platform.NewHTTPLog(s.Platform, client.Client)
 }
 
-func newLog(s settings.Entry, client *http.Client) platform.Log {
-	return platform.NewHTTPLog(s.Platform, client)
+func newVMs(s settings.Entry, client controlClient) platform.VMs {
+	return platform.NewHTTPVMs(s.Platform, client.Client)
 }
 
-func newVMs(s settings.Entry, client *http.Client) platform.VMs {
-	return platform.NewHTTPVMs(s.Platform, client)
-}
-
-func newWorkers(client *http.Client) platform.Workers {
-	return platform.NewHTTPWorkers(client)
+func newWorkers(client workerClient) platform.Workers {
+	return platform.NewHTTPWorkers(client.Client)
 }
 
 func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
