--- a/statemachine/budget_property_test.go
+++ b/statemachine/budget_property_test.go
@@ -1,7 +1,6 @@
 package statemachine
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,18 +10,10 @@
 )
 
 const (
-	propertySeed  = "20261204"
 	scheduleSteps = 150
 	naiveRuns     = 20
 )
 
-// fixSeed lets rapid draw the same schedules in every run.
-func fixSeed(t testing.TB) {
-	t.Helper()
-	require.NoError(t, flag.Set("rapid.seed", propertySeed))
-	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
-}
-
 // naiveDrain drains whatever it is told to: the planner has looked before.
 type naiveDrain struct{ VMDrain }
 
@@ -193,7 +184,6 @@
 // TestBudget_HoldsOverRandomSchedules checks that no step but a failure takes
 // a pool or zone over its budget, and that each VM counts in one pool.
 func TestBudget_HoldsOverRandomSchedules(t *testing.T) {
-	fixSeed(t)
 	rapid.Check(t, func(rt *rapid.T) {
 		s := newSchedule(t, false, func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "draw") })
 		if err := s.run(); err != nil {
