Carry waves out behind the lease, from any entry, and let operators steer them

Cause: plans of waves had no one to carry them out, failures of VMs reached no record, and operators had no way to start or watch a wave.

Ruled out: a restart on the strength of the platform's list, which lags; a return record before the VM takes work, which sends it refused starts.

Change: maintenance/executor cordons, lists, restarts, returns and probes the VMs under maintenance while its entry holds the lease; a VM is restarted only after its record, and after it has again said that it runs nothing. The stand-in refuses to restart a VM that does not drain, counts late starts, lost tasks and the VMs that drain at once, and can accept work while draining.

Conclusion: a wave outlives its planner and cuts nothing.

--- a/api/client.go
+++ b/api/client.go
@@ -172,3 +172,24 @@
 	}
 	return problem
 }
+
+// StartWave starts a maintenance wave.
+func (c *Client) StartWave(ctx context.Context, req WaveRequest) (Accepted, error) {
+	var out Accepted
+	err := c.call(ctx, http.MethodPost, "/v1/waves", nil, req, &out)
+	return out, err
+}
+
+// ChangeWave pauses, resumes or aborts a wave; verb is one of these words.
+func (c *Client) ChangeWave(ctx context.Context, id, verb string) (Accepted, error) {
+	var out Accepted
+	err := c.call(ctx, http.MethodPost, "/v1/waves/"+url.PathEscape(id)+"/"+verb, nil, nil, &out)
+	return out, err
+}
+
+// Waves reads the waves, how far they are and what they wait for.
+func (c *Client) Waves(ctx context.Context) ([]WaveStatus, error) {
+	var out []WaveStatus
+	err := c.Get(ctx, "/v1/waves", &out)
+	return out, err
+}
--- /dev/null
+++ b/cmd/anvilcourse/wave_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/standin"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/testbed"
+)
+
+const (
+	waveLoad  = 12
+	waveTask  = `{"work_ms":40}`
+	waveRetry = 5
+)
+
+// steadyLoad submits idempotent requests through the first two entries until
+// the stop function, which returns the number of answers and the first
+// request that found none.
+func steadyLoad(sys *testbed.System, key, queue string) (stop func() (int64, error)) {
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	var firstErr atomic.Pointer[error]
+	ctx, cancel := context.WithCancel(context.Background())
+	for worker := range waveLoad {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if err := submitRetrying(sys.Caller(worker%2, key), queue); err != nil {
+					firstErr.CompareAndSwap(nil, &err)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	return func() (int64, error) {
+		cancel()
+		wg.Wait()
+		if err := firstErr.Load(); err != nil {
+			return answered.Load(), *err
+		}
+		return answered.Load(), nil
+	}
+}
+
+// submitRetrying submits an idempotent request again if a lost VM ended it.
+func submitRetrying(client *api.Client, queue string) error {
+	var err error
+	for range waveRetry {
+		if _, err = client.Submit(context.Background(), queue, []byte(waveTask), 5*time.Second, ""); err == nil {
+			return nil
+		}
+		var problem *api.Problem
+		if !errors.As(err, &problem) {
+			return err
+		}
+	}
+	return err
+}
+
+// breach names a pool that is over its budget by more than its failed VMs.
+func breach(vms []statemachine.VM, budgets map[string]int) string {
+	steps, failed := make(map[string]int), make(map[string]int)
+	for _, vm := range vms {
+		switch {
+		case vm.Condition != statemachine.ConditionHealthy:
+			failed[vm.Pool]++
+		case !vm.Available():
+			steps[vm.Pool]++
+		}
+	}
+	for pool, count := range steps {
+		if count > budgets[pool] {
+			return fmt.Sprintf("%s: %d under maintenance, %d failed, budget %d", pool, count, failed[pool], budgets[pool])
+		}
+	}
+	return ""
+}
+
+// waveOf reads a wave through the entry.
+func waveOf(sys *testbed.System, entry int, id string) api.WaveStatus {
+	waves, err := sys.Operator(entry).Waves(context.Background())
+	if err != nil {
+		return api.WaveStatus{}
+	}
+	for _, wave := range waves {
+		if wave.ID == id {
+			return wave
+		}
+	}
+	return api.WaveStatus{}
+}
+
+// TestWave_WholeFleetUnderLoad maintains all 50 VMs under steady load, loses a
+// rack in the middle and kills the planning entry. By the workers' own record
+// the wave cuts no task, drains no pool beyond its budget and starts nothing
+// late.
+func TestWave_WholeFleetUnderLoad(t *testing.T) {
+	sys, catalog := startUser(t, "apitt", 2)
+	sys.AddEntry()
+	sys.WaitReady(2)
+	key := sys.GrantKey(catalog.Workspaces[0].Name)
+	stop := steadyLoad(sys, key.Key, catalog.Workspaces[0].Name+".quotes")
+	budgets := make(map[string]int)
+	request := api.WaveRequest{ID: "kernel", DeadlineMS: 20000, MaxParallel: 16}
+	for _, pool := range catalog.Pools {
+		budgets[pool.Name] = pool.MaxUnavailable
+		request.Pools = append(request.Pools, pool.Name)
+	}
+
+	// The third entry carries no load; it is made the planner.
+	for i := range 2 {
+		sys.Entries[i].Pause()
+	}
+	_, err := sys.Operator(2).StartWave(context.Background(), request)
+	require.NoError(t, err)
+	sys.Wait("the third entry to plan", func() bool { return waveOf(sys, 2, "kernel").Planner != "" })
+	for i := range 2 {
+		sys.Entries[i].Resume()
+	}
+	planner := waveOf(sys, 2, "kernel").Planner
+	sys.Wait("the middle of the wave", func() bool { return waveOf(sys, 2, "kernel").Progress.Done >= 10 })
+	for i := 20; i < 24; i++ {
+		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{Gone: true})
+	}
+	sys.Entries[2].Kill()
+	sys.Wait("another planner", func() bool { p := waveOf(sys, 0, "kernel").Planner; return p != "" && p != planner })
+	for i := 20; i < 24; i++ {
+		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{})
+	}
+	found := ""
+	sys.Wait("the end of the wave", func() bool {
+		var vms []statemachine.VM
+		if sys.Operator(0).Get(context.Background(), "/v1/vms", &vms) == nil && found == "" {
+			found = breach(vms, budgets)
+		}
+		return waveOf(sys, 0, "kernel").State == statemachine.WaveDone
+	})
+	answered, err := stop()
+	require.NoError(t, err)
+	require.Empty(t, found)
+
+	progress := waveOf(sys, 0, "kernel").Progress
+	require.Equal(t, 50, progress.Done)
+	record := sys.Record()
+	t.Logf("%d answers, record: cut %d of them lost %d, late %d, draining at most %v",
+		answered, record.CutTasks, record.LostTasks, record.LateStarts, record.MaxDraining)
+	require.Equal(t, record.LostTasks, record.CutTasks, "tasks cut by the wave")
+	require.Zero(t, record.LateStarts)
+	for pool, count := range record.MaxDraining {
+		require.LessOrEqual(t, count, budgets[pool], pool)
+	}
+}
--- a/command/run.go
+++ b/command/run.go
@@ -44,6 +44,7 @@
 	c.Register(&keyCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&poolCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&vmCommand{operatorCommand: operatorCommand{output: out}}, "operating")
+	c.Register(&waveCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&statusCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&timelineCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 }
--- a/entry/fleetwatch.go
+++ b/entry/fleetwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -28,6 +29,15 @@
 	stream *logstream.Stream
 	clock  clockwork.Clock
 	logger hclog.Logger
+	listed atomic.Pointer[time.Time]
+}
+
+// listedAt returns when the VM list was last asked for with success.
+func (f *fleetWatch) listedAt() time.Time {
+	if at := f.listed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 func (f *fleetWatch) run(ctx context.Context) {
@@ -53,8 +63,10 @@
 		return
 	}
 	f.placer.Observe(list, asked)
+	f.listed.Store(&asked)
 	if isFirst(f.stream.State(), f.self) {
 		f.register(ctx, list)
+		f.writeHealth(ctx, list)
 	}
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -35,6 +35,7 @@
 		platformModule,
 		coreModule,
 		profileModule,
+		maintenanceModule,
 		fx.Invoke(register),
 	)
 }
--- /dev/null
+++ b/entry/module_maintenance.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/lease"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/maintenance"
+	"github.com/anvilcourse/anvilcourse/maintenance/executor"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/timeline"
+)
+
+// maintenanceTTL is the time after the last renewal at which another entry
+// takes the maintenance lease over.
+const maintenanceTTL = 3 * time.Second
+
+// maintenanceModule plans waves and carries them out while this entry holds
+// the maintenance lease.
+var maintenanceModule = fx.Module("maintenance",
+	fx.Provide(
+		newMaintenanceKeeper,
+		newExecutor,
+		fx.Annotate(newMaintenanceTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newMaintenanceStop, fx.ResultTags(`group:"stop_steps"`)),
+		fx.Annotate(newWaveRoutes, fx.ResultTags(`group:"operator_routes"`)),
+	),
+)
+
+func newMaintenanceKeeper(id identity, stream *logstream.Stream, clock clockwork.Clock) *lease.Keeper {
+	return lease.NewKeeper(lease.Config{
+		Name: statemachine.MaintenanceLease, Self: id.incarnation, TTL: maintenanceTTL,
+		Log: stream, Timer: lease.NewTimer(clock), Clock: clock,
+		Wanted: func() bool { return executor.HasWork(stream.State()) },
+	})
+}
+
+func newExecutor(id identity, keeper *lease.Keeper, stream *logstream.Stream, workers platform.Workers, client workerClient,
+	watch *fleetWatch, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
+) *executor.Executor {
+	return executor.New(executor.Config{
+		Lease: keeper, Log: stream, Workers: workers, Pools: platform.NewHTTPPools(client.Client),
+		Clock: clock, Logger: logger, Params: maintenance.DefaultParams(placement.LeaseTTL), Self: id.incarnation,
+		ListedAt:       watch.listedAt,
+		Need:           func() map[string]int { return nil },
+		Checkpointable: func(platform.TaskStatus) bool { return false },
+		Report: func(a maintenance.Action) {
+			ring.Add(actionEvent(id.incarnation, stream.State().Next, clock.Now(), a))
+		},
+	})
+}
+
+// actionEvent is the action's event in the time line.
+func actionEvent(self string, offset uint64, at time.Time, a maintenance.Action) timeline.Event {
+	event := timeline.Event{
+		AtUS: at.UnixMicro(), Entry: self, Kind: "maintenance_" + string(a.Kind), Offset: offset,
+		Wave: a.Wave, Request: a.Task, Detail: a.Cause,
+	}
+	if a.VM != nil {
+		event.VM = a.VM.ID
+	}
+	if a.MoveTo != "" {
+		event.Detail = "to pool " + a.MoveTo
+	}
+	return event
+}
+
+func newMaintenanceTasks(keeper *lease.Keeper, exec *executor.Executor) []task {
+	return []task{
+		{name: "maintenance lease", run: keeper.Run},
+		{name: "maintenance", run: exec.Run},
+	}
+}
+
+func newMaintenanceStop(keeper *lease.Keeper) stopStep {
+	return stopStep{name: "release the maintenance lease", run: keeper.Release}
+}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -27,7 +27,8 @@
 	Propose(ctx context.Context, command statemachine.Command) (statemachine.Result, error)
 }
 
-// Config holds what a Keeper works with. All members are required.
+// Config holds what a Keeper works with. All members but Wanted are
+// required.
 type Config struct {
 	// Name is the lease's name.
 	Name string
@@ -38,6 +39,9 @@
 	Log   Log
 	Timer Timer
 	Clock clockwork.Clock
+	// Wanted reports whether there is work for a holder. A lease that is not
+	// wanted is neither taken nor kept. Nil means always.
+	Wanted func() bool
 }
 
 // Keeper acquires, renews and watches one lease.
@@ -81,6 +85,10 @@
 // Release gives the lease up for good, so that the next holder need not wait.
 func (k *Keeper) Release(ctx context.Context) error {
 	k.released.Store(true)
+	return k.giveUp(ctx)
+}
+
+func (k *Keeper) giveUp(ctx context.Context) error {
 	held := k.tenure.Swap(nil)
 	if held == nil {
 		return nil
@@ -96,11 +104,14 @@
 
 // step renews a lease that is held, and otherwise looks whether it lapsed.
 func (k *Keeper) step(ctx context.Context) {
-	if held := k.tenure.Load(); held != nil {
+	held := k.tenure.Load()
+	wanted := !k.released.Load() && (k.cfg.Wanted == nil || k.cfg.Wanted())
+	switch {
+	case held != nil && wanted:
 		k.renew(ctx, held)
-		return
-	}
-	if !k.released.Load() {
+	case held != nil:
+		_ = k.giveUp(ctx)
+	case wanted:
 		k.contend(ctx)
 	}
 }
@@ -131,8 +142,8 @@
 func (k *Keeper) contend(ctx context.Context) {
 	at := k.cfg.Timer.Read()
 	lease := k.lease()
-	k.watch.look(lease, at, k.cfg.Log.Age() <= k.watch.maxGap)
-	if !k.watch.lapsed(lease, at) {
+	k.watch.look(lease, at)
+	if !k.watch.lapsed(lease, at, k.cfg.Log.Age()) {
 		return
 	}
 	result, err := k.propose(ctx, &statemachine.LeaseAcquire{Name: k.cfg.Name, Expected: lease.Epoch})
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -22,18 +22,18 @@
 	last  Reading
 }
 
-// look notes the lease as seen at the reading. Current tells whether the state
-// was known to be current; if not, a renewal may be there unseen.
-func (w *watch) look(lease statemachine.Lease, at Reading, current bool) {
+// look notes the lease as seen at the reading.
+func (w *watch) look(lease statemachine.Lease, at Reading) {
 	renewed := !w.started || lease.Epoch != w.epoch || lease.Renewals != w.renewals
 	paused := w.started && at.longest(w.last) > w.maxGap
-	if renewed || paused || !current {
+	if renewed || paused {
 		w.since = at
 	}
 	w.started, w.epoch, w.renewals, w.last = true, lease.Epoch, lease.Renewals, at
 }
 
-// lapsed reports whether the lease may be taken over.
-func (w *watch) lapsed(lease statemachine.Lease, at Reading) bool {
-	return w.started && (lease.Holder == "" || at.shortest(w.since) >= w.ttl)
+// lapsed reports whether the lease may be taken over. Age is the age of the
+// state that was looked at: a renewal may have come since.
+func (w *watch) lapsed(lease statemachine.Lease, at Reading, age time.Duration) bool {
+	return w.started && (lease.Holder == "" || at.shortest(w.since)-age >= w.ttl)
 }
--- a/maintenance/watch_health.go
+++ b/maintenance/watch_health.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // watchHealth stops a wave whose VMs fail, and reports whether it may go on. A
@@ -37,12 +35,6 @@
 	return all - v.wave.AcceptedFailures, settled - v.wave.AcceptedFailures
 }
 
-// FailuresOf counts the failed VMs that a wave has touched, for an operator who
-// accepts them with a resume.
-func FailuresOf(s *statemachine.State, wave *statemachine.Wave) int {
-	return len(newFleetView(s, []*statemachine.Wave{wave}).waves[wave.ID].failed)
-}
-
 // reportSkipped names the VMs that the wave has given up.
 func (d *planner) reportSkipped(v *waveView) {
 	if v.skipped > 0 {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -30,6 +30,9 @@
 	Truncate bool `json:"truncate"`
 	// LoseReplies drops the reply of this many tasks after their end.
 	LoseReplies int `json:"lose_replies"`
+	// AcceptDraining lets the VM take work, and be listed as live, while it
+	// drains.
+	AcceptDraining bool `json:"accept_draining"`
 	// Gone removes the VM: its tasks end and it refuses connections.
 	Gone bool `json:"gone"`
 }
--- a/standin/record.go
+++ b/standin/record.go
@@ -13,8 +13,16 @@
 	Running map[string]int `json:"running"`
 	// CutTasks counts the tasks that a reboot or a loss ended.
 	CutTasks int `json:"cut_tasks"`
-	// LateStarts counts the starts on a VM that was draining for more than 3 s.
+	// LostTasks counts those of them that a loss ended.
+	LostTasks int `json:"lost_tasks"`
+	// LateStarts counts the starts, refused ones included, on a VM that was
+	// draining for more than 3 s.
 	LateStarts int `json:"late_starts"`
+	// Draining is the number of VMs that drain now, by the pool that they were
+	// created in.
+	Draining map[string]int `json:"draining"`
+	// MaxDraining is the highest number of VMs that drained at once, by pool.
+	MaxDraining map[string]int `json:"max_draining"`
 }
 
 // recorder keeps a Record.
@@ -28,6 +36,9 @@
 		Starts:     make(map[string]int),
 		MaxRunning: make(map[string]int),
 		Running:    make(map[string]int),
+
+		Draining:    make(map[string]int),
+		MaxDraining: make(map[string]int),
 	}}
 }
 
@@ -48,6 +59,28 @@
 	}
 }
 
+// late counts a late start.
+func (r *recorder) late() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.LateStarts++
+}
+
+// lost counts the tasks that a loss has ended.
+func (r *recorder) lost(tasks int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.LostTasks += tasks
+}
+
+// draining counts VMs that begin or end to drain.
+func (r *recorder) draining(pool string, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Draining[pool] += change
+	r.record.MaxDraining[pool] = max(r.record.MaxDraining[pool], r.record.Draining[pool])
+}
+
 // snapshot returns a copy of the record.
 func (r *recorder) snapshot() Record {
 	r.mu.Lock()
@@ -56,6 +89,8 @@
 	out.Starts = copyCounts(r.record.Starts)
 	out.MaxRunning = copyCounts(r.record.MaxRunning)
 	out.Running = copyCounts(r.record.Running)
+	out.Draining = copyCounts(r.record.Draining)
+	out.MaxDraining = copyCounts(r.record.MaxDraining)
 	return out
 }
 
--- a/standin/vm.go
+++ b/standin/vm.go
@@ -13,6 +13,9 @@
 // maxEndedTasks bounds the ended tasks that a VM remembers.
 const maxEndedTasks = 4096
 
+// lateAfter is the time after the start of a drain from which a start is late.
+const lateAfter = 3 * time.Second
+
 // slot is one leased slot. It may run one task at a time.
 type slot struct {
 	holder  string
@@ -28,11 +31,13 @@
 	mu       sync.Mutex
 	faults   VMFaults
 	draining bool
-	slots    map[string]*slot
-	tasks    map[string]*task
-	order    []string
-	last     []byte
-	thaw     chan struct{}
+	// drainedAt is when the VM began to drain.
+	drainedAt time.Time
+	slots     map[string]*slot
+	tasks     map[string]*task
+	order     []string
+	last      []byte
+	thaw      chan struct{}
 	// record names the record of tasks, started counts its tasks and forgotten
 	// those that were dropped from it.
 	record    string
@@ -64,7 +69,7 @@
 func (v *vm) acquire(req platform.SlotRequest, now time.Time) (platform.SlotLease, platform.Code) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.draining {
+	if v.draining && !v.faults.AcceptDraining {
 		return platform.SlotLease{}, platform.CodeDraining
 	}
 	if v.free(now) <= 0 {
@@ -88,7 +93,10 @@
 func (v *vm) start(t *task, lease string, now time.Time) platform.Code {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.draining {
+	if v.draining && now.Sub(v.drainedAt) > lateAfter {
+		v.recorder.late()
+	}
+	if v.draining && !v.faults.AcceptDraining {
 		return platform.CodeDraining
 	}
 	s, ok := v.slots[lease]
@@ -159,21 +167,46 @@
 	return found
 }
 
-// reboot ends every task and returns to service.
-func (v *vm) reboot(now time.Time) {
+// reboot ends every task and returns how many ran.
+func (v *vm) reboot(now time.Time) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	ended := 0
 	for _, t := range v.tasks {
+		if t.status.State == platform.TaskRunning {
+			ended++
+		}
 		v.end(t, platform.TaskStopped, now, true)
 		t.cancel()
 	}
 	v.slots = make(map[string]*slot)
+	return ended
 }
 
-func (v *vm) setDraining(draining bool) {
+func (v *vm) setDraining(draining bool, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if draining == v.draining {
+		return
+	}
 	v.draining = draining
+	if draining {
+		v.drainedAt = now
+		v.recorder.draining(v.info.Pool, 1)
+		return
+	}
+	v.recorder.draining(v.info.Pool, -1)
+}
+
+// restart reboots the VM. Only a VM that drains is restarted.
+func (v *vm) restart(now time.Time) bool {
+	v.mu.Lock()
+	draining := v.draining
+	v.mu.Unlock()
+	if draining {
+		v.reboot(now)
+	}
+	return draining
 }
 
 func (v *vm) setFaults(faults VMFaults, now time.Time) {
@@ -186,7 +219,7 @@
 	}
 	v.mu.Unlock()
 	if faults.Gone {
-		v.reboot(now)
+		v.recorder.lost(v.reboot(now))
 	}
 }
 
@@ -209,7 +242,7 @@
 	defer v.mu.Unlock()
 	info := v.info
 	info.State = platform.VMLive
-	if v.draining {
+	if v.draining && !v.faults.AcceptDraining {
 		info.State = platform.VMLeaving
 	}
 	if v.faults.Gone {
--- a/standin/vmhandlers.go
+++ b/standin/vmhandlers.go
@@ -181,16 +181,19 @@
 }
 
 func handleDrain(w http.ResponseWriter, _ *http.Request, v *vm) {
-	v.setDraining(true)
+	v.setDraining(true, time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func handleReturn(w http.ResponseWriter, _ *http.Request, v *vm) {
-	v.setDraining(false)
+	v.setDraining(false, time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func handleReboot(w http.ResponseWriter, _ *http.Request, v *vm) {
-	v.reboot(time.Now())
+	if !v.restart(time.Now()) {
+		writeError(w, http.StatusConflict, platform.CodeInvalid, "the VM does not drain")
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
