Fold the ends of attempts in a lattice and retry stopped urgent work

Cause: a task of idempotent work that a stop or a reboot had cut ended its request as failed, and nothing bounded the repeats of work that may have begun. That an earlier start may have begun was kept by hand.

Ruled out: the outcome of the last start (says not_run of a request that ran; kept as a test), and failed above unknown (a request whose first start may have answered would be called failed).

Change: AttemptEnd and Kind.Join are pure functions; stopped work is started elsewhere; repeats of starts that may have begun spend from a budget of a tenth of the successes.

Before: TestUrgent_Faults/one_stops expected answered, got failed. After: go test -race ./dispatch passes; no request answered not_run has a start in the workers' record in the 20 cases of the table.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -7,29 +7,51 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// call sends one start and classifies its end. began tells whether the target
-// may have begun.
-func (d *Dispatcher) call(ctx context.Context, held *placement.Held, task platform.Task) (outcome Outcome, began bool) {
+// attempt is one start that was sent, and its end.
+type attempt struct {
+	end AttemptEnd
+	// answer is the whole answer of an answered attempt.
+	answer []byte
+	// err says what happened to the others.
+	err error
+}
+
+// call sends one start under the held slot and the unit of the allotment that
+// the caller has taken. It gives the unit back unless the task may still run:
+// then the limbo keeps it.
+func (d *Dispatcher) call(ctx context.Context, held *placement.Held, task platform.Task) attempt {
 	task.Lease = held.Lease
 	answer, err := d.cfg.Workers.RunTask(ctx, held.Target.Address, task)
-	if err == nil {
-		d.cfg.Allotment.Release(task.Team)
-		d.cfg.Slots.Release(held)
-		return Outcome{Kind: Answered, Answer: answer.Body, VM: held.Target.ID, Attempts: task.Attempt}, true
+	end := endOf(err)
+	if end == AttemptUnknown {
+		d.cfg.Limbo.Add(task, held.Target.Address)
+		return attempt{end: end, err: err}
 	}
-	switch platform.OutcomeOf(err) {
-	case platform.Refused:
-		d.cfg.Allotment.Release(task.Team)
-		if platform.CodeOf(err) == platform.CodeDraining {
-			d.cfg.Slots.MarkLeaving(held)
-		}
-		return notRun(CodeNoCapacity, err.Error(), busyRetryAfter), false
-	case platform.Failed:
-		d.cfg.Allotment.Release(task.Team)
+	d.cfg.Allotment.Release(task.Team)
+	if end.MayHaveBegun() {
 		d.cfg.Slots.Release(held)
-		return Outcome{Kind: Failed, Code: CodeTaskFailed, Message: err.Error(), VM: held.Target.ID, Attempts: task.Attempt}, true
-	default:
-		d.cfg.Limbo.Add(task, held.Target.Address)
-		return Outcome{Kind: Unknown, Code: CodeReplyLost, Message: err.Error(), VM: held.Target.ID, Attempts: task.Attempt}, true
+	} else if platform.CodeOf(err) == platform.CodeDraining {
+		d.cfg.Slots.MarkLeaving(held)
+	}
+	return attempt{end: end, answer: answer.Body, err: err}
+}
+
+// outcome returns the outcome of a request that ends with the attempt.
+func (a attempt) outcome(held *placement.Held, number int) Outcome {
+	out := Outcome{Kind: a.end.Outcome(), Answer: a.answer, VM: held.Target.ID, Attempts: number}
+	if a.err != nil {
+		out.Message = a.err.Error()
+	}
+	switch a.end {
+	case AttemptRefused:
+		out.Code = CodeNoCapacity
+		out.RetryAfter = busyRetryAfter
+	case AttemptFailed:
+		out.Code = CodeTaskFailed
+	case AttemptStopped:
+		out.Code = CodeTaskStopped
+	case AttemptUnknown:
+		out.Code = CodeReplyLost
 	}
+	return out
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,11 +53,12 @@
 	sequence atomic.Uint64
 	inflight atomic.Int64
 	stopping atomic.Bool
+	retries  *retryBudget
 }
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg}
+	return &Dispatcher{cfg: cfg, retries: newRetryBudget()}
 }
 
 // Inflight returns the number of requests that run.
--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/timeline"
+)
+
+const (
+	testTeam  = "team"
+	testKey   = "key"
+	testSlots = 8
+)
+
+// fixedControl is a control state that is always current.
+type fixedControl struct {
+	state *statemachine.State
+}
+
+func (c fixedControl) State() *statemachine.State { return c.state }
+func (c fixedControl) Current() bool              { return true }
+
+// newFixedControl returns a state with the VMs in one pool and one queue of
+// each class.
+func newFixedControl(t testing.TB, vms int) fixedControl {
+	t.Helper()
+	commands := []statemachine.Command{
+		&statemachine.PoolSet{Pool: statemachine.Pool{Name: "pool"}},
+		&statemachine.TemplateSet{Template: statemachine.Template{Name: "template", Pools: []string{"pool"}, Queues: []statemachine.Queue{
+			{Name: "urgent", Class: statemachine.ClassUrgent, Idempotent: true},
+			{Name: "order", Class: statemachine.ClassOrder},
+			{Name: "job", Class: statemachine.ClassJob, Idempotent: true},
+		}}},
+		&statemachine.WorkspaceSet{Workspace: statemachine.Workspace{Name: "w", Template: "template", Team: testTeam, Limit: 100}},
+		&statemachine.KeyGrant{Hash: statemachine.HashKey(testKey), Workspace: "w"},
+	}
+	for i := range vms {
+		commands = append(commands, &statemachine.VMAdd{VM: statemachine.VM{ID: vmID(i), Address: vmID(i), Pool: "pool", Slots: testSlots}})
+	}
+	batch := statemachine.Batch{Writer: "operator"}
+	for i, c := range commands {
+		batch.Records = append(batch.Records, statemachine.Record{Seq: uint64(i + 1), Command: c})
+	}
+	state, results := statemachine.New().Apply(0, batch)
+	for _, r := range results {
+		require.Nil(t, r.Void)
+	}
+	return fixedControl{state: state}
+}
+
+func vmID(i int) string { return fmt.Sprintf("vm-%d", i) }
+
+// bench is one entry's dispatcher over a fake fleet.
+type bench struct {
+	*Dispatcher
+	fleet  *fakeworkers.Fleet
+	ledger *quota.Ledger
+}
+
+// newBench returns a dispatcher on the fleet. What it starts ends with ctx.
+func newBench(ctx context.Context, t testing.TB, incarnation string, fleet *fakeworkers.Fleet, workers platform.Workers, vms int) *bench {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	control := newFixedControl(t, vms)
+	b := &bench{fleet: fleet, ledger: quota.NewLedger()}
+	slots := orderedSlots{workers: workers, holder: incarnation, vms: vms, ttl: placement.LeaseTTL}
+	b.ledger.SetAllotted(testTeam, 100)
+	limbo := NewLimbo(workers, clock, b.ledger.Release)
+	b.Dispatcher = New(Config{
+		Incarnation: incarnation, Control: control, Slots: slots, Allotment: b.ledger, Workers: workers,
+		Limbo: limbo, Clock: clock, Ring: timeline.NewRing(64), DefaultTimeout: 10 * time.Second,
+	})
+	go limbo.Run(ctx)
+	return b
+}
+
+// orderedSlots leases a slot of the first VM in order that is not avoided and
+// grants one.
+type orderedSlots struct {
+	workers platform.Workers
+	holder  string
+	vms     int
+	ttl     time.Duration
+}
+
+func (s orderedSlots) Acquire(ctx context.Context, _ []string, avoid string) (*placement.Held, error) {
+	for i := range s.vms {
+		id := vmID(i)
+		if id == avoid {
+			continue
+		}
+		lease, err := s.workers.AcquireSlot(ctx, id, platform.SlotRequest{Holder: s.holder, TTL: s.ttl})
+		if err == nil {
+			target := &placement.Target{ID: id, Address: id, Pool: "pool"}
+			return &placement.Held{Target: target, Lease: lease.ID}, nil
+		}
+	}
+	return nil, placement.ErrNoSlot
+}
+
+func (s orderedSlots) Release(h *placement.Held) {
+	_ = s.workers.ReleaseSlot(context.Background(), h.Target.Address, h.Lease)
+}
+
+func (s orderedSlots) MarkLeaving(*placement.Held) {}
+
+func newFleet(vms int) *fakeworkers.Fleet {
+	fleet := fakeworkers.New(clockwork.NewRealClock())
+	for i := range vms {
+		fleet.Add(vmID(i), testSlots)
+	}
+	return fleet
+}
+
+// bubbleContext ends with the test, and lets what runs in its bubble finish.
+func bubbleContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(2 * time.Hour)
+	})
+	return ctx
+}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -29,6 +29,7 @@
 	CodeNoCapacity     Code = "no_capacity"
 	CodeTimeout        Code = "timeout"
 	CodeTaskFailed     Code = "task_failed"
+	CodeTaskStopped    Code = "task_stopped"
 	CodeReplyLost      Code = "reply_lost"
 	CodeStopping       Code = "stopping"
 	CodeWrongClass     Code = "wrong_class"
--- /dev/null
+++ b/dispatch/retrybudget.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import "sync/atomic"
+
+const (
+	// successesPerRetry is the number of successes that pay for one retry.
+	successesPerRetry = 10
+	// maxSavedRetries bounds what is saved up for a burst of failures. A new
+	// entry starts with as many.
+	maxSavedRetries = 100
+)
+
+// retryBudget limits the retries of work that may have begun to a part of the
+// successes, so that retries cannot multiply the load of a failing fleet. It
+// takes no lock.
+type retryBudget struct {
+	// credit is counted in successes.
+	credit atomic.Int64
+}
+
+func newRetryBudget() *retryBudget {
+	b := &retryBudget{}
+	b.credit.Store(maxSavedRetries * successesPerRetry)
+	return b
+}
+
+// success earns a part of a retry.
+func (b *retryBudget) success() {
+	for {
+		credit := b.credit.Load()
+		if credit >= maxSavedRetries*successesPerRetry || b.credit.CompareAndSwap(credit, credit+1) {
+			return
+		}
+	}
+}
+
+// take spends one retry, or reports false if there is none.
+func (b *retryBudget) take() bool {
+	for {
+		credit := b.credit.Load()
+		if credit < successesPerRetry {
+			return false
+		}
+		if b.credit.CompareAndSwap(credit, credit-successesPerRetry) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/truth_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+)
+
+// TestUrgent_Faults holds the outcome of an urgent request against the
+// workers' own record, in every case of two VMs with these switches. Every
+// request tries the first VM first.
+func TestUrgent_Faults(t *testing.T) {
+	type vmFaults = fakeworkers.Faults
+	cases := map[string]struct {
+		first, second vmFaults
+		body          string
+		patience      time.Duration
+		kind          Kind
+	}{
+		"none":                           {kind: Answered},
+		"one unreachable":                {first: vmFaults{Unreachable: true}, kind: Answered},
+		"one gone":                       {first: vmFaults{Gone: true}, kind: Answered},
+		"one refuses":                    {first: vmFaults{RefuseStarts: true}, kind: Answered},
+		"one stops":                      {first: vmFaults{StopAll: true}, kind: Answered},
+		"one loses the reply":            {first: vmFaults{LoseReplies: 9}, kind: Answered},
+		"one crosses":                    {first: vmFaults{Crossed: true}, kind: Answered},
+		"one cuts short":                 {first: vmFaults{Truncate: true}, kind: Answered},
+		"both unreachable":               {first: vmFaults{Unreachable: true}, second: vmFaults{Unreachable: true}, kind: NotRun},
+		"both gone":                      {first: vmFaults{Gone: true}, second: vmFaults{Gone: true}, kind: NotRun},
+		"both refuse":                    {first: vmFaults{RefuseStarts: true}, second: vmFaults{RefuseStarts: true}, kind: NotRun},
+		"both stop":                      {first: vmFaults{StopAll: true}, second: vmFaults{StopAll: true}, kind: Failed},
+		"both lose the reply":            {first: vmFaults{LoseReplies: 9}, second: vmFaults{LoseReplies: 9}, kind: Unknown},
+		"both cross":                     {first: vmFaults{Crossed: true}, second: vmFaults{Crossed: true}, kind: Unknown},
+		"both late":                      {first: vmFaults{Late: time.Hour}, second: vmFaults{Late: time.Hour}, kind: Unknown},
+		"both fail":                      {first: vmFaults{FailAll: true}, second: vmFaults{FailAll: true}, kind: Failed},
+		"lost reply, then refusal":       {first: vmFaults{LoseReplies: 9}, second: vmFaults{RefuseStarts: true}, kind: Unknown},
+		"stop, then unreachable":         {first: vmFaults{StopAll: true}, second: vmFaults{Unreachable: true}, kind: Failed},
+		"the work fails":                 {body: `{"fail":true}`, kind: Failed},
+		"the work outlasts the patience": {body: `{"work_ms":5000}`, patience: time.Second, kind: Unknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := bubbleContext(t)
+				fleet := newFleet(2)
+				b := newBench(ctx, t, "e", fleet, fleet, 2)
+				fleet.SetFaults(vmID(0), c.first)
+				fleet.SetFaults(vmID(1), c.second)
+				checkUrgent(t, b, c.body, c.patience, c.kind)
+			})
+		})
+	}
+}
+
+// checkUrgent runs one request and holds it against the record.
+func checkUrgent(t *testing.T, b *bench, body string, patience time.Duration, kind Kind) {
+	t.Helper()
+	if patience == 0 {
+		patience = 5 * time.Second
+	}
+	outcome := b.Do(context.Background(), Request{Queue: "w.urgent", Key: testKey, Body: []byte(body), Timeout: patience})
+	starts := b.fleet.Starts()[outcome.Request]
+	if outcome.Kind == NotRun {
+		require.Zero(t, starts, "answered not_run, yet started")
+	}
+	if outcome.Kind == Answered {
+		require.Equal(t, string(fakeworkers.Answer(outcome.Request, []byte(body))), string(outcome.Answer))
+	}
+	require.LessOrEqual(t, starts, maxAttempts)
+	require.Equal(t, kind, outcome.Kind, outcome.Message)
+}
+
+// TestUrgent_RetriesSpendTheBudget checks that a fleet that fails everything
+// is not asked more often than the budget allows.
+func TestUrgent_RetriesSpendTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(2)
+		b := newBench(bubbleContext(t), t, "e", fleet, fleet, 2)
+		fleet.SetFaults(vmID(0), fakeworkers.Faults{StopAll: true})
+		fleet.SetFaults(vmID(1), fakeworkers.Faults{StopAll: true})
+		const requests = 500
+		for range requests {
+			b.Do(context.Background(), Request{Queue: "w.urgent", Key: testKey})
+		}
+		total := 0
+		for _, n := range fleet.Starts() {
+			total += n
+		}
+		require.Equal(t, requests+maxSavedRetries, total)
+	})
+}
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -6,36 +6,52 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// maxAttempts bounds the starts of one idempotent request.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the starts of one idempotent request that may have
+	// begun.
+	maxAttempts = 3
+	// maxStarts bounds the starts of one idempotent request, refused or not.
+	maxStarts = 8
+)
 
 // runUrgent starts the request, again after a failure that allows it, until
-// it has an outcome.
+// it has an outcome. A start that may have begun is repeated on another
+// target, on the retry budget.
 func (d *Dispatcher) runUrgent(ctx context.Context, id string, req Request, grant *Grant) Outcome {
-	worst := Outcome{}
+	outcome := Outcome{}
 	avoid := ""
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		task := platform.Task{ID: id, Attempt: attempt, Team: grant.Workspace.Team, Holder: d.cfg.Incarnation, Body: req.Body}
+	begun := 0
+	for number := 1; number <= maxStarts; number++ {
 		held, refusal := d.place(ctx, grant, avoid)
 		if held == nil {
-			return later(worst, refusal)
+			return outcome.join(refusal)
 		}
-		outcome, began := d.call(ctx, held, task)
-		if outcome.Kind == Answered || outcome.Kind == Failed {
+		task := platform.Task{ID: id, Attempt: number, Team: grant.Workspace.Team, Holder: d.cfg.Incarnation, Body: req.Body}
+		got := d.call(ctx, held, task)
+		outcome = outcome.join(got.outcome(held, number))
+		if !got.end.retryable() {
+			d.countSuccess(got.end)
 			return outcome
 		}
-		if began {
-			worst = outcome
+		if got.end.MayHaveBegun() {
+			begun++
+			if begun == maxAttempts || !d.retries.take() {
+				return outcome
+			}
 		}
 		avoid = held.Target.ID
 	}
-	return later(worst, notRun(CodeNoCapacity, "no target took the request", busyRetryAfter))
+	return outcome
+}
+
+// retryable reports whether idempotent work may be started again after such
+// an end. A failure that the task itself reports would come again.
+func (e AttemptEnd) retryable() bool {
+	return e == AttemptRefused || e == AttemptStopped || e == AttemptUnknown
 }
 
-// later returns the refusal, unless an earlier attempt may have begun.
-func later(worst, refusal Outcome) Outcome {
-	if worst.Kind != "" {
-		return worst
+func (d *Dispatcher) countSuccess(end AttemptEnd) {
+	if end == AttemptAnswered {
+		d.retries.success()
 	}
-	return refusal
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -113,7 +113,7 @@
 		return http.StatusTooManyRequests
 	case dispatch.CodeWrongClass, dispatch.CodeNotImplemented:
 		return http.StatusNotImplemented
-	case dispatch.CodeTaskFailed:
+	case dispatch.CodeTaskFailed, dispatch.CodeTaskStopped:
 		return http.StatusBadGateway
 	case dispatch.CodeReplyLost, dispatch.CodeTimeout:
 		return http.StatusGatewayTimeout
