--- a/statemachine/claim.go
+++ b/statemachine/claim.go
@@ -1,4 +1,128 @@
 package statemachine
 
+const (
+	// KindClaim is the kind of Claim.
+	KindClaim Kind = "claim"
+	// KindClaimSettle is the kind of ClaimSettle.
+	KindClaimSettle Kind = "claim_settle"
+	// KindStreamsFix is the kind of StreamsFix.
+	KindStreamsFix Kind = "streams_fix"
+)
+
+// Claim reserves an order for one start on one target. It is void unless it
+// is the first of its key, or the claim before it was released. The start may
+// be sent only after the claim has been read back and is not void.
+type Claim struct {
+	// Key is the caller's idempotency key.
+	Key string `json:"key"`
+	// KeyMS is the key's own time in Unix milliseconds.
+	KeyMS int64  `json:"key_ms"`
+	Team  string `json:"team"`
+	// BodyHash is the hash of the queue and the body.
+	BodyHash string `json:"body_hash"`
+	// Target is the VM that the order is bound to.
+	Target string `json:"target"`
+	// Address is the VM's address.
+	Address string `json:"address"`
+	// Record names the VM's record of tasks at the grant of the slot lease.
+	Record string `json:"record"`
+	// Started is the number of tasks that the VM had started at the grant.
+	Started uint64 `json:"started"`
+}
+
+// Kind implements Command.
+func (*Claim) Kind() Kind { return KindClaim }
+
+func (c *Claim) apply(next *State, ctx applyContext) *Void {
+	next.forgetOrders(ctx.atMS)
+	if c.KeyMS < next.OrderHorizonMS {
+		return voidf(ReasonExpired, "the key is older than %s", ClaimWindow)
+	}
+	if c.KeyMS > ctx.atMS+ClaimAhead.Milliseconds() {
+		return voidf(ReasonExpired, "the key is more than %s ahead", ClaimAhead)
+	}
+	id := OrderID(c.Team, c.Key)
+	attempt := 1
+	if current, ok := next.Orders.Get(id); ok {
+		if current.End != OrderReleased || current.BodyHash != c.BodyHash {
+			return voidf(ReasonExists, "the order is claimed by %s", current.Holder)
+		}
+		attempt = current.Attempt + 1
+	}
+	next.Orders = next.Orders.Set(id, &Order{Claim: *c, Attempt: attempt, Holder: ctx.writer})
+	next.OpenOrders = next.OpenOrders.Set(id, attempt)
+	next.OrdersByAge = next.OrdersByAge.Set(ageIndex(c.KeyMS, id), id)
+	return nil
+}
+
+// ClaimSettle records the outcome of a claim. The first one counts.
+type ClaimSettle struct {
+	// Order is the order's ID.
+	Order string `json:"order"`
+	// Attempt is the claim that is settled.
+	Attempt     int      `json:"attempt"`
+	End         OrderEnd `json:"end"`
+	Answer      []byte   `json:"answer,omitempty"`
+	AnswerBytes int      `json:"answer_bytes,omitempty"`
+	Message     string   `json:"message,omitempty"`
+}
+
+// Kind implements Command.
+func (*ClaimSettle) Kind() Kind { return KindClaimSettle }
+
+func (c *ClaimSettle) apply(next *State, ctx applyContext) *Void {
+	next.forgetOrders(ctx.atMS)
+	current, ok := next.Orders.Get(c.Order)
+	if !ok {
+		return voidf(ReasonNotFound, "order %s is not claimed", c.Order)
+	}
+	if current.Attempt != c.Attempt {
+		return voidf(ReasonVersion, "order %s is at claim %d, not %d", c.Order, current.Attempt, c.Attempt)
+	}
+	if current.End != "" {
+		return voidf(ReasonExists, "order %s is settled as %s", c.Order, current.End)
+	}
+	switch c.End {
+	case OrderAnswered, OrderFailed, OrderReleased:
+	default:
+		return voidf(ReasonInvalid, "%q is no end of an order", c.End)
+	}
+	if len(c.Answer) > MaxRecordedAnswer {
+		return voidf(ReasonInvalid, "an answer of %d bytes is not kept", len(c.Answer))
+	}
+	settled := *current
+	settled.End, settled.Answer, settled.AnswerBytes, settled.Message = c.End, c.Answer, c.AnswerBytes, c.Message
+	next.Orders = next.Orders.Set(c.Order, &settled)
+	next.OpenOrders = next.OpenOrders.Delete(c.Order)
+	return nil
+}
+
+// StreamsFix sets into how many streams a kind of work is divided. The first
+// one counts for good: with another number the same key would go to another
+// stream, and a claim there would not see the first.
+type StreamsFix struct {
+	// Prefix is the common part of the streams' names.
+	Prefix string `json:"prefix"`
+	Count  int    `json:"count"`
+}
+
+// Kind implements Command.
+func (*StreamsFix) Kind() Kind { return KindStreamsFix }
+
+func (c *StreamsFix) apply(next *State, _ applyContext) *Void {
+	if count, ok := next.StreamCounts.Get(c.Prefix); ok {
+		return voidf(ReasonExists, "%s has %d streams", c.Prefix, count)
+	}
+	if c.Prefix == "" || c.Count < 1 {
+		return voidf(ReasonInvalid, "%q cannot have %d streams", c.Prefix, c.Count)
+	}
+	next.StreamCounts = next.StreamCounts.Set(c.Prefix, c.Count)
+	return nil
+}
+
 // claimCommands are the commands that claim and settle orders.
-var claimCommands = map[Kind]newCommand{}
+var claimCommands = map[Kind]newCommand{
+	KindClaim:       func() Command { return &Claim{} },
+	KindClaimSettle: func() Command { return &ClaimSettle{} },
+	KindStreamsFix:  func() Command { return &StreamsFix{} },
+}
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -20,6 +20,18 @@
 	Allotments Table[*Allotments] `json:"allotments"`
 	// ByTeam holds the workspace that each team owns.
 	ByTeam Table[*Workspace] `json:"by_team"`
+
+	// StreamCounts holds the number of streams of each kind of divided work.
+	StreamCounts Table[int] `json:"stream_counts"`
+	// Orders holds the claims of the window by order ID.
+	Orders Table[*Order] `json:"orders"`
+	// OpenOrders holds the current claim's number of each unsettled order.
+	OpenOrders Table[int] `json:"open_orders"`
+	// OrdersByAge holds the order IDs by the time of their keys.
+	OrdersByAge Table[string] `json:"orders_by_age"`
+	// OrderHorizonMS is the time before which no key can be claimed, in Unix
+	// milliseconds. It never decreases.
+	OrderHorizonMS int64 `json:"order_horizon_ms"`
 }
 
 // WriterMark is what the state remembers of a writer.
--- a/statemachine/void.go
+++ b/statemachine/void.go
@@ -19,6 +19,8 @@
 	// ReasonDuplicate means that a record of the same writer with this or a
 	// later number has been applied.
 	ReasonDuplicate Reason = "duplicate"
+	// ReasonExpired means that the record's key lies outside the window.
+	ReasonExpired Reason = "expired"
 	// ReasonWriter means that the writer may not write the record.
 	ReasonWriter Reason = "writer"
 )
