--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -14,8 +14,18 @@
 	Keys  Table[*Key]  `json:"keys"`
 	Pools Table[*Pool] `json:"pools"`
 	VMs   Table[*VM]   `json:"vms"`
+	// PoolUsage counts the VMs of each pool.
+	PoolUsage Table[Usage] `json:"pool_usage"`
+	// ZoneUsage counts the VMs of each availability zone.
+	ZoneUsage Table[Usage] `json:"zone_usage"`
+	// Zones are the availability zones whose budget was set.
+	Zones  Table[*Zone]  `json:"zones"`
+	Leases Table[*Lease] `json:"leases"`
+	Waves  Table[*Wave]  `json:"waves"`
 	// Entries are the entry processes by incarnation.
 	Entries Table[*Entry] `json:"entries"`
+	// MembershipVersion counts the joined, left and cleared entries.
+	MembershipVersion uint64 `json:"membership_version"`
 	// Allotments divide the upper limits, by team.
 	Allotments Table[*Allotments] `json:"allotments"`
 	// ByTeam holds the workspace that each team owns.
@@ -40,6 +50,8 @@
 	Seq uint64 `json:"seq"`
 	// AtMS is the writer's wall clock at its latest batch, in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
+	// Gone is set once the writer has left or was cleared as an entry.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // New returns the state of an empty stream.
