--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,8 +28,10 @@
 
 // Allotment counts running tasks against the entry's part of a team's limit.
 type Allotment interface {
-	Acquire(team string) bool
-	Release(team string)
+	// Acquire takes one unit and returns the holder to name in the start.
+	Acquire(team string) (holder string, ok bool)
+	// Release gives the unit of the holder back.
+	Release(team, holder string)
 }
 
 // Config holds what a Dispatcher works with. All members are required.
@@ -53,11 +55,12 @@
 	sequence atomic.Uint64
 	inflight atomic.Int64
 	stopping atomic.Bool
+	retries  *retryBudget
 }
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg}
+	return &Dispatcher{cfg: cfg, retries: newRetryBudget()}
 }
 
 // Inflight returns the number of requests that run.
--- a/entry/control.go
+++ b/entry/control.go
@@ -32,11 +32,13 @@
 func (c *control) addPeers(v *controlView) {
 	state := c.State()
 	v.next, v.entries = state.Next, state.Entries.Len()
-	_, v.member = state.Entries.Get(c.self)
+	_, v.member = state.Member(c.self)
 	for _, member := range c.membership.Reachable() {
 		if _, ok := state.Entries.Get(member.Incarnation); !ok {
 			continue
 		}
-		v.peers = append(v.peers, peerView{readable: member.Last.GetLogReadable(), applied: member.Last.GetApplied()})
+		v.peers = append(v.peers, peerView{
+			readable: member.Last.GetLogReadable(), applied: member.Last.GetApplied(), leaving: member.Last.GetLeaving(),
+		})
 	}
 }
--- a/entry/fleetwatch.go
+++ b/entry/fleetwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -28,6 +29,15 @@
 	stream *logstream.Stream
 	clock  clockwork.Clock
 	logger hclog.Logger
+	listed atomic.Pointer[time.Time]
+}
+
+// listedAt returns when the VM list was last asked for with success.
+func (f *fleetWatch) listedAt() time.Time {
+	if at := f.listed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 func (f *fleetWatch) run(ctx context.Context) {
@@ -53,8 +63,10 @@
 		return
 	}
 	f.placer.Observe(list, asked)
+	f.listed.Store(&asked)
 	if isFirst(f.stream.State(), f.self) {
 		f.register(ctx, list)
+		f.writeHealth(ctx, list)
 	}
 }
 
@@ -89,7 +101,7 @@
 // isFirst reports whether the incarnation is the first member in order. It
 // spares the others the work, and two first ones at once do no harm.
 func isFirst(state *statemachine.State, self string) bool {
-	for incarnation := range state.Entries.All() {
+	for incarnation := range state.Members() {
 		return incarnation == self
 	}
 	return false
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -6,6 +6,8 @@
 type peerView struct {
 	readable bool
 	applied  uint64
+	// leaving members count in no majority any more.
+	leaving bool
 }
 
 // controlView is what one entry knows when it decides whether its control
@@ -42,12 +44,16 @@
 	if !v.member {
 		return false
 	}
+	staying := 1
 	for _, p := range v.peers {
 		if p.readable || p.applied > v.next {
 			return false
 		}
+		if !p.leaving {
+			staying++
+		}
 	}
-	return isMajority(1+len(v.peers), v.entries)
+	return isMajority(staying, v.entries)
 }
 
 // isMajority reports whether count is more than half of the whole.
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -17,7 +17,7 @@
 	if fault := r.control.Fault(); fault != nil {
 		return fault.Error()
 	}
-	if _, ok := r.control.State().Entries.Get(r.self); !ok {
+	if _, ok := r.control.State().Member(r.self); !ok {
 		return "not joined"
 	}
 	if !r.control.Current() {
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -17,12 +17,38 @@
 	Keys  Table[*Key]  `json:"keys"`
 	Pools Table[*Pool] `json:"pools"`
 	VMs   Table[*VM]   `json:"vms"`
+	// PoolUsage counts the VMs of each pool.
+	PoolUsage Table[Usage] `json:"pool_usage"`
+	// ZoneUsage counts the VMs of each availability zone.
+	ZoneUsage Table[Usage] `json:"zone_usage"`
+	// UnderMaintenance holds the VMs that are in a step.
+	UnderMaintenance Table[bool] `json:"under_maintenance"`
+	// Lent holds the VMs that a spare pool has lent.
+	Lent Table[bool] `json:"lent"`
+	// Zones are the availability zones whose budget was set.
+	Zones  Table[*Zone]  `json:"zones"`
+	Leases Table[*Lease] `json:"leases"`
+	Waves  Table[*Wave]  `json:"waves"`
 	// Entries are the entry processes by incarnation.
 	Entries Table[*Entry] `json:"entries"`
+	// MembershipVersion counts the joined, left and cleared entries.
+	MembershipVersion uint64 `json:"membership_version"`
 	// Allotments divide the upper limits, by team.
 	Allotments Table[*Allotments] `json:"allotments"`
 	// ByTeam holds the workspace that each team owns.
 	ByTeam Table[*Workspace] `json:"by_team"`
+
+	// StreamCounts holds the number of streams of each kind of divided work.
+	StreamCounts Table[int] `json:"stream_counts"`
+	// Orders holds the claims of the window by order ID.
+	Orders Table[*Order] `json:"orders"`
+	// OpenOrders holds the current claim's number of each unsettled order.
+	OpenOrders Table[int] `json:"open_orders"`
+	// OrdersByAge holds the order IDs by the time of their keys.
+	OrdersByAge Table[string] `json:"orders_by_age"`
+	// OrderHorizonMS is the time before which no key can be claimed, in Unix
+	// milliseconds. It never decreases.
+	OrderHorizonMS int64 `json:"order_horizon_ms"`
 }
 
 // WriterMark is what the state remembers of a writer.
@@ -31,6 +57,8 @@
 	Seq uint64 `json:"seq"`
 	// AtMS is the writer's wall clock at its latest batch, in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
+	// Gone is set once the writer has left or was cleared as an entry.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // New returns the state of an empty stream.
