entry: a change is accepted once a majority has applied it

Cause: an operator's change was answered 200 as soon as it was in the log. An entry that worked on without the log could miss it: when only a minority reaches the log, the others reach more than half of the entries among themselves, and none of those has read the change.

Ruled out: stopping every entry that cannot read the log (an outage would stop all work), and an answer only when all live entries have applied the change (one paused entry would hold every operator).

Change: 200 only when more than half of the entries of the control state are known to have applied the offset and the others can find a majority in no control state that they may still know (the electorates that the removal of entries keeps); else 202 with applied false and a sentence. The decision to go on without a young proof is a pure function of a typed view, with a truth table that has the suspended VM and the clock set back.

--- a/api/operators.go
+++ b/api/operators.go
@@ -12,6 +12,9 @@
 	Offset uint64 `json:"offset"`
 	// Applied tells whether every live entry is known to have applied it.
 	Applied bool `json:"applied"`
+	// Detail says why an answer 202 is not an answer 200: the change is in the
+	// log, and not yet known to be applied by more than half of the entries.
+	Detail string `json:"detail,omitempty"`
 }
 
 // KeyGrantRequest asks for a new key.
--- a/command/operator.go
+++ b/command/operator.go
@@ -53,6 +53,10 @@
 	if c.json {
 		return c.done(c.printJSON(a))
 	}
+	if a.Detail != "" {
+		fmt.Fprintf(c.stdout, "written at offset %d: %s\n", a.Offset, a.Detail)
+		return subcommands.ExitSuccess
+	}
 	where := "not yet confirmed by every entry"
 	if a.Applied {
 		where = "in force at every entry"
--- /dev/null
+++ b/entry/freshness_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestControlView_Current is the truth table of the decision to admit work.
+func TestControlView_Current(t *testing.T) {
+	same := peerView{applied: 7}
+	rows := []struct {
+		name string
+		view controlView
+		want bool
+	}{
+		{"young proof", controlView{}, true},
+		{"proof at the bound", controlView{wallAge: currentFor, monotonicAge: currentFor}, true},
+		{"suspended VM, monotonic clock stopped", controlView{wallAge: time.Hour}, false},
+		{"wall clock set back", controlView{wallAge: -time.Hour, monotonicAge: currentFor + 1}, false},
+		{"young proof on a foreign log", controlView{faulted: true}, false},
+		{"majority on a foreign log", old(controlView{faulted: true, member: true, entries: 1}), false},
+		{"alone of one", old(controlView{member: true, entries: 1}), true},
+		{"alone of two", old(controlView{member: true, entries: 2}), false},
+		{"two of three", old(controlView{member: true, entries: 3, peers: []peerView{same}}), true},
+		{"two of four", old(controlView{member: true, entries: 4, peers: []peerView{same}}), false},
+		{"three of four", old(controlView{member: true, entries: 4, peers: []peerView{same, same}}), true},
+		{"no member", old(controlView{entries: 3, peers: []peerView{same, same}}), false},
+		{"no member of an empty state", old(controlView{}), false},
+		{"a peer reads the log", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 7, readable: true}}}), false},
+		{"a peer has applied more", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 8}}}), false},
+		{"a peer has applied less", old(controlView{member: true, entries: 3, peers: []peerView{{applied: 6}}}), true},
+		{"a leaving peer does not count", old(controlView{member: true, entries: 3, peers: []peerView{{applied: 7, leaving: true}}}), false},
+		{"a leaving peer has applied more", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 8, leaving: true}}}), false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) { require.Equal(t, row.want, row.view.current()) })
+	}
+}
+
+// old makes the view's proof too old and its offset 7.
+func old(v controlView) controlView {
+	v.monotonicAge, v.next = currentFor+1, 7
+	return v
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -1,12 +1,10 @@
 package entry
 
 import (
-	"context"
 	"crypto/subtle"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -20,12 +18,8 @@
 	"github.com/anvilcourse/anvilcourse/timeline"
 )
 
-const (
-	proposeTimeout  = 5 * time.Second
-	appliedTimeout  = 3 * time.Second
-	appliedPoll     = 20 * time.Millisecond
-	maxOperatorBody = 1 << 20
-)
+// maxOperatorBody bounds the body of an operator's call, in bytes.
+const maxOperatorBody = 1 << 20
 
 // operators is the HTTP interface for operators.
 type operators struct {
@@ -205,42 +199,13 @@
 	if !ok {
 		return
 	}
-	g.JSON(http.StatusOK, api.KeyGranted{Accepted: accepted, Key: key, Hash: hash})
+	g.JSON(acceptedStatus(accepted), api.KeyGranted{Accepted: accepted, Key: key, Hash: hash})
 }
 
 func (o *operators) withdrawKey(g *gin.Context) {
 	o.propose(g, &statemachine.KeyWithdraw{Hash: g.Param("hash")})
 }
 
-// propose writes the command and answers with its acceptance.
-func (o *operators) propose(g *gin.Context, command statemachine.Command) {
-	accepted, ok := o.accept(g, command)
-	if ok {
-		g.JSON(http.StatusOK, accepted)
-	}
-}
-
-// accept writes the command and, if asked, waits until every live entry has
-// applied it. It answers the refusal itself.
-func (o *operators) accept(g *gin.Context, command statemachine.Command) (api.Accepted, bool) {
-	ctx, cancel := context.WithTimeout(g.Request.Context(), proposeTimeout)
-	defer cancel()
-	result, err := o.control.Propose(ctx, command)
-	if err != nil {
-		writeProposeError(g, err)
-		return api.Accepted{}, false
-	}
-	if result.Void != nil {
-		writeProblem(g, voidStatus(result.Void.Reason), string(result.Void.Reason), result.Void.Message)
-		return api.Accepted{}, false
-	}
-	accepted := api.Accepted{Offset: result.Offset}
-	if g.Query("wait") == "applied" {
-		accepted.Applied = o.awaitApplied(g.Request.Context(), result.Offset)
-	}
-	return accepted, true
-}
-
 func writeProposeError(g *gin.Context, err error) {
 	outcome := dispatch.NotRun
 	detail := "the log took no record of the change; try again"
@@ -263,40 +228,3 @@
 		return http.StatusUnprocessableEntity
 	}
 }
-
-// awaitApplied waits until no member works with a configuration from before
-// the offset: each has said that it applied the offset, or has not been heard
-// of for so long that it has either read the log or stopped admitting work.
-func (o *operators) awaitApplied(ctx context.Context, offset uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, appliedTimeout)
-	defer cancel()
-	accepted := time.Now()
-	ticker := time.NewTicker(appliedPoll)
-	defer ticker.Stop()
-	for {
-		if o.allApplied(offset, time.Since(accepted) > currentFor) {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-	}
-}
-
-// allApplied reports whether every member has applied the offset. Members
-// that do not answer are passed over if silentAllowed is set.
-func (o *operators) allApplied(offset uint64, silentAllowed bool) bool {
-	applied := map[string]bool{o.id.incarnation: o.control.State().Next > offset}
-	for _, member := range o.membership.Reachable() {
-		applied[member.Incarnation] = member.Last.GetApplied() > offset
-	}
-	for incarnation := range o.control.State().Members() {
-		done, heard := applied[incarnation]
-		if heard && !done || !heard && !silentAllowed {
-			return false
-		}
-	}
-	return true
-}
