Run a maintenance wave under load in the demo

Cause: the demo showed requests and keys, but no maintenance.

Ruled out: a wave over all pools. The two users' templates share the pools, the stricter policy lends a spare VM first and goes zone by zone, and 31 of 50 VMs were done after 25 s, more than a person waits for.

Change: one pool is maintained while both users' requests run until it ends; the demo samples the VMs out of service against each pool's budget.

--- a/demo/report.go
+++ b/demo/report.go
@@ -27,8 +27,10 @@
 	P99US int64 `json:"p99_us"`
 	// WithdrawnMS is the time until every entry refused the withdrawn key, in
 	// milliseconds.
-	WithdrawnMS int64   `json:"withdrawn_ms"`
-	Checks      []Check `json:"checks"`
+	WithdrawnMS int64 `json:"withdrawn_ms"`
+	// WaveMS is the time that the maintenance of a pool took, in milliseconds.
+	WaveMS int64   `json:"wave_ms"`
+	Checks []Check `json:"checks"`
 }
 
 func (r *Report) check(name string, held bool, format string, args ...any) {
@@ -49,7 +51,8 @@
 func (r *Report) Print(w io.Writer) {
 	fmt.Fprintf(w, "requests: %d answered, %d not run, %d failed, %d unknown\n", r.Answered, r.NotRun, r.Failed, r.Unknown)
 	fmt.Fprintf(w, "latency:  median %v, 99th percentile %v\n", time.Duration(r.P50US)*time.Microsecond, time.Duration(r.P99US)*time.Microsecond)
-	fmt.Fprintf(w, "key:      refused at every entry %d ms after its withdrawal\n\n", r.WithdrawnMS)
+	fmt.Fprintf(w, "key:      refused at every entry %d ms after its withdrawal\n", r.WithdrawnMS)
+	fmt.Fprintf(w, "wave:     a pool's VMs drained, rebooted and returned under load in %.1f s\n\n", float64(r.WaveMS)/1000)
 	for _, c := range r.Checks {
 		mark := "kept  "
 		if !c.Held {
--- a/demo/run.go
+++ b/demo/run.go
@@ -15,7 +15,7 @@
 
 const (
 	entryCount       = 3
-	requestsPerQueue = 400
+	requestsPerRound = 100
 	parallelPerQueue = 24
 	withdrawBound    = 3 * time.Second
 )
@@ -67,7 +67,16 @@
 	if err := s.awaitCapacity(ctx, limits); err != nil {
 		return err
 	}
-	wrong := s.runLoad(ctx, keys, queues, report)
+	wave := make(chan error, 1)
+	waveEnded := make(chan struct{})
+	go func() {
+		wave <- s.runWave(ctx, report)
+		close(waveEnded)
+	}()
+	wrong := s.runLoad(ctx, keys, queues, waveEnded, report)
+	if err := <-wave; err != nil {
+		return err
+	}
 	report.check("every caller got the whole answer to its own request", wrong == 0, "%d wrong answers", wrong)
 	s.checkWithdrawal(ctx, keys[0], queues[0], report)
 	s.checkRecord(limits, report)
@@ -117,9 +126,9 @@
 	})
 }
 
-// runLoad submits each queue's requests through all entries and returns the
-// number of wrong answers.
-func (s *system) runLoad(ctx context.Context, keys []api.KeyGranted, queues []string, report *Report) int {
+// runLoad submits each queue's requests through all entries, round by round
+// until the end, and returns the number of wrong answers.
+func (s *system) runLoad(ctx context.Context, keys []api.KeyGranted, queues []string, end <-chan struct{}, report *Report) int {
 	t := newTally()
 	var wg sync.WaitGroup
 	for q, queue := range queues {
@@ -127,7 +136,11 @@
 		for i := range s.entries {
 			clients = append(clients, s.caller(i, keys[q].Key))
 		}
-		wg.Go(func() { submitMany(ctx, clients, queue, requestsPerQueue, parallelPerQueue, t) })
+		wg.Go(func() {
+			for !ended(end) {
+				submitMany(ctx, clients, queue, requestsPerRound, parallelPerQueue, t)
+			}
+		})
 	}
 	wg.Wait()
 	report.Answered, report.NotRun, report.Failed, report.Unknown = t.answered, t.notRun, t.failed, t.unknown
@@ -136,6 +149,15 @@
 	return t.wrong
 }
 
+func ended(end <-chan struct{}) bool {
+	select {
+	case <-end:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkWithdrawal withdraws a key and measures until all entries refuse it.
 func (s *system) checkWithdrawal(ctx context.Context, key api.KeyGranted, queue string, report *Report) {
 	start := time.Now()
--- a/demo/system.go
+++ b/demo/system.go
@@ -22,6 +22,8 @@
 	operatorKey  = "demo-operator-key"
 	readyTimeout = 10 * time.Second
 	readyPoll    = 20 * time.Millisecond
+	// listLag is short, so that a wave is over while a person waits.
+	listLag = 200 * time.Millisecond
 )
 
 // system is a stand-in with entries in this process.
@@ -36,6 +38,7 @@
 // ready.
 func startSystem(ctx context.Context, entries int, s settings.Standin) (*system, error) {
 	s.Listen = "127.0.0.1:0"
+	s.ListLag = settings.Duration(listLag)
 	server, err := standin.Start(s)
 	if err != nil {
 		return nil, errors.Wrap(err, "start the stand-in")
