--- a/entry/module.go
+++ b/entry/module.go
@@ -34,6 +34,7 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
 		profileModule,
 		limitsModule,
 		maintenanceModule,
@@ -102,9 +103,10 @@
 	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -115,6 +117,7 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
@@ -147,8 +150,8 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
--- a/logstream/watched.go
+++ b/logstream/watched.go
@@ -18,6 +18,7 @@
 	changed := make(chan struct{})
 	w.changed.Store(&changed)
 	s.Observe(w.notify)
+	s.ObserveInstall(func(state *statemachine.State) { w.notify(state, nil) })
 	return w
 }
 
