--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -41,6 +41,7 @@
 	Allotment   Allotment
 	Workers     platform.Workers
 	Limbo       *Limbo
+	Orders      *Orders
 	Clock       clockwork.Clock
 	Ring        *timeline.Ring
 	// DefaultTimeout is the patience of a caller on a queue without one.
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -103,7 +103,7 @@
 		lease, err := s.workers.AcquireSlot(ctx, id, platform.SlotRequest{Holder: s.holder, TTL: s.ttl})
 		if err == nil {
 			target := &placement.Target{ID: id, Address: id, Pool: "pool"}
-			return &placement.Held{Target: target, Lease: lease.ID}, nil
+			return &placement.Held{Target: target, Lease: lease.ID, Record: lease.Record, Started: lease.Started}, nil
 		}
 	}
 	return nil, placement.ErrNoSlot
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -111,13 +111,19 @@
 		return http.StatusForbidden
 	case dispatch.CodeNoQueue:
 		return http.StatusNotFound
+	case dispatch.CodeBadKey:
+		return http.StatusBadRequest
+	case dispatch.CodeKeyWindow:
+		return http.StatusUnprocessableEntity
+	case dispatch.CodeKeyReused, dispatch.CodeOrderOpen:
+		return http.StatusConflict
 	case dispatch.CodeTeamLimit:
 		return http.StatusTooManyRequests
 	case dispatch.CodeWrongClass, dispatch.CodeNotImplemented:
 		return http.StatusNotImplemented
 	case dispatch.CodeTaskFailed, dispatch.CodeTaskStopped:
 		return http.StatusBadGateway
-	case dispatch.CodeReplyLost, dispatch.CodeTimeout:
+	case dispatch.CodeReplyLost, dispatch.CodeTimeout, dispatch.CodeAnswerNotKept:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusServiceUnavailable
--- a/entry/module.go
+++ b/entry/module.go
@@ -35,6 +35,7 @@
 		platformModule,
 		coreModule,
 		profileModule,
+		ordersModule,
 		fx.Invoke(register),
 	)
 }
@@ -150,11 +151,11 @@
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 	})
 }
 
--- /dev/null
+++ b/entry/module_orders.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
+
+// ordersStream is the common part of the names of the claims' streams.
+const ordersStream = "orders"
+
+// orderShards are the streams of the orders' claims.
+type orderShards struct {
+	*shardSet
+}
+
+// ordersModule provides what runs non-idempotent work at most once.
+var ordersModule = fx.Module("orders",
+	fx.Provide(
+		newOrderShards,
+		newOrders,
+		fx.Annotate(newOrderTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newOrderStopStep, fx.ResultTags(`group:"stop_steps"`)),
+	),
+)
+
+func newOrderShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, clock clockwork.Clock, logger hclog.Logger) orderShards {
+	return orderShards{&shardSet{
+		prefix: ordersStream, count: s.OrderStreams, control: stream,
+		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+	}}
+}
+
+func newOrders(id identity, shards orderShards, workers platform.Workers, clock clockwork.Clock, m *membership.Membership) *dispatch.Orders {
+	return dispatch.NewOrders(dispatch.OrdersConfig{
+		Incarnation: id.incarnation, Shards: shards.get, Workers: workers, Clock: clock, Alive: reachable(m),
+	})
+}
+
+// reachable reports whether an entry incarnation has answered lately.
+func reachable(m *membership.Membership) func(string) bool {
+	return func(incarnation string) bool {
+		for _, member := range m.Reachable() {
+			if member.Incarnation == incarnation {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func newOrderTasks(shards orderShards, orders *dispatch.Orders) []task {
+	return []task{
+		{name: "order streams", run: shards.run},
+		{name: "open orders", run: orders.Run},
+	}
+}
+
+// newOrderStopStep waits until the outcomes of all orders are in the log.
+func newOrderStopStep(orders *dispatch.Orders, clock clockwork.Clock) stopStep {
+	return stopStep{name: "settle orders", run: func(ctx context.Context) error {
+		for orders.Settling() > 0 {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("%d outcomes of orders are not in the log", orders.Settling())
+			case <-clock.After(10 * time.Millisecond):
+			}
+		}
+		return nil
+	}}
+}
--- /dev/null
+++ b/entry/shards.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	shardsRetry          = 200 * time.Millisecond
+	shardsProposeTimeout = 2 * time.Second
+)
+
+// shardSet is the streams of one kind of divided work. Their number comes
+// from the control stream, so that every entry divides the work alike.
+type shardSet struct {
+	prefix  string
+	count   int
+	control *logstream.Stream
+	config  logstream.Config
+	shards  atomic.Pointer[logstream.Shards]
+}
+
+// get returns the streams, or nil while their number is not known.
+func (s *shardSet) get() *logstream.Shards {
+	return s.shards.Load()
+}
+
+// run finds out the number of the streams and runs them.
+func (s *shardSet) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if count, ok := s.control.State().StreamCounts.Get(s.prefix); ok {
+			shards := logstream.NewShards(s.prefix, count, s.config)
+			s.shards.Store(shards)
+			shards.Run(ctx)
+			return
+		}
+		s.propose(ctx)
+		select {
+		case <-ctx.Done():
+		case <-s.config.Clock.After(shardsRetry):
+		}
+	}
+}
+
+// propose writes the number of the settings. An earlier record makes it void.
+// It waits until the end of the control stream has been read.
+func (s *shardSet) propose(ctx context.Context) {
+	if s.control.Age() > currentFor {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shardsProposeTimeout)
+	defer cancel()
+	_, err := s.control.Propose(ctx, &statemachine.StreamsFix{Prefix: s.prefix, Count: s.count})
+	if err != nil {
+		s.config.Logger.Debug("streams not fixed", "prefix", s.prefix, "error", err.Error())
+	}
+}
--- a/placement/held.go
+++ b/placement/held.go
@@ -12,6 +12,10 @@
 	Expires time.Time
 	// Granted is when the lease was asked for.
 	Granted time.Time
+	// Record names the VM's record of tasks at the grant.
+	Record string
+	// Started is the number of tasks that the VM had started at the grant.
+	Started uint64
 }
 
 // valid reports whether a start that is sent now arrives under the lease. It
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -207,7 +207,10 @@
 		return nil, err
 	}
 	target.free.Store(int64(lease.Free))
-	return &Held{Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin)}, nil
+	return &Held{
+		Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin),
+		Record: lease.Record, Started: lease.Started,
+	}, nil
 }
 
 // note records what a refused slot tells about the target.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,9 @@
 	DefaultTimeout Duration `json:"default_timeout" validate:"min=1" help:"the caller's patience when it names none"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" validate:"min=1" help:"bound of a graceful stop"`
+	// OrderStreams is the number of streams that the orders' claims are divided
+	// over. The first entry to join fixes it for all.
+	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -36,6 +39,7 @@
 		MaxBodyBytes:   1 << 20,
 		DefaultTimeout: Duration(10 * time.Second),
 		StopTimeout:    Duration(30 * time.Second),
+		OrderStreams:   2,
 		LogLevel:       "info",
 	}
 }
--- a/statemachine/claim.go
+++ b/statemachine/claim.go
@@ -24,6 +24,8 @@
 	Target string `json:"target"`
 	// Address is the VM's address.
 	Address string `json:"address"`
+	// Lease is the slot lease that the order is bound to.
+	Lease string `json:"lease"`
 	// Record names the VM's record of tasks at the grant of the slot lease.
 	Record string `json:"record"`
 	// Started is the number of tasks that the VM had started at the grant.
--- /dev/null
+++ b/statemachine/claim_test.go
@@ -0,0 +1,123 @@
+package statemachine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const claimDayMS = int64(1_800_000_000_000)
+
+// claimLog applies records one by one, each written by the named writer.
+type claimLog struct {
+	state *State
+	seqs  map[string]uint64
+}
+
+func (l *claimLog) apply(t require.TestingT, writer string, atMS int64, c Command) *Void {
+	l.seqs[writer]++
+	payload, err := EncodeBatch(Batch{Writer: writer, AtMS: atMS, Records: []Record{{Seq: l.seqs[writer], Command: c}}})
+	require.NoError(t, err)
+	batch, err := DecodeBatch(payload)
+	require.NoError(t, err)
+	next, results := l.state.Apply(l.state.Next, batch)
+	l.state = next
+	return results[0].Void
+}
+
+func newClaimLog() *claimLog { return &claimLog{state: New(), seqs: make(map[string]uint64)} }
+
+func claimOf(team, key string, keyMS int64) *Claim {
+	return &Claim{Team: team, Key: key, KeyMS: keyMS, BodyHash: "hash"}
+}
+
+func reasonOf(v *Void) Reason {
+	if v == nil {
+		return ""
+	}
+	return v.Reason
+}
+
+func TestClaim_Table(t *testing.T) {
+	id := OrderID("team", "key")
+	settle := func(number int, end OrderEnd) *ClaimSettle {
+		return &ClaimSettle{Order: id, Attempt: number, End: end}
+	}
+	window, ahead := ClaimWindow.Milliseconds(), ClaimAhead.Milliseconds()
+	cases := []struct {
+		name    string
+		command Command
+		reason  Reason
+	}{
+		{"settle without a claim", settle(1, OrderAnswered), ReasonNotFound},
+		{"claim too old", claimOf("team", "key", claimDayMS-window-1), ReasonExpired},
+		{"claim too far ahead", claimOf("team", "key", claimDayMS+ahead+1), ReasonExpired},
+		{"claim", claimOf("team", "key", claimDayMS), ""},
+		{"second claim", claimOf("team", "key", claimDayMS), ReasonExists},
+		{"claim of another team", claimOf("other", "key", claimDayMS), ""},
+		{"settle of a later claim", settle(2, OrderAnswered), ReasonVersion},
+		{"settle with no end", settle(1, ""), ReasonInvalid},
+		{"settle with too large an answer", &ClaimSettle{Order: id, Attempt: 1, End: OrderAnswered, Answer: make([]byte, MaxRecordedAnswer+1)}, ReasonInvalid},
+		{"release", settle(1, OrderReleased), ""},
+		{"settle after the release", settle(1, OrderAnswered), ReasonExists},
+		{"claim after the release with another body", &Claim{Team: "team", Key: "key", KeyMS: claimDayMS, BodyHash: "other"}, ReasonExists},
+		{"claim after the release", claimOf("team", "key", claimDayMS), ""},
+		{"settle of the released claim", settle(1, OrderAnswered), ReasonVersion},
+		{"settle", settle(2, OrderAnswered), ""},
+		{"claim after the settle", claimOf("team", "key", claimDayMS), ReasonExists},
+		{"streams", &StreamsFix{Prefix: "orders", Count: 2}, ""},
+		{"streams changed", &StreamsFix{Prefix: "orders", Count: 3}, ReasonExists},
+		{"no streams", &StreamsFix{Prefix: "jobs"}, ReasonInvalid},
+	}
+	log := newClaimLog()
+	for _, c := range cases {
+		require.Equal(t, c.reason, reasonOf(log.apply(t, "e", claimDayMS, c.command)), c.name)
+	}
+	require.Equal(t, 1, log.state.OpenOrders.Len())
+}
+
+// TestClaim_ForgottenNeverRunsAgain lets writers with clocks that are hours
+// off claim and settle. A key that was claimed and not released is never
+// claimed again, in the state or forgotten, and the state stays bounded.
+func TestClaim_ForgottenNeverRunsAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := newClaimLog()
+		claimed := make(map[string]bool)
+		now := claimDayMS
+		for range rapid.IntRange(1, 120).Draw(t, "records") {
+			now += rapid.Int64Range(0, 4*time.Hour.Milliseconds()).Draw(t, "passed")
+			skew := rapid.Int64Range(-30, 30).Draw(t, "skew") * time.Hour.Milliseconds()
+			keyMS := claimDayMS + rapid.Int64Range(0, 40).Draw(t, "key")*6*time.Hour.Milliseconds()
+			key := fmt.Sprint(keyMS)
+			void := log.apply(t, "e", now+skew, claimOf("team", key, keyMS))
+			if void != nil {
+				continue
+			}
+			require.False(t, claimed[key], "claimed twice")
+			release := rapid.Bool().Draw(t, "release")
+			claimed[key] = !release
+			if release {
+				order, _ := log.state.Orders.Get(OrderID("team", key))
+				require.Nil(t, log.apply(t, "e", now+skew, &ClaimSettle{Order: OrderID("team", key), Attempt: order.Attempt, End: OrderReleased}))
+			}
+		}
+		require.Equal(t, log.state.Orders.Len(), log.state.OrdersByAge.Len())
+	})
+}
+
+// TestClaim_StateIsBounded checks that the state keeps the claims of a window
+// and no more, at a steady rate.
+func TestClaim_StateIsBounded(t *testing.T) {
+	log := newClaimLog()
+	const perDay = 200
+	step := ClaimWindow.Milliseconds() / perDay
+	for i := range int64(5 * perDay) {
+		at := claimDayMS + i*step
+		require.Nil(t, log.apply(t, "e", at, claimOf("team", fmt.Sprint(i), at)))
+	}
+	require.LessOrEqual(t, log.state.Orders.Len(), perDay+1)
+	require.LessOrEqual(t, log.state.OpenOrders.Len(), perDay+1)
+}
