--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -20,14 +20,14 @@
 // the caller has taken. It gives the unit back unless the task may still run:
 // then the limbo keeps it.
 func (d *Dispatcher) call(ctx context.Context, held *placement.Held, task platform.Task) attempt {
-	task.Lease = held.Lease
+	task.Lease, task.Holder = held.Lease, held.Holder
 	answer, err := d.cfg.Workers.RunTask(ctx, held.Target.Address, task)
 	end := endOf(err)
 	if end == AttemptUnknown {
 		d.cfg.Limbo.Add(task, held.Target.Address)
 		return attempt{end: end, err: err}
 	}
-	d.cfg.Allotment.Release(task.Team)
+	d.cfg.Allotment.Release(task.Team, task.Holder)
 	if end.MayHaveBegun() {
 		d.cfg.Slots.Release(held)
 	} else if platform.CodeOf(err) == platform.CodeDraining {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -76,9 +76,10 @@
 	b := &bench{fleet: fleet, ledger: quota.NewLedger()}
 	slots := orderedSlots{workers: workers, holder: incarnation, vms: vms, ttl: placement.LeaseTTL}
 	b.ledger.SetAllotted(testTeam, 100)
-	limbo := NewLimbo(workers, clock, b.ledger.Release)
+	gate := quota.NewGate(incarnation, b.ledger, permitted{})
+	limbo := NewLimbo(workers, clock, gate.Release)
 	b.Dispatcher = New(Config{
-		Incarnation: incarnation, Control: control, Slots: slots, Allotment: b.ledger, Workers: workers,
+		Incarnation: incarnation, Control: control, Slots: slots, Allotment: gate, Workers: workers,
 		Limbo: limbo, Clock: clock, Ring: timeline.NewRing(64), DefaultTimeout: 10 * time.Second,
 	})
 	go limbo.Run(ctx)
@@ -115,6 +116,11 @@
 
 func (s orderedSlots) MarkLeaving(*placement.Held) {}
 
+// permitted lets the allotment be used at any time.
+type permitted struct{}
+
+func (permitted) MayUseAllotment() bool { return true }
+
 func newFleet(vms int) *fakeworkers.Fleet {
 	fleet := fakeworkers.New(clockwork.NewRealClock())
 	for i := range vms {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -105,7 +105,7 @@
 	defer s.d.cfg.Orders.starting.Delete(s)
 	number, outcome, again := s.claim(ctx, held)
 	if number == 0 {
-		s.d.cfg.Allotment.Release(s.grant.Workspace.Team)
+		s.d.cfg.Allotment.Release(s.grant.Workspace.Team, held.Holder)
 		s.d.cfg.Slots.Release(held)
 		return outcome, again
 	}
@@ -147,7 +147,7 @@
 // start sends the one start of the claim.
 func (s *submission) start(ctx context.Context, held *placement.Held, number int) (Outcome, bool) {
 	got := s.d.call(ctx, held, platform.Task{
-		ID: s.order, Attempt: number, Team: s.grant.Workspace.Team, Holder: s.d.cfg.Incarnation, Body: s.body,
+		ID: s.order, Attempt: number, Team: s.grant.Workspace.Team, Body: s.body,
 	})
 	settle := settleOf(s.order, number, got)
 	if settle == nil {
--- a/dispatch/ordernaive_test.go
+++ b/dispatch/ordernaive_test.go
@@ -41,7 +41,7 @@
 	if held == nil {
 		return refusal
 	}
-	task := platform.Task{ID: n.order, Attempt: 1, Team: testTeam, Holder: n.p.name, Body: n.body}
+	task := platform.Task{ID: n.order, Attempt: 1, Team: testTeam, Body: n.body}
 	got := n.d.call(ctx, held, task)
 	return got.outcome(held, 1)
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -36,6 +36,8 @@
 		coreModule,
 		profileModule,
 		ordersModule,
+		limitsModule,
+		maintenanceModule,
 		fx.Invoke(register),
 	)
 }
@@ -132,11 +134,11 @@
 }
 
 func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
-	return dispatch.NewLimbo(workers, clock, ledger.Release)
+	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -150,11 +152,11 @@
 	return &control{Stream: stream, membership: m}
 }
 
-func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
+func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
 	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
-		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
+		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 	})
 }
--- a/placement/held.go
+++ b/placement/held.go
@@ -16,6 +16,9 @@
 	Record string
 	// Started is the number of tasks that the VM had started at the grant.
 	Started uint64
+	// Holder is whose allotment the start uses. The caller that starts a task
+	// sets it.
+	Holder string
 }
 
 // valid reports whether a start that is sent now arrives under the lease. It
