--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -33,7 +33,7 @@
 
 // newFixedControl returns a state with the VMs in one pool and one queue of
 // each class.
-func newFixedControl(t testing.TB, vms int) fixedControl {
+func newFixedControl(t testing.TB, vms int, address func(int) string) fixedControl {
 	t.Helper()
 	commands := []statemachine.Command{
 		&statemachine.PoolSet{Pool: statemachine.Pool{Name: "pool"}},
@@ -46,7 +46,7 @@
 		&statemachine.KeyGrant{Hash: statemachine.HashKey(testKey), Workspace: "w"},
 	}
 	for i := range vms {
-		commands = append(commands, &statemachine.VMAdd{VM: statemachine.VM{ID: vmID(i), Address: vmID(i), Pool: "pool", Slots: testSlots}})
+		commands = append(commands, &statemachine.VMAdd{VM: statemachine.VM{ID: vmID(i), Address: address(i), Pool: "pool", Slots: testSlots}})
 	}
 	batch := statemachine.Batch{Writer: "operator"}
 	for i, c := range commands {
@@ -72,7 +72,7 @@
 func newBench(ctx context.Context, t testing.TB, incarnation string, fleet *fakeworkers.Fleet, workers platform.Workers, vms int) *bench {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	control := newFixedControl(t, vms)
+	control := newFixedControl(t, vms, vmID)
 	b := &bench{fleet: fleet, ledger: quota.NewLedger()}
 	slots := orderedSlots{workers: workers, holder: incarnation, vms: vms, ttl: placement.LeaseTTL}
 	b.ledger.SetAllotted(testTeam, 100)
