--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -30,11 +30,10 @@
 
 func (c fixedControl) State() *statemachine.State { return c.state }
 func (c fixedControl) Current() bool              { return true }
-func (c fixedControl) MayUseAllotment() bool      { return true }
 
 // newFixedControl returns a state with the VMs in one pool and one queue of
 // each class.
-func newFixedControl(t testing.TB, vms int) fixedControl {
+func newFixedControl(t testing.TB, vms int, address func(int) string) fixedControl {
 	t.Helper()
 	commands := []statemachine.Command{
 		&statemachine.PoolSet{Pool: statemachine.Pool{Name: "pool"}},
@@ -47,7 +46,7 @@
 		&statemachine.KeyGrant{Hash: statemachine.HashKey(testKey), Workspace: "w"},
 	}
 	for i := range vms {
-		commands = append(commands, &statemachine.VMAdd{VM: statemachine.VM{ID: vmID(i), Address: vmID(i), Pool: "pool", Slots: testSlots}})
+		commands = append(commands, &statemachine.VMAdd{VM: statemachine.VM{ID: vmID(i), Address: address(i), Pool: "pool", Slots: testSlots}})
 	}
 	batch := statemachine.Batch{Writer: "operator"}
 	for i, c := range commands {
@@ -73,11 +72,11 @@
 func newBench(ctx context.Context, t testing.TB, incarnation string, fleet *fakeworkers.Fleet, workers platform.Workers, vms int) *bench {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	control := newFixedControl(t, vms)
+	control := newFixedControl(t, vms, vmID)
 	b := &bench{fleet: fleet, ledger: quota.NewLedger()}
 	slots := orderedSlots{workers: workers, holder: incarnation, vms: vms, ttl: placement.LeaseTTL}
 	b.ledger.SetAllotted(testTeam, 100)
-	gate := quota.NewGate(incarnation, b.ledger, control)
+	gate := quota.NewGate(incarnation, b.ledger, permitted{})
 	limbo := NewLimbo(workers, clock, gate.Release)
 	b.Dispatcher = New(Config{
 		Incarnation: incarnation, Control: control, Slots: slots, Allotment: gate, Workers: workers,
@@ -105,7 +104,7 @@
 		lease, err := s.workers.AcquireSlot(ctx, id, platform.SlotRequest{Holder: s.holder, TTL: s.ttl})
 		if err == nil {
 			target := &placement.Target{ID: id, Address: id, Pool: "pool"}
-			return &placement.Held{Target: target, Lease: lease.ID}, nil
+			return &placement.Held{Target: target, Lease: lease.ID, Record: lease.Record, Started: lease.Started}, nil
 		}
 	}
 	return nil, placement.ErrNoSlot
@@ -117,6 +116,11 @@
 
 func (s orderedSlots) MarkLeaving(*placement.Held) {}
 
+// permitted lets the allotment be used at any time.
+type permitted struct{}
+
+func (permitted) MayUseAllotment() bool { return true }
+
 func newFleet(vms int) *fakeworkers.Fleet {
 	fleet := fakeworkers.New(clockwork.NewRealClock())
 	for i := range vms {
--- a/entry/module.go
+++ b/entry/module.go
@@ -36,6 +36,7 @@
 		coreModule,
 		logModule,
 		profileModule,
+		ordersModule,
 		limitsModule,
 		maintenanceModule,
 		fx.Invoke(register),
@@ -155,11 +156,11 @@
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 	})
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -28,6 +28,9 @@
 	StopTimeout Duration `json:"stop_timeout" validate:"min=1" help:"bound of a graceful stop"`
 	// LogRetention is the time for which the platform's log keeps a record.
 	LogRetention Duration `json:"log_retention" validate:"min=1" help:"the time for which the platform's log keeps a record"`
+	// OrderStreams is the number of streams that the orders' claims are divided
+	// over. The first entry to join fixes it for all.
+	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -39,6 +42,7 @@
 		DefaultTimeout: Duration(10 * time.Second),
 		StopTimeout:    Duration(30 * time.Second),
 		LogRetention:   Duration(10 * time.Minute),
+		OrderStreams:   2,
 		LogLevel:       "info",
 	}
 }
