Decide who waits for a slot, for how long and who is next

Package admission holds the decisions: a bounded line per team, refusal as soon as the caller cannot be answered by the observed run times, the team furthest under its share first, and an entry's part of the capacity from exchanged loads. It reads no clock; nothing calls it yet.

--- /dev/null
+++ b/admission/line.go
@@ -0,0 +1,180 @@
+package admission
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// overInterval is the least time between two slots beyond the entry's part.
+const overInterval = 5 * time.Millisecond
+
+// Line is where the requests of one entry wait for slots of the same pools.
+// While nobody waits, its methods take no lock.
+type Line struct {
+	cfg      Config
+	waiting  atomic.Int64
+	parts    atomic.Pointer[Parts]
+	runTimes atomic.Pointer[map[string]*RunTimes]
+	// overAt is when the entry last took a slot beyond its part, in Unix
+	// microseconds.
+	overAt atomic.Int64
+
+	mu    sync.Mutex
+	teams map[string]*teamLine
+}
+
+// NewLine returns a line in which nobody waits.
+func NewLine(cfg Config) *Line {
+	l := &Line{cfg: cfg, teams: make(map[string]*teamLine)}
+	l.parts.Store(&Parts{})
+	l.runTimes.Store(&map[string]*RunTimes{})
+	return l
+}
+
+// Waiting returns the number of requests that wait.
+func (l *Line) Waiting() int {
+	return int(l.waiting.Load())
+}
+
+// SetParts changes what this entry may use.
+func (l *Line) SetParts(p Parts) {
+	p.follow(l.parts.Load())
+	l.parts.Store(&p)
+}
+
+// RunTimes returns the estimates of the queue.
+func (l *Line) RunTimes(now time.Time, queue string) *RunTimes {
+	if r := (*l.runTimes.Load())[queue]; r != nil {
+		return r
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := *l.runTimes.Load()
+	if r := current[queue]; r != nil {
+		return r
+	}
+	next := maps.Clone(current)
+	next[queue] = NewRunTimes(now)
+	l.runTimes.Store(&next)
+	return next[queue]
+}
+
+// InTime reports whether a request that starts now is answered in time, as far
+// as earlier requests of its queue tell.
+func (l *Line) InTime(now time.Time, req Request) bool {
+	left := req.Deadline.Sub(now)
+	return left > 0 && left >= l.RunTimes(now, req.Queue).Quantile(now, l.cfg.Safety)
+}
+
+// MayPass reports whether a request of the team may take a free slot without
+// waiting: nobody waits here, and while other entries wait the team keeps to
+// its part.
+func (l *Line) MayPass(team string) bool {
+	if l.waiting.Load() > 0 {
+		return false
+	}
+	p := l.parts.Load()
+	return !p.Contended || !p.Others || float64(l.cfg.Running(team)) < p.ofTeam(team)
+}
+
+// MayTake reports whether this entry may take another slot of those that all
+// entries share. Slots says how many it holds. While other entries wait, an
+// entry that holds its part takes one more only each overInterval, so that the
+// others come first and no slot stays idle when the parts are out of date.
+func (l *Line) MayTake(now time.Time, slots int) bool {
+	p := l.parts.Load()
+	if !p.Contended || !p.Others || float64(slots) < p.Total() {
+		return true
+	}
+	last := l.overAt.Load()
+	if now.UnixMicro()-last < overInterval.Microseconds() {
+		return false
+	}
+	return l.overAt.CompareAndSwap(last, now.UnixMicro())
+}
+
+// Enter makes the request wait, or says why it is refused.
+func (l *Line) Enter(now time.Time, req Request) (*Waiter, *Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.team(req.Team)
+	wait := l.estimate(now, t, req)
+	if len(t.waiters) >= l.cfg.MaxWaiting {
+		t.refused++
+		return nil, &Refusal{Reason: ReasonLineFull, RetryAfter: wait}
+	}
+	late := wait > l.cfg.MaxWait
+	if late || !l.inTime(now.Add(wait), req) {
+		t.refused++
+		return nil, &Refusal{Reason: ReasonTooLate, RetryAfter: wait}
+	}
+	w := &Waiter{Request: req, Ready: make(chan Decision, 1), entered: now}
+	t.waiters = append(t.waiters, w)
+	l.waiting.Add(1)
+	return w, nil
+}
+
+// inTime is InTime under the lock: a queue without estimates passes.
+func (l *Line) inTime(now time.Time, req Request) bool {
+	left := req.Deadline.Sub(now)
+	r := (*l.runTimes.Load())[req.Queue]
+	return left > 0 && (r == nil || left >= r.Quantile(now, l.cfg.Safety))
+}
+
+// estimate is the expected wait at the end of the team's line: those ahead and
+// the request itself share the slots that the team gets here.
+func (l *Line) estimate(now time.Time, t *teamLine, req Request) time.Duration {
+	r := (*l.runTimes.Load())[req.Queue]
+	if r == nil {
+		return 0
+	}
+	mean := r.Mean(now, l.cfg.Safety)
+	return time.Duration(float64(len(t.waiters)+1) * float64(mean) / l.fairSlots(t))
+}
+
+// fairSlots is the number of slots that the team gets here once it is served
+// by weight beside the teams that wait now.
+func (l *Line) fairSlots(t *teamLine) float64 {
+	p := l.parts.Load()
+	held, weights := 0.0, max(p.Weights[t.name], minWeight)
+	for name, other := range l.teams {
+		held += float64(l.cfg.Running(name))
+		if other != t && len(other.waiters) > 0 {
+			weights += p.Weights[name]
+		}
+	}
+	fair := held * max(p.Weights[t.name], minWeight) / weights
+	return max(1, fair, p.ofTeam(t.name), float64(l.cfg.Running(t.name)))
+}
+
+// Leave ends a wait from the waiter's side. It reports false if a decision was
+// made before, which is then in Ready.
+func (l *Line) Leave(w *Waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.done {
+		return false
+	}
+	t := l.team(w.Team)
+	t.refused++
+	l.remove(t, w)
+	return true
+}
+
+// remove takes the waiter out. l.mu is held.
+func (l *Line) remove(t *teamLine, w *Waiter) {
+	w.done = true
+	t.remove(w)
+	l.waiting.Add(-1)
+}
+
+func (l *Line) team(name string) *teamLine {
+	t := l.teams[name]
+	if t == nil {
+		t = &teamLine{name: name}
+		l.teams[name] = t
+	}
+	return t
+}
--- /dev/null
+++ b/admission/line_test.go
@@ -0,0 +1,105 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1e9, 0)
+
+func anyWaiter(*Waiter) bool { return true }
+
+func newTestLine(running map[string]int) *Line {
+	l := NewLine(Config{MaxWaiting: 2, MaxWait: time.Second, Safety: 0.99, Running: func(team string) int { return running[team] }})
+	l.SetParts(ComputeParts(4, []Entitlement{{"a", 3, 9}, {"b", 1, 9}}, []Load{{"a", 0, 9}, {"b", 0, 9}}, nil))
+	return l
+}
+
+func request(team string, patience time.Duration) Request {
+	return Request{Team: team, Queue: team + ".q", Deadline: t0.Add(patience)}
+}
+
+func TestLine_RefusesEarly(t *testing.T) {
+	cases := []struct {
+		name     string
+		ran      time.Duration
+		patience time.Duration
+		ahead    int
+		want     Reason
+	}{
+		{"no estimate yet", 0, time.Second, 0, ""},
+		{"time enough", 10 * time.Millisecond, time.Second, 1, ""},
+		{"run time over the patience", 400 * time.Millisecond, 300 * time.Millisecond, 0, ReasonTooLate},
+		{"wait and run time over the patience", 400 * time.Millisecond, 600 * time.Millisecond, 1, ReasonTooLate},
+		{"wait over the bound", 5 * time.Second, time.Minute, 0, ReasonTooLate},
+		{"line full", time.Millisecond, time.Second, 2, ReasonLineFull},
+		{"caller gone", 0, 0, 0, ReasonTooLate},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newTestLine(nil)
+			for range c.ahead {
+				_, refusal := l.Enter(t0, request("a", time.Minute))
+				require.Nil(t, refusal)
+			}
+			if c.ran > 0 {
+				l.RunTimes(t0, "a.q").Observe(t0, c.ran)
+			}
+			w, refusal := l.Enter(t0, request("a", c.patience))
+			if c.want == "" {
+				require.NotNil(t, w)
+				return
+			}
+			require.Equal(t, c.want, refusal.Reason)
+		})
+	}
+}
+
+func TestLine_ServesTheTeamFurthestUnderItsShare(t *testing.T) {
+	running := map[string]int{"a": 2, "b": 1}
+	l := newTestLine(running)
+	for _, team := range []string{"b", "b", "a", "a"} {
+		_, refusal := l.Enter(t0, request(team, time.Second))
+		require.Nil(t, refusal)
+	}
+	var got []string
+	for range 4 {
+		w := l.Next(t0, anyWaiter)
+		running[w.Team]++
+		got = append(got, w.Team)
+	}
+	require.Equal(t, []string{"a", "a", "b", "b"}, got)
+	require.Nil(t, l.Next(t0, anyWaiter))
+}
+
+func TestLine_HandsNoSlotToACallerWhoCannotBeAnswered(t *testing.T) {
+	l := newTestLine(nil)
+	late, _ := l.Enter(t0, request("a", 300*time.Millisecond))
+	good, _ := l.Enter(t0, request("a", 900*time.Millisecond))
+	l.RunTimes(t0, "a.q").Observe(t0, 200*time.Millisecond)
+	require.Same(t, good, l.Next(t0.Add(150*time.Millisecond), anyWaiter))
+	require.Equal(t, ReasonTooLate, (<-late.Ready).Refusal.Reason)
+	require.False(t, l.Leave(late))
+	require.Zero(t, l.Waiting())
+}
+
+func TestLine_PassesOverATeamThatCannotUseTheSlot(t *testing.T) {
+	l := newTestLine(nil)
+	_, _ = l.Enter(t0, request("a", time.Second))
+	b, _ := l.Enter(t0, request("b", time.Second))
+	require.Same(t, b, l.Next(t0, func(w *Waiter) bool { return w.Team == "b" }))
+	require.Equal(t, 1, l.Waiting())
+}
+
+func TestRunTimes_ForgetsAfterTwoWindows(t *testing.T) {
+	r := NewRunTimes(t0)
+	for i := range 100 {
+		r.Observe(t0, time.Duration(i+1)*time.Millisecond)
+	}
+	require.InEpsilon(t, 99*time.Millisecond, r.Quantile(t0, 0.99), 0.13)
+	require.Equal(t, 50500*time.Microsecond, r.Mean(t0, 0.99))
+	require.NotZero(t, r.Quantile(t0.Add(windowLength), 0.99))
+	require.Zero(t, r.Quantile(t0.Add(3*windowLength), 0.99))
+}
--- /dev/null
+++ b/admission/model_check_test.go
@@ -0,0 +1,56 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// smallModel is a fleet that runs in a fraction of a second.
+func smallModel(p policy, load float64, rotating bool) *model {
+	m := *fleetModel(p, load, rotating)
+	m.capacity, m.entries = 84, 4
+	m.teams = nil
+	for _, t := range apittTeams {
+		m.teams = append(m.teams, Entitlement{Team: t.Team, Weight: t.Weight, Limit: 40})
+	}
+	m.nodes = nil
+	return newModel(m, modelSeed)
+}
+
+// TestModel_SharesWhenFull checks the distance from share under demand that
+// rotates five-fold. Serving in order of arrival breaks it.
+func TestModel_SharesWhenFull(t *testing.T) {
+	cases := []struct {
+		policy policy
+		near   bool
+	}{{firstCome, false}, {exchanged, true}}
+	for _, c := range cases {
+		m := smallModel(c.policy, 3, true)
+		m.run(5*time.Second, 30*time.Second)
+		mean, _ := m.distance()
+		require.Equal(t, c.near, mean < 0.05, "%s: mean distance %.3f", policyNames[c.policy], mean)
+	}
+}
+
+// TestModel_Overload checks that overload costs no goodput and that no start is
+// wasted. Serving in order of arrival breaks both.
+func TestModel_Overload(t *testing.T) {
+	cases := []struct {
+		policy policy
+		keeps  bool
+	}{{firstCome, false}, {exchanged, true}}
+	for _, c := range cases {
+		results := make(map[float64]results)
+		for _, load := range []float64{0.8, 1, 5} {
+			m := smallModel(c.policy, load, false)
+			m.run(5*time.Second, 10*time.Second)
+			results[load] = m.results
+		}
+		require.GreaterOrEqual(t, float64(results[0.8].inTime), 0.999*float64(results[0.8].arrived))
+		keeps := float64(results[5].inTime) >= 0.95*float64(results[1].inTime)
+		require.Equal(t, c.keeps, keeps, "%s: %+v", policyNames[c.policy], results)
+		require.Equal(t, c.keeps, results[5].wasted == 0, "%s: %+v", policyNames[c.policy], results)
+	}
+}
--- /dev/null
+++ b/admission/model_test.go
@@ -0,0 +1,346 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/shares"
+)
+
+// policy is the way in which a model's entries serve.
+type policy int
+
+const (
+	// firstCome serves in order of arrival until the caller has gone.
+	firstCome policy = iota
+	// ownView runs the line of each entry on its own demand and an even part of
+	// the capacity.
+	ownView
+	// exchanged runs the line on the demand of all entries.
+	exchanged
+)
+
+const (
+	modelTick      = time.Millisecond
+	modelInterval  = 100 * time.Millisecond
+	modelHeartbeat = 250 * time.Millisecond
+	modelPatience  = 2 * time.Second
+)
+
+// model is a fleet of equal slots and the entries that share it, in steps of
+// modelTick. Only the line and the parts decide; arrivals, run times and the
+// heartbeats' delay are the model's.
+type model struct {
+	policy   policy
+	capacity int
+	entries  int
+	teams    []Entitlement
+	// load is the mean offered load as a part of the capacity.
+	load float64
+	// rotating makes the demand of each team five times its mean for seconds
+	// and a twentieth between.
+	rotating bool
+	// skewed sends half of each team's requests through one entry.
+	skewed bool
+	// meanRun is the mean run time. Single run times differ ten-fold.
+	meanRun time.Duration
+
+	rng     *rand.Rand
+	now     time.Time
+	nodes   []*node
+	free    int
+	ends    map[int64][]end
+	jobs    map[*Waiter]time.Duration
+	results results
+	windows []window10
+}
+
+// node is one entry of the model.
+type node struct {
+	line    *Line
+	running map[string]int
+	held    int
+	loads   []Load
+	sent    []Load
+	queue   []*Waiter
+}
+
+type end struct {
+	node *node
+	team string
+	took time.Duration
+}
+
+// results counts what became of the requests.
+type results struct {
+	arrived, inTime, wasted, refused int
+}
+
+// window10 holds a window's slot time by team, used and owed.
+type window10 struct{ used, owed []float64 }
+
+func newModel(m model, seed uint64) *model {
+	m.rng = rand.New(rand.NewPCG(seed, 1))
+	m.now = time.Unix(1e9, 0)
+	m.free = m.capacity
+	m.ends = make(map[int64][]end)
+	m.jobs = make(map[*Waiter]time.Duration)
+	for range m.entries {
+		n := &node{running: make(map[string]int)}
+		n.line = NewLine(Config{
+			MaxWaiting: DefaultMaxWaiting, MaxWait: DefaultMaxWait, Safety: DefaultSafety,
+			Running: func(team string) int { return n.running[team] },
+		})
+		for _, t := range m.teams {
+			n.line.Track(t.Team)
+		}
+		m.nodes = append(m.nodes, n)
+	}
+	return &m
+}
+
+// run lets the model run and counts results after the warm-up.
+func (m *model) run(warmUp, length time.Duration) {
+	for at := time.Duration(0); at < warmUp+length; at += modelTick {
+		if at == warmUp {
+			m.results = results{}
+			m.windows = nil
+		}
+		m.step(at)
+		m.now = m.now.Add(modelTick)
+	}
+}
+
+func (m *model) step(at time.Duration) {
+	for _, e := range m.ends[m.now.UnixMilli()] {
+		m.finish(e)
+	}
+	delete(m.ends, m.now.UnixMilli())
+	if at%modelHeartbeat == 0 {
+		for _, n := range m.nodes {
+			n.sent = n.loads
+		}
+	}
+	if at%modelInterval == 0 {
+		for _, n := range m.nodes {
+			n.line.DropLate(m.now)
+		}
+		m.exchange()
+	}
+	for i := range m.teams {
+		for range m.poisson(m.rate(i, at) * modelTick.Seconds()) {
+			m.arrive(m.nodes[m.entryOf(i)], m.teams[i].Team)
+		}
+	}
+	offset := m.rng.IntN(len(m.nodes))
+	for i := range m.nodes {
+		m.pump(m.nodes[(offset+i)%len(m.nodes)])
+	}
+	m.account(at)
+}
+
+// entryOf draws the entry of a team's next request.
+func (m *model) entryOf(team int) int {
+	if m.skewed && m.rng.IntN(2) == 0 {
+		return team % len(m.nodes)
+	}
+	return m.rng.IntN(len(m.nodes))
+}
+
+// rate returns the arrivals a second of a team.
+func (m *model) rate(team int, at time.Duration) float64 {
+	mean := m.load * float64(m.capacity) * m.weight(team) / m.meanRun.Seconds()
+	if !m.rotating {
+		return mean
+	}
+	const burst = (1 - 0.05) / (5 - 0.05)
+	period := 11*time.Second + time.Duration(team)*1700*time.Millisecond
+	if at%period < time.Duration(burst*float64(period)) {
+		return 5 * mean
+	}
+	return mean / 20
+}
+
+func (m *model) weight(team int) float64 {
+	total := 0.0
+	for _, t := range m.teams {
+		total += t.Weight
+	}
+	return m.teams[team].Weight / total
+}
+
+func (m *model) poisson(mean float64) int {
+	limit, product, count := math.Exp(-mean), m.rng.Float64(), 0
+	for product > limit {
+		product *= m.rng.Float64()
+		count++
+	}
+	return count
+}
+
+// runTime draws a run time from a ten-fold range.
+func (m *model) runTime() time.Duration {
+	const meanOfRange = 0.9 * 10 / 2.302585 / 10
+	factor := math.Pow(10, m.rng.Float64()-1)
+	return time.Duration(float64(m.meanRun) * factor / meanOfRange).Round(modelTick)
+}
+
+func (m *model) arrive(n *node, team string) {
+	m.results.arrived++
+	req := Request{Team: team, Queue: team, Deadline: m.now.Add(modelPatience)}
+	took := m.runTime()
+	if m.policy == firstCome {
+		w := &Waiter{Request: req}
+		m.jobs[w] = took
+		n.queue = append(n.queue, w)
+		return
+	}
+	if m.free > 0 && m.underLimit(team) && n.line.MayPass(team) && n.line.InTime(m.now, req) {
+		m.start(n, team, took, req.Deadline)
+		return
+	}
+	w, refusal := n.line.Enter(m.now, req)
+	if refusal != nil {
+		m.results.refused++
+		return
+	}
+	m.jobs[w] = took
+}
+
+// underLimit reports whether the team may run one more over all entries.
+func (m *model) underLimit(team string) bool {
+	running, limit := 0, 0.0
+	for _, n := range m.nodes {
+		running += n.running[team]
+	}
+	for _, t := range m.teams {
+		if t.Team == team {
+			limit = t.Limit
+		}
+	}
+	return float64(running) < limit
+}
+
+// start runs a request on a free slot.
+func (m *model) start(n *node, team string, took time.Duration, deadline time.Time) {
+	m.free--
+	n.held++
+	n.running[team]++
+	at := m.now.Add(max(modelTick, took))
+	m.ends[at.UnixMilli()] = append(m.ends[at.UnixMilli()], end{node: n, team: team, took: took})
+	if at.After(deadline) {
+		m.results.wasted++
+	} else {
+		m.results.inTime++
+	}
+}
+
+func (m *model) finish(e end) {
+	m.free++
+	e.node.held--
+	e.node.running[e.team]--
+	e.node.line.RunTimes(m.now, e.team).Observe(m.now, e.took)
+	m.pump(e.node)
+}
+
+// pump gives free slots to the waiters of an entry, as far as it may.
+func (m *model) pump(n *node) {
+	if m.policy == firstCome {
+		m.pumpFirstCome(n)
+		return
+	}
+	for m.free > 0 && n.line.MayTake(m.now, n.held) {
+		w := n.line.Next(m.now, func(w *Waiter) bool { return m.underLimit(w.Team) })
+		if w == nil {
+			return
+		}
+		m.start(n, w.Team, m.jobs[w], w.Deadline)
+		delete(m.jobs, w)
+	}
+}
+
+func (m *model) pumpFirstCome(n *node) {
+	for len(n.queue) > 0 && m.free > 0 {
+		w := n.queue[0]
+		if m.now.Before(w.Deadline) && !m.underLimit(w.Team) {
+			return
+		}
+		n.queue = n.queue[1:]
+		if m.now.Before(w.Deadline) {
+			m.start(n, w.Team, m.jobs[w], w.Deadline)
+		}
+		delete(m.jobs, w)
+	}
+}
+
+// exchange computes the parts from the own load and the others' last one.
+func (m *model) exchange() {
+	for _, n := range m.nodes {
+		n.loads = n.line.Loads(m.now, modelInterval)
+	}
+	for i, n := range m.nodes {
+		if m.policy == ownView {
+			p := ComputeParts(float64(m.capacity)/float64(m.entries), m.teams, n.loads, nil)
+			p.Others = true
+			n.line.SetParts(p)
+			continue
+		}
+		var others [][]Load
+		for j, other := range m.nodes {
+			if j != i {
+				others = append(others, other.sent)
+			}
+		}
+		n.line.SetParts(ComputeParts(float64(m.capacity), m.teams, n.loads, others))
+	}
+}
+
+// account adds the step to its window of 10 s, if the offered load fills the
+// fleet.
+func (m *model) account(at time.Duration) {
+	claims := make([]shares.Claim, len(m.teams))
+	used := make([]float64, len(m.teams))
+	offered := 0.0
+	for i, t := range m.teams {
+		for _, n := range m.nodes {
+			used[i] += float64(n.running[t.Team])
+		}
+		demand := m.rate(i, at) * m.meanRun.Seconds()
+		offered += demand
+		claims[i] = shares.Claim{Weight: t.Weight, Demand: max(demand, used[i]), Limit: t.Limit}
+	}
+	if at%(10*time.Second) == 0 || len(m.windows) == 0 {
+		m.windows = append(m.windows, window10{used: make([]float64, len(m.teams)), owed: make([]float64, len(m.teams))})
+	}
+	if offered < float64(m.capacity) {
+		return
+	}
+	last := m.windows[len(m.windows)-1]
+	for i, owed := range shares.Compute(float64(m.capacity), claims) {
+		last.used[i] += used[i]
+		last.owed[i] += owed
+	}
+}
+
+// distance returns the mean and the worst distance from the target over teams
+// and windows, as a part of the team's share.
+func (m *model) distance() (mean, worst float64) {
+	count := 0.0
+	for _, w := range m.windows {
+		total := 0.0
+		for _, owed := range w.owed {
+			total += owed
+		}
+		for i := range m.teams {
+			if total == 0 {
+				continue
+			}
+			d := math.Abs(w.used[i]-w.owed[i]) / (total * m.weight(i))
+			mean += d
+			worst = max(worst, d)
+			count++
+		}
+	}
+	return mean / max(1, count), worst
+}
--- /dev/null
+++ b/admission/next.go
@@ -0,0 +1,95 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Next takes out the waiter that a free slot is for. The first team is the one
+// that runs the least for its share, and within a team the one that came first. Waiters whose callers can no longer be answered in time are
+// refused on the way. Take is asked whether a waiter can use the slot; Next
+// passes over a team whose first waiters cannot, and returns nil if none can.
+func (l *Line) Next(now time.Time, take func(*Waiter) bool) *Waiter {
+	if l.waiting.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.order() {
+		l.dropLateHeads(now, t)
+		for _, w := range t.waiters[:min(len(t.waiters), maxPassed)] {
+			if take(w) {
+				l.remove(t, w)
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// maxPassed bounds the waiters of one team that are asked for one slot.
+const maxPassed = 4
+
+// order returns the teams that wait, the one that runs the least for its share
+// first. A team's share is that of this entry: its weight by the portion of its
+// load that is here. The portion is as of the last heartbeats, but what runs is
+// exact and the size of the demand is not needed, so a team whose demand has
+// just jumped is served at once.
+func (l *Line) order() []*teamLine {
+	p := l.parts.Load()
+	level := make(map[*teamLine]float64)
+	var out []*teamLine
+	for _, t := range l.teams {
+		if len(t.waiters) == 0 {
+			continue
+		}
+		share := p.Weights[t.name] * p.Portions[t.name]
+		level[t] = (float64(l.cfg.Running(t.name)) + 1) / max(share, minWeight)
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *teamLine) int {
+		return cmp.Or(cmp.Compare(level[a], level[b]), a.waiters[0].entered.Compare(b.waiters[0].entered), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+// minWeight stands for the weight of a team that has none.
+const minWeight = 1e-6
+
+// dropLateHeads refuses waiters from the head of the team's line until one can
+// still be answered in time.
+func (l *Line) dropLateHeads(now time.Time, t *teamLine) {
+	for len(t.waiters) > 0 && l.late(now, t.waiters[0]) {
+		l.refuse(now, t, t.waiters[0])
+	}
+}
+
+// late reports whether the waiter would be answered too late or has waited for
+// too long.
+func (l *Line) late(now time.Time, w *Waiter) bool {
+	return !l.inTime(now, w.Request) || now.Sub(w.entered) > l.cfg.MaxWait
+}
+
+// refuse ends the wait without a slot.
+func (l *Line) refuse(now time.Time, t *teamLine, w *Waiter) {
+	t.refused++
+	l.remove(t, w)
+	w.Ready <- Decision{Refusal: Refusal{Reason: ReasonTooLate, RetryAfter: l.estimate(now, t, w.Request)}}
+}
+
+// DropLate refuses the waiters of all teams that would be answered too late.
+func (l *Line) DropLate(now time.Time) {
+	if l.waiting.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.teams {
+		for _, w := range slices.Clone(t.waiters) {
+			if l.late(now, w) {
+				l.refuse(now, t, w)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/admission/request.go
@@ -0,0 +1,14 @@
+package admission
+
+import "time"
+
+// Request is what the admission of a request depends on.
+type Request struct {
+	Team string
+	// Queue is the full name of the queue.
+	Queue string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Avoid is a target that has failed the request, or "".
+	Avoid string
+}
--- /dev/null
+++ b/admission/teamline.go
@@ -0,0 +1,20 @@
+package admission
+
+import "slices"
+
+// teamLine holds the waiting requests of one team in order of arrival.
+type teamLine struct {
+	name    string
+	waiters []*Waiter
+	// refused counts the requests that got no slot since the last Loads.
+	refused int
+	// refusedSlots is the smoothed number of slots that refused requests would
+	// have used.
+	refusedSlots float64
+}
+
+func (t *teamLine) remove(w *Waiter) {
+	if i := slices.Index(t.waiters, w); i >= 0 {
+		t.waiters = slices.Delete(t.waiters, i, i+1)
+	}
+}
--- /dev/null
+++ b/admission/waiter.go
@@ -0,0 +1,27 @@
+package admission
+
+import "time"
+
+// Waiter is a request that waits for a slot.
+type Waiter struct {
+	Request
+	// Ready receives the one decision on the waiter.
+	Ready chan Decision
+
+	entered time.Time
+	done    bool
+}
+
+// Decision ends a wait.
+type Decision struct {
+	// Slot is the slot to use, of the type that the caller of Line.Next hands
+	// over, or nil for a refusal.
+	Slot any
+	// Refusal says why there is none.
+	Refusal Refusal
+}
+
+// Hand gives the slot to a waiter that Next returned. It does not block.
+func (w *Waiter) Hand(slot any) {
+	w.Ready <- Decision{Slot: slot}
+}
