--- a/command/run.go
+++ b/command/run.go
@@ -36,6 +36,7 @@
 	c.Register(&standinCommand{output: out}, "daemons")
 	c.Register(&demoCommand{output: out}, "trying out")
 	c.Register(&checkSettingsCommand{output: out}, "settings")
+	c.Register(&replayCommand{output: out}, "trying out")
 	c.Register(&versionCommand{output: out}, "")
 	c.Register(&applyCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&templateCommand{operatorCommand: operatorCommand{output: out}}, "operating")
@@ -43,6 +44,7 @@
 	c.Register(&keyCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&poolCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&vmCommand{operatorCommand: operatorCommand{output: out}}, "operating")
+	c.Register(&waveCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&statusCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&timelineCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"os"
 	"time"
 
@@ -36,6 +35,8 @@
 		platformModule,
 		coreModule,
 		profileModule,
+		limitsModule,
+		maintenanceModule,
 		fx.Invoke(register),
 	)
 }
@@ -49,7 +50,10 @@
 		clockwork.NewRealClock,
 		newLogger,
 		newIdentity,
-		newPlatformClient,
+		newTraffic,
+		newControlClient,
+		newWorkerClient,
+		newPeerClient,
 		newLog,
 		newVMs,
 		newWorkers,
@@ -64,7 +68,6 @@
 		newPlacer,
 		newRing,
 		newLimbo,
-		peer.NewClient,
 		newDescriber,
 		newMembership,
 		newControl,
@@ -73,6 +76,7 @@
 		newFleetWatch,
 		newReadiness,
 		newOperators,
+		newMetrics,
 		fx.Annotate(newCoreTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newHeartbeatHandler, fx.ResultTags(`group:"peers"`)),
 	),
@@ -86,23 +90,16 @@
 	}).With("entry", id.incarnation)
 }
 
-// newPlatformClient names the entry to the platform in the User-Agent header.
-func newPlatformClient(s settings.Entry) *http.Client {
-	client := platform.NewHTTPClient()
-	client.Transport = &userAgent{name: s.Name, next: client.Transport}
-	return client
+func newLog(s settings.Entry, client controlClient) platform.Log {
+	return platform.NewHTTPLog(s.Platform, client.Client)
 }
 
-func newLog(s settings.Entry, client *http.Client) platform.Log {
-	return platform.NewHTTPLog(s.Platform, client)
+func newVMs(s settings.Entry, client controlClient) platform.VMs {
+	return platform.NewHTTPVMs(s.Platform, client.Client)
 }
 
-func newVMs(s settings.Entry, client *http.Client) platform.VMs {
-	return platform.NewHTTPVMs(s.Platform, client)
-}
-
-func newWorkers(client *http.Client) platform.Workers {
-	return platform.NewHTTPWorkers(client)
+func newWorkers(client workerClient) platform.Workers {
+	return platform.NewHTTPWorkers(client.Client)
 }
 
 func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
@@ -124,11 +121,8 @@
 // changesFleet reports whether a record that took effect concerns VMs.
 func changesFleet(results []statemachine.Result) bool {
 	for _, r := range results {
-		switch r.Kind {
-		case statemachine.KindVMAdd, statemachine.KindVMRemove, statemachine.KindVMMove:
-			if r.Void == nil {
-				return true
-			}
+		if r.Void == nil && statemachine.ChangesFleet(r.Kind) {
+			return true
 		}
 	}
 	return false
@@ -139,11 +133,11 @@
 }
 
 func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
-	return dispatch.NewLimbo(workers, clock, ledger.Release)
+	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -157,11 +151,11 @@
 	return &control{Stream: stream, membership: m}
 }
 
-func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
+func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
 	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
-		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
+		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 	})
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"expvar"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,13 +38,15 @@
 	ledger     *quota.Ledger
 	ring       *timeline.Ring
 	ready      *readiness
+	metrics    *metrics
 }
 
-func newOperators(s settings.Entry, id identity, c *control, m *membership.Membership, d *dispatch.Dispatcher,
-	limbo *dispatch.Limbo, ledger *quota.Ledger, ring *timeline.Ring, ready *readiness,
+func newOperators(s settings.Entry, id identity, c *control, members *membership.Membership, d *dispatch.Dispatcher,
+	limbo *dispatch.Limbo, ledger *quota.Ledger, ring *timeline.Ring, ready *readiness, m *metrics,
 ) *operators {
 	return &operators{
-		settings: s, id: id, control: c, membership: m, dispatcher: d, limbo: limbo, ledger: ledger, ring: ring, ready: ready,
+		settings: s, id: id, control: c, membership: members, dispatcher: d, limbo: limbo, ledger: ledger, ring: ring, ready: ready,
+		metrics: m,
 	}
 }
 
@@ -53,7 +54,7 @@
 	engine := newEngine()
 	engine.GET("/healthz", func(g *gin.Context) { g.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", o.readyz)
-	engine.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	engine.GET("/debug/vars", gin.WrapH(o.metrics))
 	group := engine.Group("/v1", o.authenticate)
 	group.GET("/status", o.status)
 	group.GET("/timeline", o.timeline)
@@ -184,12 +185,13 @@
 	return false
 }
 
+// moveVM drains the VM for its new pool. It joins the pool once it is empty.
 func (o *operators) moveVM(g *gin.Context) {
 	var req api.VMMoveRequest
 	if !readStrict(g, &req) {
 		return
 	}
-	o.propose(g, &statemachine.VMMove{VM: g.Param("name"), From: req.From, To: req.To, Expected: req.Version})
+	o.propose(g, &statemachine.VMDrain{VM: g.Param("name"), Pool: req.From, MoveTo: req.To, Expected: req.Version})
 }
 
 func (o *operators) grantKey(g *gin.Context) {
@@ -255,7 +257,7 @@
 		return http.StatusPreconditionFailed
 	case statemachine.ReasonNotFound:
 		return http.StatusNotFound
-	case statemachine.ReasonExists, statemachine.ReasonWithdrawn:
+	case statemachine.ReasonExists, statemachine.ReasonWithdrawn, statemachine.ReasonBudget, statemachine.ReasonStep:
 		return http.StatusConflict
 	default:
 		return http.StatusUnprocessableEntity
@@ -290,7 +292,7 @@
 	for _, member := range o.membership.Reachable() {
 		applied[member.Incarnation] = member.Last.GetApplied() > offset
 	}
-	for incarnation := range o.control.State().Entries.All() {
+	for incarnation := range o.control.State().Members() {
 		done, heard := applied[incarnation]
 		if heard && !done || !heard && !silentAllowed {
 			return false
