Send every order of the demo twice at once, through two entries

Cause: the demo showed no non-idempotent work.

Ruled out: counting the starts of all tasks; an idempotent request may start twice, so only the tasks that the orders' answers name are held to one start.

--- a/demo/run.go
+++ b/demo/run.go
@@ -45,7 +45,7 @@
 func (s *system) runUsers(ctx context.Context, report *Report) error {
 	limits := make(map[string]int)
 	var keys []api.KeyGranted
-	var queues []string
+	var queues, orderQueues []string
 	for _, user := range examples.Users {
 		catalog, err := examples.Catalog(user)
 		if err != nil {
@@ -63,6 +63,7 @@
 		}
 		keys = append(keys, key)
 		queues = append(queues, catalog.Workspaces[0].Name+"."+catalog.Template.Queues[0].Name)
+		orderQueues = append(orderQueues, catalog.Workspaces[0].Name+"."+orderQueue(catalog.Template))
 	}
 	if err := s.awaitCapacity(ctx, limits); err != nil {
 		return err
@@ -73,16 +74,27 @@
 		wave <- s.runWave(ctx, report)
 		close(waveEnded)
 	}()
+	orderTasks := s.runOrders(ctx, keys[1], orderQueues[1], report)
 	wrong := s.runLoad(ctx, keys, queues, waveEnded, report)
 	if err := <-wave; err != nil {
 		return err
 	}
 	report.check("every caller got the whole answer to its own request", wrong == 0, "%d wrong answers", wrong)
 	s.checkWithdrawal(ctx, keys[0], queues[0], report)
-	s.checkRecord(limits, report)
+	s.checkRecord(limits, orderTasks, report)
 	return nil
 }
 
+// orderQueue returns the name of the template's queue of orders.
+func orderQueue(t statemachine.Template) string {
+	for _, q := range t.Queues {
+		if q.Class == statemachine.ClassOrder {
+			return q.Name
+		}
+	}
+	return ""
+}
+
 // publish applies a catalog through the first entry. Pools that exist stay.
 func (s *system) publish(ctx context.Context, catalog settings.Catalog) error {
 	client := s.operator(0)
@@ -180,8 +192,8 @@
 	report.check("a withdrawn key stops working within 3 s", err == nil, "%d ms", report.WithdrawnMS)
 }
 
-// checkRecord holds the limits against the workers' own record.
-func (s *system) checkRecord(limits map[string]int, report *Report) {
+// checkRecord holds the limits and the orders against the workers' own record.
+func (s *system) checkRecord(limits map[string]int, orderTasks []string, report *Report) {
 	record := s.standin.Record()
 	over := 0
 	for team, limit := range limits {
@@ -190,5 +202,12 @@
 		}
 	}
 	report.check("no team ran more than its upper limit", over == 0, "%d teams over", over)
+	twice := 0
+	for _, task := range orderTasks {
+		if record.Starts[task] != 1 {
+			twice++
+		}
+	}
+	report.check("every order ran exactly once", twice == 0, "%d did not", twice)
 	report.check("no request was cut", record.CutTasks == 0, "%d cut", record.CutTasks)
 }
