--- a/entry/module.go
+++ b/entry/module.go
@@ -36,6 +36,8 @@
 		coreModule,
 		logModule,
 		profileModule,
+		ordersModule,
+		sharesModule,
 		limitsModule,
 		maintenanceModule,
 		fx.Invoke(register),
@@ -139,8 +141,8 @@
 	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -155,11 +157,13 @@
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	ledger *quota.Ledger,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Running: func(team string) int { return ledger.Usage(team).Running },
 	})
 }
 
