logstream: pace appends by the members; prove freshness at once

Cause: nothing kept the entries' appends below the log's rate. With answers to operators now sent sooner, an order right after the start met a stream whose first long-poll read had not ended, and was refused (503, not run).

Change: one Pacer per entry, shared by its streams, takes the log's rate (setting log_appends_per_second) divided by the members, with a tenth kept for configuration records; records proposed during the wait join the batch. A read waits for records only while there is a young proof.

--- a/entry/module.go
+++ b/entry/module.go
@@ -105,11 +105,15 @@
 	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
-	return logstream.New(logstream.Config{
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+	stream := logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
-		Restore: snapshots.Load,
+		Restore: snapshots.Load, Pacer: pacer, Priority: logstream.IsConfiguration,
 	}, statemachine.New())
+	share := func(state *statemachine.State) { pacer.SetMembers(state.Entries.Len()) }
+	stream.Observe(func(state *statemachine.State, _ []statemachine.Result) { share(state) })
+	stream.ObserveInstall(share)
+	return stream
 }
 
 func newPlacer(id identity, workers platform.Workers, clock clockwork.Clock, stream *logstream.Stream) *placement.Placer {
--- a/entry/module_log.go
+++ b/entry/module_log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
@@ -20,6 +21,7 @@
 // pages relayed between entries.
 var logModule = fx.Module("log",
 	fx.Provide(
+		newPacer,
 		newSnapshots,
 		newSnapshotter,
 		newRelay,
@@ -28,6 +30,10 @@
 	),
 )
 
+func newPacer(s settings.Entry, clock clockwork.Clock) *logstream.Pacer {
+	return logstream.NewPacer(clock, s.LogAppendsPerSecond)
+}
+
 func newSnapshots(log platform.Log) *logstream.Snapshots {
 	return logstream.NewSnapshots(log, controlStream)
 }
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -34,10 +34,10 @@
 	),
 )
 
-func newOrderShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, clock clockwork.Clock, logger hclog.Logger) orderShards {
+func newOrderShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) orderShards {
 	return orderShards{&shardSet{
 		prefix: ordersStream, count: s.OrderStreams, control: stream,
-		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
 	}}
 }
 
--- a/logstream/config.go
+++ b/logstream/config.go
@@ -8,10 +8,11 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
-// Config holds what a Stream works with. All members but Restore are
-// required; DefaultLimits gives the limits.
+// Config holds what a Stream works with. All members but Pacer,
+// Priority and Restore are required; DefaultLimits gives the limits.
 type Config struct {
 	// Name is the stream's name in the log.
 	Name string
@@ -21,6 +22,10 @@
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Limits Limits
+	// Pacer bounds the rate of appends. Without it there is no bound.
+	Pacer *Pacer
+	// Priority says which commands may use the pacer's reserve.
+	Priority func(statemachine.Command) bool
 	// Restore returns the latest snapshot of the stream. Without it the stream
 	// starts at its first record.
 	Restore func(ctx context.Context) (Snapshot, error)
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/anvilcourse/anvilcourse/platform"
 )
@@ -44,7 +45,7 @@
 	s.reads.Add(1)
 	sent := s.cfg.Clock.Now()
 	from := s.State().Next
-	page, err := s.cfg.Log.Read(callCtx, s.cfg.Name, from, limits.ReadLimit, limits.ReadWait)
+	page, err := s.cfg.Log.Read(callCtx, s.cfg.Name, from, limits.ReadLimit, s.readWait())
 	if err != nil {
 		return err
 	}
@@ -58,6 +59,15 @@
 	return nil
 }
 
+// readWait is the wait for new records. Without a young proof, as at the start
+// or after a pause, the end of the stream is asked for at once.
+func (s *Stream) readWait() time.Duration {
+	if s.Age() > 2*s.cfg.Limits.ReadWait {
+		return 0
+	}
+	return s.cfg.Limits.ReadWait
+}
+
 // applyAll applies consecutive payloads, of which the first has the offset.
 // Payloads that have been applied are passed over, and a gap applies none.
 func (s *Stream) applyAll(from uint64, payloads [][]byte) {
--- /dev/null
+++ b/logstream/pace.go
@@ -0,0 +1,73 @@
+package logstream
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// pace waits for the right to append the batch. Records that are proposed
+// meanwhile join it while it has room; one with priority ends the wait if the
+// reserve allows.
+func (s *Stream) pace(ctx context.Context, batch []*proposal) []*proposal {
+	if s.cfg.Pacer == nil {
+		return batch
+	}
+	wait := s.cfg.Pacer.Take(slices.ContainsFunc(batch, s.hasPriority))
+	if wait <= 0 {
+		return batch
+	}
+	turn := s.cfg.Clock.NewTimer(wait)
+	defer turn.Stop()
+	return s.gather(ctx, batch, turn.Chan())
+}
+
+// gather adds proposals to the batch until its turn has come.
+func (s *Stream) gather(ctx context.Context, batch []*proposal, turn <-chan time.Time) []*proposal {
+	bytes := batchBytes(batch)
+	for {
+		queue := s.queue
+		if len(batch) >= s.cfg.Limits.MaxBatchRecords || bytes >= s.cfg.Limits.MaxBatchBytes {
+			queue = nil
+		}
+		select {
+		case <-ctx.Done():
+			return batch
+		case <-turn:
+			return batch
+		case p := <-queue:
+			batch = append(batch, p)
+			bytes += commandSize(p.command)
+			if s.hasPriority(p) && s.cfg.Pacer.Take(true) == 0 {
+				return batch
+			}
+		}
+	}
+}
+
+// hasPriority reports whether the record may use the pacer's reserve.
+func (s *Stream) hasPriority(p *proposal) bool {
+	return s.cfg.Priority != nil && s.cfg.Priority(p.command)
+}
+
+func batchBytes(batch []*proposal) int {
+	total := 0
+	for _, p := range batch {
+		total += commandSize(p.command)
+	}
+	return total
+}
+
+// IsConfiguration reports whether an operator publishes the command. It is the
+// Priority of a stream that carries the configuration.
+func IsConfiguration(command statemachine.Command) bool {
+	switch command.Kind() {
+	case statemachine.KindTemplateSet, statemachine.KindWorkspaceSet, statemachine.KindPoolSet,
+		statemachine.KindKeyGrant, statemachine.KindKeyWithdraw:
+		return true
+	default:
+		return false
+	}
+}
--- a/logstream/snapshot_test.go
+++ b/logstream/snapshot_test.go
@@ -227,3 +227,11 @@
 		require.Len(t, log.Payloads(snapshotStream), step.written, step.name)
 	}
 }
+
+// TestFollow_ProvesAtOnce checks that the first read of an empty stream does
+// not wait for a record before it proves that the state is current.
+func TestFollow_ProvesAtOnce(t *testing.T) {
+	log := fakelog.New(clockwork.NewRealClock())
+	h := startHarness(t, log, "w", func(c *Config) { c.Limits.ReadWait = time.Hour })
+	h.eventually(func() bool { return h.stream.Age() < time.Hour })
+}
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -25,6 +25,7 @@
 			return
 		}
 		s.awaitRoom(ctx)
+		batch = s.pace(ctx, batch)
 		if sent := w.number(batch); len(sent) > 0 {
 			w.flush(ctx, sent)
 		}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -31,6 +31,8 @@
 	// OrderStreams is the number of streams that the orders' claims are divided
 	// over. The first entry to join fixes it for all.
 	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
+	// LogAppendsPerSecond is the log's rate of appends that the entries share.
+	LogAppendsPerSecond int `json:"log_appends_per_second" validate:"min=1" help:"the log's rate of appends a second that the entries share"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -38,11 +40,12 @@
 // DefaultEntry returns the values of the members that may be left out.
 func DefaultEntry() Entry {
 	return Entry{
-		MaxBodyBytes:   1 << 20,
-		DefaultTimeout: Duration(10 * time.Second),
-		StopTimeout:    Duration(30 * time.Second),
-		LogRetention:   Duration(10 * time.Minute),
-		OrderStreams:   2,
-		LogLevel:       "info",
+		MaxBodyBytes:        1 << 20,
+		DefaultTimeout:      Duration(10 * time.Second),
+		StopTimeout:         Duration(30 * time.Second),
+		LogRetention:        Duration(10 * time.Minute),
+		OrderStreams:        2,
+		LogAppendsPerSecond: 300,
+		LogLevel:            "info",
 	}
 }
