Show the control stream's records in the time line

Cause: the time line held requests and the planner's actions, so an operator could not see who joined, which key was granted or why a drain was void.

Ruled out: every entry adding every record (as many copies as entries in the merged time line).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,7 @@
 	Ready      *readiness
 	Metrics    *metrics
 	Traffic    *traffic
+	Records    *recordEvents
 
 	Tasks          []task           `group:"tasks"`
 	OperatorRoutes []operatorRoutes `group:"operator_routes"`
--- a/statemachine/apply.go
+++ b/statemachine/apply.go
@@ -5,6 +5,8 @@
 	ID     ID
 	Kind   Kind
 	Offset uint64
+	// Command is the record's body. It must not be changed.
+	Command Command
 	// Void is nil if the record took effect.
 	Void *Void
 }
@@ -31,7 +33,7 @@
 		if void == nil && record.Command.Kind() == KindEntryJoin {
 			current.prune()
 		}
-		results = append(results, Result{ID: id, Kind: record.Command.Kind(), Offset: offset, Void: void})
+		results = append(results, Result{ID: id, Kind: record.Command.Kind(), Offset: offset, Command: record.Command, Void: void})
 	}
 	return &current, results
 }
