--- /dev/null
+++ b/statemachine/example_test.go
@@ -0,0 +1,30 @@
+package statemachine_test
+
+import (
+	"fmt"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// Two writers create the same pool. The order in the log decides, and both
+// see the same outcome.
+func ExampleState_Apply() {
+	state := statemachine.New()
+	for offset, writer := range []string{"entry-1", "entry-2"} {
+		batch := statemachine.Batch{Writer: writer, Records: []statemachine.Record{
+			{Seq: 1, Command: &statemachine.PoolSet{Pool: statemachine.Pool{Name: "pool-1", MaxUnavailable: 2}}},
+		}}
+		next, results := state.Apply(uint64(offset), batch)
+		state = next
+		if void := results[0].Void; void != nil {
+			fmt.Println(writer, "void:", void.Reason)
+			continue
+		}
+		fmt.Println(writer, "applied")
+	}
+	fmt.Println("next offset", state.Next)
+	// Output:
+	// entry-1 applied
+	// entry-2 void: version_mismatch
+	// next offset 2
+}
