Test graceful stops of VMs through the executor

Cause: the executor's promises were shown by the multi-process run alone.

The multi-process wave now lets every VM take work and be listed as live while it drains, so that only the drain record keeps it away.

--- a/cmd/anvilcourse/wave_test.go
+++ b/cmd/anvilcourse/wave_test.go
@@ -105,9 +105,12 @@
 // the wave cuts no task, drains no pool beyond its budget and starts nothing
 // late.
 func TestWave_WholeFleetUnderLoad(t *testing.T) {
-	sys, catalog := startUser(t, "apitt", 2)
-	sys.AddEntry()
-	sys.WaitReady(2)
+	sys, catalog := startUser(t, "apitt", 3)
+	// The VMs take work while they drain and are listed as live: what keeps work
+	// away is the drain record alone.
+	for i := range 50 {
+		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{AcceptDraining: true})
+	}
 	key := sys.GrantKey(catalog.Workspaces[0].Name)
 	stop := steadyLoad(sys, key.Key, catalog.Workspaces[0].Name+".quotes")
 	budgets := make(map[string]int)
@@ -128,14 +131,14 @@
 		sys.Entries[i].Resume()
 	}
 	planner := waveOf(sys, 2, "kernel").Planner
-	sys.Wait("the middle of the wave", func() bool { return waveOf(sys, 2, "kernel").Progress.Done >= 10 })
+	sys.Wait("the middle of the wave", func() bool { return waveOf(sys, 2, "kernel").Progress.Done >= 6 })
 	for i := 20; i < 24; i++ {
-		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{Gone: true})
+		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{AcceptDraining: true, Gone: true})
 	}
 	sys.Entries[2].Kill()
 	sys.Wait("another planner", func() bool { p := waveOf(sys, 0, "kernel").Planner; return p != "" && p != planner })
 	for i := 20; i < 24; i++ {
-		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{})
+		sys.SetVMFaults(fmt.Sprintf("vm-%03d", i), standin.VMFaults{AcceptDraining: true})
 	}
 	found := ""
 	sys.Wait("the end of the wave", func() bool {
