--- a/maintenance/executor/executor.go
+++ b/maintenance/executor/executor.go
@@ -13,6 +13,9 @@
 const (
 	// interval is the time between two rounds.
 	interval = 100 * time.Millisecond
+	// decideShare is the inverse of the part of a core that deciding may use: in
+	// a large fleet the rounds are further apart.
+	decideShare = 50
 	// callTimeout bounds one call to a VM.
 	callTimeout = time.Second
 	// proposeTimeout bounds the write of one record.
@@ -24,6 +27,8 @@
 	cfg    Config
 	memory map[string]*memory
 	latest atomic.Pointer[maintenance.Plan]
+	// spent is the time that the latest decision took.
+	spent time.Duration
 }
 
 // New returns an executor. Run starts it.
@@ -33,14 +38,13 @@
 
 // Run takes rounds until the context ends.
 func (e *Executor) Run(ctx context.Context) {
-	ticker := e.cfg.Clock.NewTicker(interval)
-	defer ticker.Stop()
 	for {
+		e.spent = 0
 		e.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-e.cfg.Clock.After(max(interval, decideShare*e.spent)):
 		}
 	}
 }
@@ -78,7 +82,9 @@
 		return
 	}
 	observed := e.observe(ctx, state)
-	plan := maintenance.Decide(state, observed, e.cfg.Params, e.cfg.Clock.Now())
+	begun := e.cfg.Clock.Now()
+	plan := maintenance.Decide(state, observed, e.cfg.Params, begun)
+	e.spent = e.cfg.Clock.Since(begun)
 	e.latest.Store(&plan)
 	var wg sync.WaitGroup
 	for _, action := range plan.Actions {
