--- a/demo/run.go
+++ b/demo/run.go
@@ -15,7 +15,7 @@
 
 const (
 	entryCount       = 3
-	requestsPerQueue = 400
+	requestsPerRound = 100
 	parallelPerQueue = 24
 	withdrawBound    = 3 * time.Second
 )
@@ -45,7 +45,7 @@
 func (s *system) runUsers(ctx context.Context, report *Report) error {
 	limits := make(map[string]int)
 	var keys []api.KeyGranted
-	var queues []string
+	var queues, orderQueues []string
 	for _, user := range examples.Users {
 		catalog, err := examples.Catalog(user)
 		if err != nil {
@@ -63,17 +63,38 @@
 		}
 		keys = append(keys, key)
 		queues = append(queues, catalog.Workspaces[0].Name+"."+catalog.Template.Queues[0].Name)
+		orderQueues = append(orderQueues, catalog.Workspaces[0].Name+"."+orderQueue(catalog.Template))
 	}
 	if err := s.awaitCapacity(ctx, limits); err != nil {
 		return err
 	}
-	wrong := s.runLoad(ctx, keys, queues, report)
+	wave := make(chan error, 1)
+	waveEnded := make(chan struct{})
+	go func() {
+		wave <- s.runWave(ctx, report)
+		close(waveEnded)
+	}()
+	orderTasks := s.runOrders(ctx, keys[1], orderQueues[1], report)
+	wrong := s.runLoad(ctx, keys, queues, waveEnded, report)
+	if err := <-wave; err != nil {
+		return err
+	}
 	report.check("every caller got the whole answer to its own request", wrong == 0, "%d wrong answers", wrong)
 	s.checkWithdrawal(ctx, keys[0], queues[0], report)
-	s.checkRecord(limits, report)
+	s.checkRecord(limits, orderTasks, report)
 	return nil
 }
 
+// orderQueue returns the name of the template's queue of orders.
+func orderQueue(t statemachine.Template) string {
+	for _, q := range t.Queues {
+		if q.Class == statemachine.ClassOrder {
+			return q.Name
+		}
+	}
+	return ""
+}
+
 // publish applies a catalog through the first entry. Pools that exist stay.
 func (s *system) publish(ctx context.Context, catalog settings.Catalog) error {
 	client := s.operator(0)
@@ -117,9 +138,9 @@
 	})
 }
 
-// runLoad submits each queue's requests through all entries and returns the
-// number of wrong answers.
-func (s *system) runLoad(ctx context.Context, keys []api.KeyGranted, queues []string, report *Report) int {
+// runLoad submits each queue's requests through all entries, round by round
+// until the end, and returns the number of wrong answers.
+func (s *system) runLoad(ctx context.Context, keys []api.KeyGranted, queues []string, end <-chan struct{}, report *Report) int {
 	t := newTally()
 	var wg sync.WaitGroup
 	for q, queue := range queues {
@@ -127,7 +148,11 @@
 		for i := range s.entries {
 			clients = append(clients, s.caller(i, keys[q].Key))
 		}
-		wg.Go(func() { submitMany(ctx, clients, queue, requestsPerQueue, parallelPerQueue, t) })
+		wg.Go(func() {
+			for !ended(end) {
+				submitMany(ctx, clients, queue, requestsPerRound, parallelPerQueue, t)
+			}
+		})
 	}
 	wg.Wait()
 	report.Answered, report.NotRun, report.Failed, report.Unknown = t.answered, t.notRun, t.failed, t.unknown
@@ -136,6 +161,15 @@
 	return t.wrong
 }
 
+func ended(end <-chan struct{}) bool {
+	select {
+	case <-end:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkWithdrawal withdraws a key and measures until all entries refuse it.
 func (s *system) checkWithdrawal(ctx context.Context, key api.KeyGranted, queue string, report *Report) {
 	start := time.Now()
@@ -158,8 +192,8 @@
 	report.check("a withdrawn key stops working within 3 s", err == nil, "%d ms", report.WithdrawnMS)
 }
 
-// checkRecord holds the limits against the workers' own record.
-func (s *system) checkRecord(limits map[string]int, report *Report) {
+// checkRecord holds the limits and the orders against the workers' own record.
+func (s *system) checkRecord(limits map[string]int, orderTasks []string, report *Report) {
 	record := s.standin.Record()
 	over := 0
 	for team, limit := range limits {
@@ -168,5 +202,12 @@
 		}
 	}
 	report.check("no team ran more than its upper limit", over == 0, "%d teams over", over)
+	twice := 0
+	for _, task := range orderTasks {
+		if record.Starts[task] != 1 {
+			twice++
+		}
+	}
+	report.check("every order ran exactly once", twice == 0, "%d did not", twice)
 	report.check("no request was cut", record.CutTasks == 0, "%d cut", record.CutTasks)
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 	"github.com/anvilcourse/anvilcourse/quota"
 )
@@ -14,36 +17,55 @@
 	id     identity
 	stream *logstream.Stream
 	ledger *quota.Ledger
+	board  *loadBoard
+	zone   string
+	// leaving is set before the entry leaves: from then on it counts in no
+	// majority.
+	leaving atomic.Bool
 }
 
 func (d *describer) describe() *peerpb.Heartbeat {
+	// The age is taken before the offset, which may only be later.
+	age := d.stream.Age()
 	out := &peerpb.Heartbeat{
 		Incarnation:  d.id.incarnation,
 		Applied:      d.stream.State().Next,
-		ControlAgeMs: ageMS(d.stream.Age()),
-		LogReadable:  d.stream.Age() <= currentFor,
+		ControlAgeMs: ageMS(age),
+		LogReadable:  d.stream.Readable() && age <= readableFor,
+
+		Leaving:          d.leaving.Load(),
+		AvailabilityZone: d.zone,
 	}
+	waiting := d.board.waiting()
 	for team, usage := range d.ledger.Teams() {
-		out.Teams = append(out.Teams, &peerpb.TeamLoad{Team: team, Running: int64(usage.Running)})
+		out.Teams = append(out.Teams, &peerpb.TeamLoad{
+			Team: team, Running: int64(usage.Running), Waiting: int64(math.Ceil(waiting[team])), Spare: int64(usage.Spare()),
+		})
 	}
 	return out
 }
 
-// ageMS converts an age to milliseconds, or -1 if it is beyond a day.
+// readableFor is the age of the latest proof up to which the log counts as
+// readable. It is below currentFor, so that the others know of an outage before
+// their own proofs run out.
+const readableFor = time.Second
+
+// ageMS converts an age to milliseconds, rounded up, or -1 if it is beyond a
+// day.
 func ageMS(age time.Duration) int64 {
 	if age > 24*time.Hour {
 		return -1
 	}
-	return age.Milliseconds()
+	return (age + time.Millisecond - 1).Milliseconds()
 }
 
 // newHeartbeatHandler answers heartbeats with the own one.
-func newHeartbeatHandler(d *describer) peerRoute {
+func newHeartbeatHandler(m *membership.Membership) peerRoute {
 	return func(_ context.Context, req *peerpb.Request) *peerpb.Response {
 		if req.GetHeartbeat() == nil {
 			return nil
 		}
-		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: d.describe()}}
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: m.Heartbeat()}}
 	}
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -34,7 +34,11 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
 		profileModule,
+		ordersModule,
+		sharesModule,
+		limitsModule,
 		maintenanceModule,
 		fx.Invoke(register),
 	)
@@ -66,6 +70,7 @@
 		quota.NewLedger,
 		newPlacer,
 		newRing,
+		newRecordEvents,
 		newLimbo,
 		newDescriber,
 		newMembership,
@@ -101,9 +106,10 @@
 	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -114,6 +120,7 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
@@ -132,11 +139,11 @@
 }
 
 func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
-	return dispatch.NewLimbo(workers, clock, ledger.Release)
+	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -146,16 +153,18 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
-func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, ledger *quota.Ledger,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	ledger *quota.Ledger,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
-		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: ledger, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Running: func(team string) int { return ledger.Usage(team).Running },
 	})
 }
 
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -14,7 +14,10 @@
 	if r.stopping.Load() {
 		return "stopping"
 	}
-	if _, ok := r.control.State().Entries.Get(r.self); !ok {
+	if fault := r.control.Fault(); fault != nil {
+		return fault.Error()
+	}
+	if _, ok := r.control.State().Member(r.self); !ok {
 		return "not joined"
 	}
 	if !r.control.Current() {
--- a/logstream/config.go
+++ b/logstream/config.go
@@ -1,6 +1,7 @@
 package logstream
 
 import (
+	"context"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -9,7 +10,7 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// Config holds what a Stream works with. All members but the limits are
+// Config holds what a Stream works with. All members but Restore are
 // required; DefaultLimits gives the limits.
 type Config struct {
 	// Name is the stream's name in the log.
@@ -20,6 +21,9 @@
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Limits Limits
+	// Restore returns the latest snapshot of the stream. Without it the stream
+	// starts at its first record.
+	Restore func(ctx context.Context) (Snapshot, error)
 }
 
 // Limits bounds the batches, the queue and the waits of a Stream.
@@ -34,6 +38,8 @@
 	MaxQueued int
 	// ReadWait is the longest wait for new records in one read.
 	ReadWait time.Duration
+	// ReadTimeout bounds one read beyond its wait.
+	ReadTimeout time.Duration
 	// ReadLimit is the number of payloads in one read.
 	ReadLimit int
 	// RetryDelay is the pause after a failed call to the log.
@@ -50,6 +56,7 @@
 		MaxBatchAge:     4 * time.Millisecond,
 		MaxQueued:       4096,
 		ReadWait:        500 * time.Millisecond,
+		ReadTimeout:     time.Second,
 		ReadLimit:       512,
 		RetryDelay:      50 * time.Millisecond,
 		CallTimeout:     2 * time.Second,
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -61,7 +61,7 @@
 	ticker := m.cfg.Clock.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		m.round(ctx)
+		m.Beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -82,14 +82,23 @@
 	return out
 }
 
+// Heartbeat returns the own heartbeat with the members that this entry reaches.
+func (m *Membership) Heartbeat() *peerpb.Heartbeat {
+	out := m.cfg.Describe()
+	for _, member := range m.Reachable() {
+		out.Reachable = append(out.Reachable, HashOf(member.Incarnation))
+	}
+	return out
+}
+
 // elapsed is the larger of the wall and the monotonic difference, because the
 // monotonic clock stops while a VM is suspended.
 func elapsed(now, then time.Time) time.Duration {
 	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
 
-// round sends one heartbeat to each address and waits for the answers.
-func (m *Membership) round(ctx context.Context) {
+// Beat sends one heartbeat to each address at once and waits for the answers.
+func (m *Membership) Beat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -122,7 +131,7 @@
 
 func (m *Membership) beat(ctx context.Context, address string) error {
 	sent := m.cfg.Clock.Now()
-	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: m.cfg.Describe()}}
+	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: m.Heartbeat()}}
 	resp, err := m.cfg.Caller.Call(ctx, address, req)
 	if err != nil {
 		return err
@@ -138,6 +147,9 @@
 func (m *Membership) store(member Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if known, ok := (*m.members.Load())[member.Incarnation]; ok && known.SentAt.After(member.SentAt) {
+		return
+	}
 	next := make(map[string]Member, len(*m.members.Load())+1)
 	for k, v := range *m.members.Load() {
 		next[k] = v
--- a/placement/held.go
+++ b/placement/held.go
@@ -12,6 +12,22 @@
 	Expires time.Time
 	// Granted is when the lease was asked for.
 	Granted time.Time
+	// Record names the VM's record of tasks at the grant.
+	Record string
+	// Started is the number of tasks that the VM had started at the grant.
+	Started uint64
+	// Holder is whose allotment the start uses. The caller that starts a task
+	// sets it.
+	Holder string
+	// Queue is the queue of the task that the lease was taken for, or "".
+	Queue string
+	// Taken is when the lease was taken for it.
+	Taken time.Time
+}
+
+// Valid reports whether a start that is sent now arrives under the lease.
+func (h *Held) Valid(now time.Time) bool {
+	return h.valid(now)
 }
 
 // valid reports whether a start that is sent now arrives under the lease. It
--- a/statemachine/schedule_test.go
+++ b/statemachine/schedule_test.go
@@ -1,7 +1,6 @@
 package statemachine
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -9,11 +8,6 @@
 	"pgregory.net/rapid"
 )
 
-func init() {
-	// The same schedules at every run, unless the command line names a seed.
-	_ = flag.Set("rapid.seed", "1")
-}
-
 // modelState is what the schedule test expects: versions by pool and the
 // highest record number by writer.
 type modelState struct {
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -7,6 +7,9 @@
 	Next uint64 `json:"next"`
 	// Writers holds the highest record number applied, by writer.
 	Writers Table[WriterMark] `json:"writers"`
+	// ForgottenMS is the latest wall clock among the writers whose marks were
+	// dropped, in Unix milliseconds.
+	ForgottenMS int64 `json:"forgotten_ms"`
 
 	Templates  Table[*Template]  `json:"templates"`
 	Workspaces Table[*Workspace] `json:"workspaces"`
@@ -34,6 +37,18 @@
 	Allotments Table[*Allotments] `json:"allotments"`
 	// ByTeam holds the workspace that each team owns.
 	ByTeam Table[*Workspace] `json:"by_team"`
+
+	// StreamCounts holds the number of streams of each kind of divided work.
+	StreamCounts Table[int] `json:"stream_counts"`
+	// Orders holds the claims of the window by order ID.
+	Orders Table[*Order] `json:"orders"`
+	// OpenOrders holds the current claim's number of each unsettled order.
+	OpenOrders Table[int] `json:"open_orders"`
+	// OrdersByAge holds the order IDs by the time of their keys.
+	OrdersByAge Table[string] `json:"orders_by_age"`
+	// OrderHorizonMS is the time before which no key can be claimed, in Unix
+	// milliseconds. It never decreases.
+	OrderHorizonMS int64 `json:"order_horizon_ms"`
 }
 
 // WriterMark is what the state remembers of a writer.
