--- a/entry/control.go
+++ b/entry/control.go
@@ -26,19 +26,5 @@
 	if c.Age() <= currentFor {
 		return true
 	}
-	state := c.State()
-	reached := 1
-	for _, member := range c.membership.Reachable() {
-		if _, ok := state.Entries.Get(member.Incarnation); !ok {
-			continue
-		}
-		if member.Last.GetLogReadable() || member.Last.GetApplied() > state.Next {
-			return false
-		}
-		if member.Last.GetLeaving() {
-			continue
-		}
-		reached++
-	}
-	return 2*reached > state.Entries.Len()
+	return membership.NothingNew(c.State(), c.membership.Reachable())
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -138,8 +138,8 @@
 	return timeline.NewRing(ringSize)
 }
 
-func newLimbo(workers platform.Workers, clock clockwork.Clock, ledger *quota.Ledger) *dispatch.Limbo {
-	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
+func newLimbo(workers platform.Workers, clock clockwork.Clock, gate *quota.Gate) *dispatch.Limbo {
+	return dispatch.NewLimbo(workers, clock, gate.Release)
 }
 
 func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
--- a/entry/module_limits.go
+++ b/entry/module_limits.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -10,6 +9,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/peer"
 	"github.com/anvilcourse/anvilcourse/placement"
 	"github.com/anvilcourse/anvilcourse/quota"
 )
@@ -31,8 +31,11 @@
 		quota.NewSurveyor,
 		newKeeper,
 		newClearer,
+		newLender,
+		newBorrower,
 		newExpulsion,
 		fx.Annotate(newLimitsTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newLoanHandler, fx.ResultTags(`group:"peers"`)),
 		fx.Annotate(newLeavingStep, fx.ResultTags(`group:"stop_steps"`)),
 	),
 )
@@ -44,8 +47,8 @@
 	}
 }
 
-func newGate(id identity, ledger *quota.Ledger, p *permit) *quota.Gate {
-	return quota.NewGate(id.incarnation, ledger, p)
+func newGate(id identity, ledger *quota.Ledger, p *permit, clock clockwork.Clock) *quota.Gate {
+	return quota.NewGate(id.incarnation, ledger, p, clock)
 }
 
 func newKeeper(id identity, stream *logstream.Stream, m *membership.Membership, clock clockwork.Clock, logger hclog.Logger) *membership.Keeper {
@@ -58,18 +61,22 @@
 	return quota.NewClearer(id.incarnation, stream, p, surveyor, bounds, clock, logger)
 }
 
-func newLimitsTasks(keeper *membership.Keeper, clearer *quota.Clearer, e *expulsion) []task {
+func newLimitsTasks(keeper *membership.Keeper, clearer *quota.Clearer, lender *quota.Lender, borrower *quota.Borrower, e *expulsion) []task {
 	return []task{
 		{name: "membership records", run: keeper.Run},
 		{name: "removed entries", run: clearer.Run},
+		{name: "lapsed loans", run: lender.Run},
+		{name: "loans", run: borrower.Run},
 		{name: "own removal", run: e.run},
 	}
 }
 
-// newLeavingStep takes the entry out of every majority before it leaves.
-func newLeavingStep(d *describer) stopStep {
-	return stopStep{name: "leave majorities", run: func(context.Context) error {
-		d.leaving.Store(true)
-		return nil
-	}}
+func newLender(id identity, stream *logstream.Stream, ledger *quota.Ledger, p *permit, surveyor *quota.Surveyor, bounds quota.Bounds,
+	clock clockwork.Clock, logger hclog.Logger,
+) *quota.Lender {
+	return quota.NewLender(id.incarnation, stream, ledger, p, surveyor, bounds, clock, logger)
+}
+
+func newBorrower(id identity, ledger *quota.Ledger, p *permit, client *peer.Client, clock clockwork.Clock) *quota.Borrower {
+	return quota.NewBorrower(id.incarnation, ledger, p, client, clock)
 }
--- a/entry/permit.go
+++ b/entry/permit.go
@@ -1,16 +1,22 @@
 package entry
 
-import "github.com/anvilcourse/anvilcourse/membership"
+import (
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
 
 // permit implements quota.Permit and quota.Peers.
 type permit struct {
 	self       string
+	zone       string
 	control    *control
 	membership *membership.Membership
 }
 
-func newPermit(id identity, c *control, m *membership.Membership) *permit {
-	return &permit{self: id.incarnation, control: c, membership: m}
+func newPermit(s settings.Entry, id identity, c *control, m *membership.Membership) *permit {
+	return &permit{self: id.incarnation, zone: s.AvailabilityZone, control: c, membership: m}
 }
 
 // MayUseAllotment implements quota.Permit.
@@ -29,3 +35,27 @@
 	}
 	return out
 }
+
+// Lenders implements quota.Peers.
+func (p *permit) Lenders(team string) []quota.Peer {
+	var out []quota.Peer
+	for _, member := range p.membership.Reachable() {
+		if member.Incarnation == p.self || member.Last.GetLeaving() {
+			continue
+		}
+		out = append(out, quota.Peer{
+			Incarnation: member.Incarnation, Address: member.Address,
+			SameZone: member.Last.GetAvailabilityZone() == p.zone, Spare: spareOf(member.Last, team),
+		})
+	}
+	return out
+}
+
+func spareOf(heartbeat *peerpb.Heartbeat, team string) int {
+	for _, load := range heartbeat.GetTeams() {
+		if load.GetTeam() == team {
+			return int(load.GetSpare())
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/quota/borrowed.go
@@ -0,0 +1,46 @@
+package quota
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// borrowed is a loan that this entry uses. Acquire and release take no lock.
+type borrowed struct {
+	id      string
+	team    string
+	lender  Peer
+	holder  string
+	amount  atomic.Int64
+	running atomic.Int64
+	// ends is when the last start may be checked.
+	ends atomic.Pointer[time.Time]
+	// usedAt is when the loan was last seen in use.
+	usedAt time.Time
+}
+
+// acquire takes one unit if the loan has one left and has not ended by the
+// wall or the monotonic clock.
+func (b *borrowed) acquire(now time.Time) bool {
+	if b.ended(now) {
+		return false
+	}
+	if b.running.Add(1) > b.amount.Load() {
+		b.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// ended reports whether no start may be checked under the loan any more.
+func (b *borrowed) ended(now time.Time) bool {
+	ends := *b.ends.Load()
+	return !now.Before(ends) || !now.Round(0).Before(ends.Round(0))
+}
+
+// close ends the loan early. It reports whether nothing runs under it; then
+// nothing will.
+func (b *borrowed) close() bool {
+	b.amount.Store(0)
+	return b.running.Load() == 0
+}
--- a/quota/clearer.go
+++ b/quota/clearer.go
@@ -17,12 +17,6 @@
 	clearStagger = 2 * time.Second
 )
 
-// Peers tells what the other entries last said of themselves.
-type Peers interface {
-	// Applied returns the next control offset of each reached entry.
-	Applied() map[string]uint64
-}
-
 // Clearer returns the allotments of removed entries to the pool.
 type Clearer struct {
 	self     string
--- a/quota/clearing.go
+++ b/quota/clearing.go
@@ -79,10 +79,8 @@
 	if f.Waited < b.ListAfter() {
 		return ClearWaitsForLeases
 	}
-	for _, vm := range f.VMs {
-		if vm.Running > 0 || vm.AskedAfter < b.ListAfter() {
-			return ClearWaitsForVMs
-		}
+	if !allEmpty(f.VMs, b.ListAfter()) {
+		return ClearWaitsForVMs
 	}
 	return ClearReady
 }
@@ -107,3 +105,25 @@
 func sinceBoth(now, then time.Time) time.Duration {
 	return min(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
+
+// LoanListAfter is the time after the end of a loan from which a VM's record
+// shows all starts under it.
+func (b Bounds) LoanListAfter() time.Duration {
+	return b.SlotLease + b.Margin + b.UsageLag
+}
+
+// LoanOver reports whether nothing runs under a loan that was not returned,
+// and nothing will. Waited and the evidence are counted from the loan's end.
+func (b Bounds) LoanOver(waited time.Duration, vms []VMEvidence) bool {
+	return waited >= b.LoanListAfter() && allEmpty(vms, b.LoanListAfter())
+}
+
+// allEmpty reports whether every VM, asked late enough, ran nothing.
+func allEmpty(vms []VMEvidence, after time.Duration) bool {
+	for _, vm := range vms {
+		if vm.Running > 0 || vm.AskedAfter < after {
+			return false
+		}
+	}
+	return true
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -21,6 +21,10 @@
 	lent atomic.Int64
 	// demand counts the attempts to acquire, successful or not.
 	demand atomic.Int64
+	// refused counts the attempts that found neither allotment nor loan.
+	refused atomic.Int64
+	// loans are the loans from other entries.
+	loans atomic.Pointer[[]*borrowed]
 }
 
 // NewLedger returns an empty ledger.
@@ -56,11 +60,7 @@
 
 // SetAllotted changes the allotment that Acquire works against.
 func (l *Ledger) SetAllotted(team string, amount int) {
-	a := l.account(team)
-	if a == nil {
-		a = l.add(team)
-	}
-	a.allotted.Store(int64(amount))
+	l.open(team).allotted.Store(int64(amount))
 }
 
 // Usage is one team's line of the ledger.
@@ -69,8 +69,12 @@
 	Running  int
 	// Lent is the part of Allotted that other entries use.
 	Lent int
+	// Borrowed is what other entries lend to this one.
+	Borrowed int
 	// Demand counts the attempts to acquire since the start.
 	Demand int64
+	// Refused counts the attempts that found neither allotment nor loan.
+	Refused int64
 }
 
 // Usage returns the team's line.
@@ -79,7 +83,10 @@
 	if a == nil {
 		return Usage{}
 	}
-	return Usage{Allotted: int(a.allotted.Load()), Running: int(a.running.Load()), Lent: int(a.lent.Load()), Demand: a.demand.Load()}
+	return Usage{
+		Allotted: int(a.allotted.Load()), Running: int(a.running.Load()), Lent: int(a.lent.Load()),
+		Borrowed: a.borrowed(), Demand: a.demand.Load(), Refused: a.refused.Load(),
+	}
 }
 
 // Teams returns the lines of all teams.
@@ -95,6 +102,14 @@
 	return (*l.teams.Load())[team]
 }
 
+// open returns the team's account, a new one if there is none.
+func (l *Ledger) open(team string) *account {
+	if a := l.account(team); a != nil {
+		return a
+	}
+	return l.add(team)
+}
+
 func (l *Ledger) add(team string) *account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,6 +118,7 @@
 	}
 	next := maps.Clone(*l.teams.Load())
 	next[team] = &account{}
+	next[team].loans.Store(&[]*borrowed{})
 	l.teams.Store(&next)
 	return next[team]
 }
--- /dev/null
+++ b/quota/lender.go
@@ -0,0 +1,202 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// lendReserve is the part of its allotment, one in so many, that a lender
+	// keeps free for its own callers.
+	lendReserve    = 8
+	lapseInterval  = 250 * time.Millisecond
+	closePoll      = 20 * time.Millisecond
+	maxLoanIDBytes = 64
+)
+
+// Lender lends parts of the ledger's allotments to other entries. A loan stays
+// under the lender's name in the control stream.
+type Lender struct {
+	self     string
+	proposer Proposer
+	ledger   *Ledger
+	permit   Permit
+	surveyor *Surveyor
+	bounds   Bounds
+	clock    clockwork.Clock
+	logger   hclog.Logger
+
+	mu     sync.Mutex
+	closed bool
+	loans  map[string]*lent
+}
+
+// lent is a loan that has not come back.
+type lent struct {
+	team   string
+	amount int
+	ends   time.Time
+	// refused is the team's count of refusals at the latest grant.
+	refused int64
+	vms     map[string]VMEvidence
+}
+
+// NewLender returns the lender of the entry incarnation.
+func NewLender(self string, proposer Proposer, ledger *Ledger, permit Permit, surveyor *Surveyor, bounds Bounds, clock clockwork.Clock, logger hclog.Logger) *Lender {
+	return &Lender{
+		self: self, proposer: proposer, ledger: ledger, permit: permit, surveyor: surveyor, bounds: bounds, clock: clock, logger: logger,
+		loans: make(map[string]*lent),
+	}
+}
+
+// Grant lends up to the amount, or extends the loan of the ID, and returns
+// what is lent, 0 for nothing. It lowers the ledger before it answers, so that
+// a lost answer costs capacity until the loan has lapsed.
+func (l *Lender) Grant(id, team string, amount int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || id == "" || len(id) > maxLoanIDBytes || !l.permit.MayUseAllotment() {
+		return 0
+	}
+	if loan, ok := l.loans[id]; ok {
+		return l.extend(loan, team)
+	}
+	usage := l.ledger.Usage(team)
+	amount = min(amount, usage.Spare()-usage.Allotted/lendReserve)
+	if amount <= 0 || !l.ledger.Lend(team, amount) {
+		return 0
+	}
+	l.loans[id] = &lent{team: team, amount: amount, ends: l.clock.Now().Add(LoanTTL), refused: usage.Refused, vms: make(map[string]VMEvidence)}
+	return amount
+}
+
+// extend moves the end of a loan, unless it has ended or this entry has
+// refused work of the team itself since the latest grant.
+func (l *Lender) extend(loan *lent, team string) int {
+	now := l.clock.Now()
+	usage := l.ledger.Usage(team)
+	if loan.team != team || !now.Before(loan.ends) || usage.Refused > loan.refused {
+		return 0
+	}
+	loan.ends = now.Add(LoanTTL)
+	return loan.amount
+}
+
+// Return ends a loan whose borrower says that nothing runs under it. A
+// repeated return changes nothing.
+func (l *Lender) Return(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.takeBack(id)
+}
+
+// takeBack returns the loan to the entry's own use. l.mu is held.
+func (l *Lender) takeBack(id string) {
+	loan, ok := l.loans[id]
+	if !ok {
+		return
+	}
+	delete(l.loans, id)
+	l.ledger.TakeBack(loan.team, loan.amount)
+}
+
+// Close stops lending and waits until all loans are back. It fails once the
+// context ends; then the entry must not give up its allotments.
+func (l *Lender) Close(ctx context.Context) error {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	for l.Outstanding() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%d loans are not back", l.Outstanding())
+		case <-l.clock.After(closePoll):
+		}
+	}
+	return nil
+}
+
+// Outstanding is the number of loans that have not come back.
+func (l *Lender) Outstanding() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.loans)
+}
+
+// Run takes back the loans that have lapsed until the context ends.
+func (l *Lender) Run(ctx context.Context) {
+	ticker := l.clock.NewTicker(lapseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			l.reclaim(ctx)
+		}
+	}
+}
+
+// reclaim asks the VMs for the loans that ended without a return, and takes
+// back those under which nothing runs.
+func (l *Lender) reclaim(ctx context.Context) {
+	lapsed := l.lapsed()
+	if len(lapsed) == 0 {
+		return
+	}
+	ids, findings, err := l.surveyor.Survey(ctx, l.proposer.State(), func(string) bool { return false })
+	if err != nil {
+		l.logger.Debug("VM list not read", "error", err.Error())
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range lapsed {
+		loan, ok := l.loans[id]
+		if !ok {
+			continue
+		}
+		loan.note(ids, findings, loanHolder(l.self, id))
+		if l.bounds.LoanOver(sinceBoth(l.clock.Now(), loan.ends), loan.evidence()) {
+			l.logger.Warn("loan lapsed without a return", "loan", id, "team", loan.team, "amount", loan.amount)
+			l.takeBack(id)
+		}
+	}
+}
+
+func (l *Lender) lapsed() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]bool)
+	for id, loan := range l.loans {
+		if sinceBoth(l.clock.Now(), loan.ends) >= l.bounds.LoanListAfter() {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// note takes the findings of a survey into account.
+func (l *lent) note(ids []string, findings []Finding, holder string) {
+	for _, id := range ids {
+		if _, ok := l.vms[id]; !ok {
+			l.vms[id] = VMEvidence{}
+		}
+	}
+	for _, f := range findings {
+		l.vms[f.VM] = VMEvidence{AskedAfter: sinceBoth(f.Asked, l.ends), Running: f.Holders[holder]}
+	}
+}
+
+func (l *lent) evidence() []VMEvidence {
+	out := make([]VMEvidence, 0, len(l.vms))
+	for _, vm := range l.vms {
+		out = append(out, vm)
+	}
+	return out
+}
--- a/quota/surveyor.go
+++ b/quota/surveyor.go
@@ -113,9 +113,6 @@
 	return out
 }
 
-// loanSeparator stands between the lender and the loan in a task's holder.
-const loanSeparator = "/"
-
 // heldBy counts the running tasks that use the entry's allotment, be it by the
 // entry itself or under a loan.
 func (f Finding) heldBy(entry string) int {
