--- a/cmd/anvilcourse/limits_test.go
+++ b/cmd/anvilcourse/limits_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilcourse/anvilcourse/examples"
 	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 	"github.com/anvilcourse/anvilcourse/testbed"
 )
@@ -31,7 +32,12 @@
 	ctx   context.Context
 }
 
-func startLimited(t *testing.T, limit int) *limited {
+func startLimited(t testing.TB, limit int) *limited {
+	t.Helper()
+	return startAmended(t, limit, limitedEntries, nil)
+}
+
+func startAmended(t testing.TB, limit, entries int, amend func(*settings.Entry)) *limited {
 	t.Helper()
 	s, err := examples.Standin("apitt")
 	require.NoError(t, err)
@@ -39,7 +45,7 @@
 	require.NoError(t, err)
 	workspace := &catalog.Workspaces[0]
 	workspace.Limit = limit
-	l := &limited{System: testbed.New(t, s, limitedEntries), team: workspace.Team, queue: workspace.Name + ".quotes", limit: limit}
+	l := &limited{System: testbed.NewAmended(t, s, entries, amend), team: workspace.Team, queue: workspace.Name + ".quotes", limit: limit}
 	l.Publish(catalog)
 	l.WaitCapacity(50, l.team, limit)
 	l.key = l.GrantKey(workspace.Name).Key
--- a/entry/loans.go
+++ b/entry/loans.go
@@ -15,7 +15,7 @@
 			return loanAnswer(id, loan.GetId(), loan.GetTeam(), granted)
 		}
 		if loan := req.GetLoanReturn(); loan != nil {
-			lender.Return(loan.GetId())
+			lender.Return(loan.GetId(), int(loan.GetRemaining()))
 			return loanAnswer(id, loan.GetId(), loan.GetTeam(), 0)
 		}
 		return nil
--- a/entry/module_limits.go
+++ b/entry/module_limits.go
@@ -12,6 +12,7 @@
 	"github.com/anvilcourse/anvilcourse/peer"
 	"github.com/anvilcourse/anvilcourse/placement"
 	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/settings"
 )
 
 const (
@@ -61,14 +62,17 @@
 	return quota.NewClearer(id.incarnation, stream, p, surveyor, bounds, clock, logger)
 }
 
-func newLimitsTasks(keeper *membership.Keeper, clearer *quota.Clearer, lender *quota.Lender, borrower *quota.Borrower, e *expulsion) []task {
-	return []task{
+func newLimitsTasks(s settings.Entry, keeper *membership.Keeper, clearer *quota.Clearer, lender *quota.Lender, borrower *quota.Borrower, e *expulsion) []task {
+	out := []task{
 		{name: "membership records", run: keeper.Run},
 		{name: "removed entries", run: clearer.Run},
 		{name: "lapsed loans", run: lender.Run},
-		{name: "loans", run: borrower.Run},
 		{name: "own removal", run: e.run},
 	}
+	if !s.NoLoans {
+		out = append(out, task{name: "loans", run: borrower.Run})
+	}
+	return out
 }
 
 func newLender(id identity, stream *logstream.Stream, ledger *quota.Ledger, p *permit, surveyor *quota.Surveyor, bounds quota.Bounds,
--- a/quota/borrowed.go
+++ b/quota/borrowed.go
@@ -17,6 +17,8 @@
 	ends atomic.Pointer[time.Time]
 	// usedAt is when the loan was last seen in use.
 	usedAt time.Time
+	// reported is what the lender knows to run under the closed loan, or -1.
+	reported int
 }
 
 // acquire takes one unit if the loan has one left and has not ended by the
@@ -38,9 +40,9 @@
 	return !now.Before(ends) || !now.Round(0).Before(ends.Round(0))
 }
 
-// close ends the loan early. It reports whether nothing runs under it; then
-// nothing will.
-func (b *borrowed) close() bool {
+// close ends the loan early and returns the number of tasks that still run
+// under it. It never grows again.
+func (b *borrowed) close() int {
 	b.amount.Store(0)
-	return b.running.Load() == 0
+	return int(b.running.Load())
 }
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -140,7 +140,7 @@
 	if granted <= 0 {
 		return
 	}
-	loan := &borrowed{id: id, team: team, lender: lender, holder: loanHolder(lender.Incarnation, id), usedAt: sent}
+	loan := &borrowed{id: id, team: team, lender: lender, holder: loanHolder(lender.Incarnation, id), usedAt: sent, reported: -1}
 	loan.amount.Store(int64(granted))
 	ends := sent.Add(LoanTTL)
 	loan.ends.Store(&ends)
@@ -171,7 +171,7 @@
 	idle := now.Sub(loan.usedAt) > idleLoanFor
 	switch {
 	case loan.amount.Load() == 0 || loan.ended(now) || idle:
-		if !loan.close() {
+		if loan.close() == loan.reported {
 			return nil
 		}
 		return b.giveBack
@@ -193,27 +193,28 @@
 	loan.ends.Store(&ends)
 }
 
-// giveBack tells the lender that nothing runs under the loan. The loan is
-// closed already.
+// giveBack tells the lender what still runs under a loan that is closed.
 func (b *Borrower) giveBack(ctx context.Context, loan *borrowed) {
+	remaining := loan.close()
 	resp, err := b.caller.Call(ctx, loan.lender.Address, &peerpb.Request{Body: &peerpb.Request_LoanReturn{LoanReturn: &peerpb.LoanReturn{
-		Id: loan.id, Team: loan.team,
+		Id: loan.id, Team: loan.team, Remaining: int64(remaining),
 	}}})
 	answered := err == nil && resp.GetLoan().GetId() == loan.id
-	if answered || b.clock.Now().Sub(*loan.ends.Load()) > returnFor {
+	if answered {
+		loan.reported = remaining
+	}
+	if remaining == 0 && (answered || b.clock.Now().Sub(*loan.ends.Load()) > returnFor) {
 		b.ledger.dropLoan(loan)
 	}
 }
 
-// Close returns all loans under which nothing runs.
+// Close ends all loans.
 func (b *Borrower) Close(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	for team := range b.ledger.Teams() {
 		for _, loan := range b.ledger.loansOf(team) {
-			if loan.close() {
-				b.giveBack(ctx, loan)
-			}
+			b.giveBack(ctx, loan)
 		}
 	}
 }
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -87,22 +87,27 @@
 	return loan.amount
 }
 
-// Return ends a loan whose borrower says that nothing runs under it. A
-// repeated return changes nothing.
-func (l *Lender) Return(id string) {
+// Return takes back the loan but for what still runs under it. The borrower
+// starts nothing more under the loan, so a repeated or late return changes
+// nothing.
+func (l *Lender) Return(id string, remaining int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.takeBack(id)
+	l.reduce(id, remaining)
 }
 
-// takeBack returns the loan to the entry's own use. l.mu is held.
-func (l *Lender) takeBack(id string) {
+// reduce returns the loan but for the remaining amount to the entry's own use.
+// l.mu is held.
+func (l *Lender) reduce(id string, remaining int) {
 	loan, ok := l.loans[id]
-	if !ok {
+	if !ok || remaining < 0 || remaining >= loan.amount {
 		return
 	}
-	delete(l.loans, id)
-	l.ledger.TakeBack(loan.team, loan.amount)
+	l.ledger.TakeBack(loan.team, loan.amount-remaining)
+	loan.amount = remaining
+	if remaining == 0 {
+		delete(l.loans, id)
+	}
 }
 
 // Close stops lending and waits until all loans are back. It fails once the
@@ -164,7 +169,7 @@
 		loan.note(ids, findings, loanHolder(l.self, id))
 		if l.bounds.LoanOver(sinceBoth(l.clock.Now(), loan.ends), loan.evidence()) {
 			l.logger.Warn("loan lapsed without a return", "loan", id, "team", loan.team, "amount", loan.amount)
-			l.takeBack(id)
+			l.reduce(id, 0)
 		}
 	}
 }
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -183,7 +183,7 @@
 	}
 	if loan := req.GetLoanReturn(); loan != nil {
 		answer.Id = loan.GetId()
-		n.lender.Return(loan.GetId())
+		n.lender.Return(loan.GetId(), int(loan.GetRemaining()))
 	}
 	return &peerpb.Response{Body: &peerpb.Response_Loan{Loan: answer}}
 }
@@ -196,7 +196,7 @@
 		n.model.seen["loan"]++
 	}
 	if granted > 0 && n.model.variant == lendsWithoutLowering {
-		n.lender.Return(id)
+		n.lender.Return(id, 0)
 	}
 	return granted
 }
--- a/quota/modelrun_test.go
+++ b/quota/modelrun_test.go
@@ -140,7 +140,7 @@
 	n.lender.reclaim(ctx)
 	for id, loan := range n.lender.loans {
 		if n.model.variant == takesBackAtTheEnd && !n.model.clock.Now().Before(loan.ends) {
-			n.lender.Return(id)
+			n.lender.Return(id, 0)
 		}
 	}
 	for _, loan := range n.ledger.loansOf(modelTeam) {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,9 @@
 	DefaultTimeout Duration `json:"default_timeout" validate:"min=1"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" validate:"min=1"`
+	// NoLoans keeps the entry from borrowing parts of upper limits from other
+	// entries.
+	NoLoans bool `json:"no_loans"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error"`
 }
--- a/testbed/system.go
+++ b/testbed/system.go
@@ -36,6 +36,8 @@
 	Platform string
 	Entries  []*Entry
 	HTTP     *http.Client
+	// Amend changes the settings of each entry before it starts, if set.
+	Amend func(*settings.Entry)
 }
 
 // Entry is one entry process.
@@ -47,10 +49,16 @@
 // New starts a stand-in with the settings and the given number of entries,
 // and waits until all entries are ready.
 func New(t testing.TB, s settings.Standin, entries int) *System {
+	t.Helper()
+	return NewAmended(t, s, entries, nil)
+}
+
+// NewAmended is New with a change of the settings of each entry.
+func NewAmended(t testing.TB, s settings.Standin, entries int, amend func(*settings.Entry)) *System {
 	t.Helper()
 	s.Listen = "127.0.0.1:0"
 	path := writeFile(t, "standin.json", s)
-	sys := &System{t: t, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
+	sys := &System{t: t, Amend: amend, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
 	sys.Standin = Start(t, "standin", "-settings", path)
 	sys.Wait("the stand-in to listen", func() bool { return strings.HasPrefix(sys.Standin.Output(), "http://") })
 	sys.Platform = strings.TrimSpace(sys.Standin.Output())
@@ -78,6 +86,9 @@
 	}
 	cfg.OperatorKeyHashes = []string{statemachine.HashKey(OperatorKey)}
 	cfg.LogLevel = "debug"
+	if s.Amend != nil {
+		s.Amend(&cfg)
+	}
 	path := writeFile(s.t, cfg.Name+".json", cfg)
 	s.Entries = append(s.Entries, &Entry{Process: Start(s.t, "entry", "-settings", path), Settings: cfg})
 	return index
