--- a/dispatch/order_bench_test.go
+++ b/dispatch/order_bench_test.go
@@ -34,7 +34,7 @@
 	placer.SetFleet(control.state)
 	ledger := quota.NewLedger()
 	ledger.SetAllotted(testTeam, 1<<20)
-	gate := quota.NewGate(name, ledger, permitted{})
+	gate := quota.NewGate(name, ledger, permitted{}, clock)
 	shards := logstream.NewShards("orders", ordersShards, logstream.Config{
 		Writer: name, Log: platform.NewHTTPLog(url, client), Clock: clock, Logger: hclog.NewNullLogger(), Limits: logstream.DefaultLimits(),
 	})
--- a/entry/freshness_test.go
+++ b/entry/freshness_test.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/membership"
 )
 
 // TestControlView_Current is the truth table of the decision to admit work.
 func TestControlView_Current(t *testing.T) {
-	same := peerView{applied: 7}
+	same := membership.Claim{Applied: 7}
 	rows := []struct {
 		name string
 		view controlView
@@ -23,16 +25,16 @@
 		{"majority on a foreign log", old(controlView{faulted: true, member: true, entries: 1}), false},
 		{"alone of one", old(controlView{member: true, entries: 1}), true},
 		{"alone of two", old(controlView{member: true, entries: 2}), false},
-		{"two of three", old(controlView{member: true, entries: 3, peers: []peerView{same}}), true},
-		{"two of four", old(controlView{member: true, entries: 4, peers: []peerView{same}}), false},
-		{"three of four", old(controlView{member: true, entries: 4, peers: []peerView{same, same}}), true},
-		{"no member", old(controlView{entries: 3, peers: []peerView{same, same}}), false},
+		{"two of three", old(controlView{member: true, entries: 3, peers: []membership.Claim{same}}), true},
+		{"two of four", old(controlView{member: true, entries: 4, peers: []membership.Claim{same}}), false},
+		{"three of four", old(controlView{member: true, entries: 4, peers: []membership.Claim{same, same}}), true},
+		{"no member", old(controlView{entries: 3, peers: []membership.Claim{same, same}}), false},
 		{"no member of an empty state", old(controlView{}), false},
-		{"a peer reads the log", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 7, readable: true}}}), false},
-		{"a peer has applied more", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 8}}}), false},
-		{"a peer has applied less", old(controlView{member: true, entries: 3, peers: []peerView{{applied: 6}}}), true},
-		{"a leaving peer does not count", old(controlView{member: true, entries: 3, peers: []peerView{{applied: 7, leaving: true}}}), false},
-		{"a leaving peer has applied more", old(controlView{member: true, entries: 3, peers: []peerView{same, {applied: 8, leaving: true}}}), false},
+		{"a peer reads the log", old(controlView{member: true, entries: 3, peers: []membership.Claim{same, {Applied: 7, Readable: true}}}), false},
+		{"a peer has applied more", old(controlView{member: true, entries: 3, peers: []membership.Claim{same, {Applied: 8}}}), false},
+		{"a peer has applied less", old(controlView{member: true, entries: 3, peers: []membership.Claim{{Applied: 6}}}), true},
+		{"a leaving peer does not count", old(controlView{member: true, entries: 3, peers: []membership.Claim{{Applied: 7, Leaving: true}}}), false},
+		{"a leaving peer has applied more", old(controlView{member: true, entries: 3, peers: []membership.Claim{same, {Applied: 8, Leaving: true}}}), false},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) { require.Equal(t, row.want, row.view.current()) })
