--- a/statemachine/job.go
+++ b/statemachine/job.go
@@ -1,4 +1,138 @@
 package statemachine
 
-// jobCommands are the commands that accept and carry out jobs.
-var jobCommands = map[Kind]newCommand{}
+import (
+	"slices"
+)
+
+const (
+	// JobKeptFor is the time for which an ended job is kept.
+	JobKeptFor = 2 * ClaimWindow
+	// MaxJobBody bounds the body of a job, in bytes.
+	MaxJobBody = 256 << 10
+	// MaxFailedTargets is the number of distinct targets on which an idempotent
+	// job may fail before it is ended.
+	MaxFailedTargets = 3
+	// maxJobStops bounds the stops from outside after which a job goes on.
+	maxJobStops = 100
+)
+
+// JobState is the state of a job.
+type JobState string
+
+const (
+	// JobQueued means that the job waits for a start.
+	JobQueued JobState = "queued"
+	// JobRunning means that a start is claimed, and may be sent.
+	JobRunning JobState = "running"
+	// JobDone means that the job ran and answered.
+	JobDone JobState = "done"
+	// JobFailed means that the job ended without an answer.
+	JobFailed JobState = "failed"
+	// JobUnknown means that a job that runs at most once may have run.
+	JobUnknown JobState = "unknown"
+	// JobCancelled means that the job was cancelled before its end.
+	JobCancelled JobState = "cancelled"
+)
+
+// Ended reports whether nothing more happens to the job.
+func (s JobState) Ended() bool {
+	return s != JobQueued && s != JobRunning
+}
+
+// Job is long work that is accepted first and polled for.
+type Job struct {
+	ID    string `json:"id"`
+	Team  string `json:"team"`
+	Queue string `json:"queue"`
+	// Pools are the pools on which the job may run.
+	Pools []string `json:"pools"`
+	// Idempotent jobs may run again after a start that may have begun.
+	Idempotent bool   `json:"idempotent"`
+	Body       []byte `json:"body,omitempty"`
+	// BodyHash is the hash of the queue and the body.
+	BodyHash string `json:"body_hash"`
+
+	State JobState `json:"state"`
+	// Owner is the entry incarnation that carries the job out.
+	Owner string `json:"owner"`
+	// Epoch counts the owners, from 1. A step of an earlier one is void.
+	Epoch int `json:"epoch"`
+	// Attempt counts the starts, from 1.
+	Attempt int `json:"attempt"`
+	// Start is the latest claimed start.
+	Start JobTarget `json:"start"`
+	// Checkpoint is the saved progress of the latest stopped start.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Stops counts the starts that were stopped from outside.
+	Stops int `json:"stops,omitempty"`
+	// FailedOn are the distinct targets on which the job failed.
+	FailedOn []string `json:"failed_on,omitempty"`
+	// CancelAsked tells the owner to stop the job.
+	CancelAsked bool   `json:"cancel_asked,omitempty"`
+	Answer      []byte `json:"answer,omitempty"`
+	Message     string `json:"message,omitempty"`
+}
+
+// JobTarget is the slot lease that a start is bound to.
+type JobTarget struct {
+	Target  string `json:"target"`
+	Address string `json:"address"`
+	Lease   string `json:"lease"`
+	// Record and Started are the VM's position at the grant of the lease.
+	Record  string `json:"record"`
+	Started uint64 `json:"started"`
+}
+
+// end moves the job to a state in which nothing more happens to it.
+func (j *Job) end(state JobState, message string) {
+	j.State, j.Message, j.Body, j.Checkpoint = state, message, nil, ""
+}
+
+// stopped moves the job on after a stop from outside.
+func (j *Job) stopped(checkpoint string) {
+	j.Stops++
+	switch {
+	case j.CancelAsked:
+		j.end(JobCancelled, "cancelled while it ran")
+	case !j.Idempotent:
+		j.end(JobFailed, "stopped before its end, and not started again")
+	case j.Stops > maxJobStops:
+		j.end(JobFailed, "stopped too often")
+	default:
+		j.State = JobQueued
+		j.Checkpoint = checkpoint
+	}
+}
+
+// failed moves the job on after a failure that its target reported.
+func (j *Job) failed(message string) {
+	if !slices.Contains(j.FailedOn, j.Start.Target) {
+		j.FailedOn = append(slices.Clone(j.FailedOn), j.Start.Target)
+	}
+	if j.Idempotent && len(j.FailedOn) < MaxFailedTargets && !j.CancelAsked {
+		j.State = JobQueued
+		return
+	}
+	j.end(JobFailed, message)
+}
+
+// lost moves the job on after a start whose end cannot be learnt.
+func (j *Job) lost(message string) {
+	switch {
+	case !j.Idempotent:
+		j.end(JobUnknown, message)
+	case j.CancelAsked:
+		j.end(JobCancelled, "cancelled while its target could not be asked")
+	default:
+		j.State = JobQueued
+	}
+}
+
+// released moves the job on after a start that never began.
+func (j *Job) released() {
+	if j.CancelAsked {
+		j.end(JobCancelled, "cancelled before it ran")
+		return
+	}
+	j.State = JobQueued
+}
--- /dev/null
+++ b/statemachine/job_test.go
@@ -0,0 +1,108 @@
+package statemachine
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestJob_Table(t *testing.T) {
+	accept := func(id string, idempotent bool) *JobAccept {
+		return &JobAccept{ID: id, Team: "team", Queue: "w.job", Idempotent: idempotent, Body: []byte("b")}
+	}
+	start := func(id string, epoch int, vm string) *JobStart {
+		return &JobStart{ID: id, Epoch: epoch, On: JobTarget{Target: vm}}
+	}
+	end := func(id string, epoch, attempt int, e JobAttemptEnd) *JobEnd {
+		return &JobEnd{ID: id, Epoch: epoch, Attempt: attempt, End: e, Checkpoint: "c", Answer: []byte("a"), Message: "why"}
+	}
+	cases := []struct {
+		name    string
+		writer  string
+		command Command
+		reason  Reason
+		job     string
+		state   JobState
+	}{
+		{"start of no job", "a", start("j", 1, "vm-1"), ReasonNotFound, "", ""},
+		{"accept", "a", accept("j", true), "", "j", JobQueued},
+		{"accept again", "a", accept("j", true), ReasonExists, "j", JobQueued},
+		{"start by another", "b", start("j", 1, "vm-1"), ReasonEpoch, "j", JobQueued},
+		{"start", "a", start("j", 1, "vm-1"), "", "j", JobRunning},
+		{"second start", "a", start("j", 1, "vm-2"), ReasonStep, "j", JobRunning},
+		{"take", "b", &JobTake{ID: "j", Epoch: 1}, "", "j", JobRunning},
+		{"lost take", "c", &JobTake{ID: "j", Epoch: 1}, ReasonEpoch, "j", JobRunning},
+		{"end by the old owner", "a", end("j", 1, 1, JobAttemptAnswered), ReasonEpoch, "j", JobRunning},
+		{"end of another start", "b", end("j", 2, 2, JobAttemptAnswered), ReasonStep, "j", JobRunning},
+		{"stopped", "b", end("j", 2, 1, JobAttemptStopped), "", "j", JobQueued},
+		{"start elsewhere", "b", start("j", 2, "vm-2"), "", "j", JobRunning},
+		{"failed once", "b", end("j", 2, 2, JobAttemptFailed), "", "j", JobQueued},
+		{"start", "b", start("j", 2, "vm-2"), "", "j", JobRunning},
+		{"failed on the same", "b", end("j", 2, 3, JobAttemptFailed), "", "j", JobQueued},
+		{"start", "b", start("j", 2, "vm-3"), "", "j", JobRunning},
+		{"lost", "b", end("j", 2, 4, JobAttemptLost), "", "j", JobQueued},
+		{"start", "b", start("j", 2, "vm-3"), "", "j", JobRunning},
+		{"failed on two", "b", end("j", 2, 5, JobAttemptFailed), "", "j", JobQueued},
+		{"start", "b", start("j", 2, "vm-4"), "", "j", JobRunning},
+		{"failed on three", "b", end("j", 2, 6, JobAttemptFailed), "", "j", JobFailed},
+		{"take of an ended job", "c", &JobTake{ID: "j", Epoch: 2}, ReasonStep, "j", JobFailed},
+		{"accept once", "a", accept("once", false), "", "once", JobQueued},
+		{"start", "a", start("once", 1, "vm-1"), "", "once", JobRunning},
+		{"released", "a", end("once", 1, 1, JobAttemptReleased), "", "once", JobQueued},
+		{"start", "a", start("once", 1, "vm-1"), "", "once", JobRunning},
+		{"lost once", "a", end("once", 1, 2, JobAttemptLost), "", "once", JobUnknown},
+		{"accept to cancel", "a", accept("cancel", true), "", "cancel", JobQueued},
+		{"cancel by another team", "b", &JobCancel{ID: "cancel", Team: "other"}, ReasonNotFound, "cancel", JobQueued},
+		{"start", "a", start("cancel", 1, "vm-1"), "", "cancel", JobRunning},
+		{"cancel", "b", &JobCancel{ID: "cancel", Team: "team"}, "", "cancel", JobRunning},
+		{"stopped by the cancel", "a", end("cancel", 1, 1, JobAttemptStopped), "", "cancel", JobCancelled},
+		{"accept to cancel in the queue", "a", accept("queued", true), "", "queued", JobQueued},
+		{"cancel in the queue", "b", &JobCancel{ID: "queued", Team: "team"}, "", "queued", JobCancelled},
+		{"start of a cancelled job", "a", start("queued", 1, "vm-1"), ReasonStep, "queued", JobCancelled},
+	}
+	log := newClaimLog()
+	for _, c := range cases {
+		require.Equal(t, c.reason, reasonOf(log.apply(t, c.writer, claimDayMS, c.command)), c.name)
+		if c.job != "" {
+			job, ok := log.state.Jobs.Get(c.job)
+			require.True(t, ok, c.name)
+			require.Equal(t, c.state, job.State, c.name)
+		}
+	}
+	require.Zero(t, log.state.OpenJobs.Len())
+	require.Nil(t, log.apply(t, "a", claimDayMS+2*JobKeptFor.Milliseconds(), accept("next", true)))
+	require.Equal(t, 1, log.state.Jobs.Len())
+}
+
+// TestJob_AtMostOnceUnderRaces lets owners race over a job that runs at most
+// once: whatever they write, no start is claimed after one that may have begun.
+func TestJob_AtMostOnceUnderRaces(t *testing.T) {
+	ends := []JobAttemptEnd{JobAttemptAnswered, JobAttemptFailed, JobAttemptStopped, JobAttemptReleased, JobAttemptLost}
+	rapid.Check(t, func(t *rapid.T) {
+		log := newClaimLog()
+		require.Nil(t, log.apply(t, "a", claimDayMS, &JobAccept{ID: "j", Team: "team"}))
+		begun := false
+		for range rapid.IntRange(1, 60).Draw(t, "records") {
+			writer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "writer")
+			epoch := rapid.IntRange(1, 4).Draw(t, "epoch")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				log.apply(t, writer, claimDayMS, &JobTake{ID: "j", Epoch: epoch})
+			case 1:
+				if log.apply(t, writer, claimDayMS, &JobStart{ID: "j", Epoch: epoch}) == nil {
+					require.False(t, begun, "a second start")
+					begun = true
+				}
+			case 2:
+				end := rapid.SampledFrom(ends).Draw(t, "end")
+				void := log.apply(t, writer, claimDayMS, &JobEnd{ID: "j", Epoch: epoch, Attempt: rapid.IntRange(1, 4).Draw(t, "attempt"), End: end})
+				if void == nil && end == JobAttemptReleased {
+					begun = false
+				}
+			default:
+				log.apply(t, writer, claimDayMS, &JobCancel{ID: "j", Team: "team"})
+			}
+		}
+	})
+}
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -46,6 +46,13 @@
 	// OrderHorizonMS is the time before which no key can be claimed, in Unix
 	// milliseconds. It never decreases.
 	OrderHorizonMS int64 `json:"order_horizon_ms"`
+
+	// Jobs holds the jobs by ID, ended ones for JobKeptFor.
+	Jobs Table[*Job] `json:"jobs"`
+	// OpenJobs holds the epoch of each job that has not ended.
+	OpenJobs Table[int] `json:"open_jobs"`
+	// EndedJobs holds the IDs of the ended jobs by the time of their end.
+	EndedJobs Table[string] `json:"ended_jobs"`
 }
 
 // WriterMark is what the state remembers of a writer.
