Carry jobs out: one owner at a time, starts by record, takeover by record

Change: package job accepts, starts, resolves, cancels and takes over jobs; a job gives way by checkpoint (Preempt), and a stopping entry hands over.

Naive forms, tried on the tests: without the wait before a start counts as absent, TestRunner_Faults owner_paused_before_the_start_within_its_lease fails (two starts); without the proof that the VM's record reaches back, target_replaced_while_it_runs/idempotent=false fails; without the check of owner and epoch, TestJob_Table fails. After: go test -race -count=1 ./job, three times, pass.

--- /dev/null
+++ b/dispatch/jobs.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// Authorize returns what the request may use, or the outcome that refuses it.
+func (d *Dispatcher) Authorize(req Request) (*Grant, Outcome) {
+	if d.stopping.Load() {
+		return nil, notRun(CodeStopping, "this entry is stopping", busyRetryAfter)
+	}
+	return authorize(d.cfg.Control, req)
+}
+
+// JobKey returns the ID of the job that the request makes. A queue whose work
+// runs at most once needs an idempotency key, as an order does.
+func (d *Dispatcher) JobKey(req Request, grant *Grant, fresh string) (string, Outcome) {
+	if req.IdempotencyKey == "" && !grant.Queue.RunsAtMostOnce() {
+		return fresh, Outcome{}
+	}
+	key, refusal := parseOrderKey(req.IdempotencyKey, d.cfg.Clock.Now())
+	if refusal.Kind != "" {
+		return "", refusal
+	}
+	return "job-" + statemachine.OrderID(grant.Workspace.Team, key.text), Outcome{}
+}
+
+// BodyHash covers the queue and the body of a request.
+func BodyHash(req Request) string {
+	return bodyHash(req)
+}
+
+// Place takes a slot lease and a unit of the team's allotment for a job.
+func (d *Dispatcher) Place(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool) {
+	grant := &Grant{
+		Template:  &statemachine.Template{Pools: pools},
+		Workspace: &statemachine.Workspace{Team: team},
+		Queue:     statemachine.Queue{Class: statemachine.ClassJob},
+	}
+	held, _ := d.place(ctx, grant, avoid)
+	return held, held != nil
+}
+
+// GiveBack returns what Place took, unused.
+func (d *Dispatcher) GiveBack(team string, held *placement.Held) {
+	d.cfg.Allotment.Release(team, held.Holder)
+	d.cfg.Slots.Release(held)
+}
+
+// Call sends one start of a job and gives back what Place took.
+func (d *Dispatcher) Call(ctx context.Context, held *placement.Held, task platform.Task) (AttemptEnd, []byte, error) {
+	got := d.call(ctx, held, task)
+	return got.end, got.answer, got.err
+}
--- /dev/null
+++ b/job/callers.go
@@ -0,0 +1,124 @@
+package job
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+var (
+	// ErrNotAccepted means that the record is not in the log and never will be.
+	ErrNotAccepted = errors.New("the log takes no records now")
+	// ErrUnknown means that the record may be in the log, now or later.
+	ErrUnknown = errors.New("the record was not read back in time")
+	// ErrNotFound means that there is no such job.
+	ErrNotFound = errors.New("there is no such job")
+	// ErrOtherBody means that the job's ID stands for another body.
+	ErrOtherBody = errors.New("the job was accepted with another body")
+	// ErrEnded means that the job has ended.
+	ErrEnded = errors.New("the job has ended")
+)
+
+// Accept puts the job into the log. It returns without an error only once the
+// job is there and has been read back, by this call or an earlier one.
+func (r *Runner) Accept(ctx context.Context, accept *statemachine.JobAccept) error {
+	stream, err := r.stream(accept.ID)
+	if err != nil {
+		return err
+	}
+	result, err := r.propose(ctx, stream, accept.Team, accept)
+	if err != nil {
+		return err
+	}
+	if result.Void == nil {
+		return nil
+	}
+	if result.Void.Reason != statemachine.ReasonExists {
+		return errors.Mark(result.Void, ErrNotAccepted)
+	}
+	job, ok := stream.State().Jobs.Get(accept.ID)
+	if ok && job.BodyHash != accept.BodyHash {
+		return ErrOtherBody
+	}
+	return nil
+}
+
+// Get returns the job. A job that was accepted elsewhere just now is waited
+// for until the context ends. While the log is down the job is given as it was
+// last known.
+func (r *Runner) Get(ctx context.Context, id string) (*statemachine.Job, error) {
+	shards := r.cfg.Shards()
+	if shards == nil {
+		return nil, ErrNotAccepted
+	}
+	stream := shards.For(id)
+	for {
+		changed := stream.Changed()
+		if job, ok := stream.State().Jobs.Get(id); ok {
+			return job, nil
+		}
+		if stream.Age() > staleAfter {
+			return nil, ErrNotAccepted
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ErrNotFound
+		}
+	}
+}
+
+// Cancel ends a job that waits, and asks for the end of one that runs.
+func (r *Runner) Cancel(ctx context.Context, team, id string) error {
+	stream, err := r.stream(id)
+	if err != nil {
+		return err
+	}
+	result, err := r.propose(ctx, stream, team, &statemachine.JobCancel{ID: id, Team: team})
+	switch {
+	case err != nil:
+		return err
+	case result.Void == nil:
+		return nil
+	case result.Void.Reason == statemachine.ReasonStep:
+		return ErrEnded
+	default:
+		return ErrNotFound
+	}
+}
+
+// stream returns the stream of the job, unless the log is down.
+func (r *Runner) stream(id string) (*logstream.Watched, error) {
+	shards := r.cfg.Shards()
+	if shards == nil {
+		return nil, ErrNotAccepted
+	}
+	stream := shards.For(id)
+	if stream.Age() > staleAfter {
+		return nil, ErrNotAccepted
+	}
+	return stream, nil
+}
+
+// propose writes one record for a caller, a bounded number at once per team.
+func (r *Runner) propose(ctx context.Context, stream *logstream.Watched, team string, c statemachine.Command) (statemachine.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	leave, ok := r.gates.enter(ctx, team)
+	if !ok {
+		return statemachine.Result{}, ErrNotAccepted
+	}
+	defer leave()
+	result, err := stream.Propose(ctx, c)
+	if err == nil {
+		return result, nil
+	}
+	if platform.OutcomeOf(err) == platform.Refused {
+		return result, errors.Mark(err, ErrNotAccepted)
+	}
+	return result, errors.Mark(err, ErrUnknown)
+}
--- /dev/null
+++ b/job/config.go
@@ -0,0 +1,69 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+const (
+	// maxActive bounds the jobs that one entry carries out at once.
+	maxActive = 256
+	// scanInterval is the time between two looks at the open jobs.
+	scanInterval = 100 * time.Millisecond
+	// placeFor bounds one search for a slot, after which other jobs get a turn.
+	placeFor = time.Second
+	// recordTimeout bounds the wait for one record.
+	recordTimeout = 2 * time.Second
+	// claimTimeout bounds the wait for the record of a start, whose slot lease
+	// does not last longer.
+	claimTimeout = time.Second
+	// retryDelay is the pause after a call that failed.
+	retryDelay = 250 * time.Millisecond
+	// absentAfter is the time after which a start that the VM does not list
+	// cannot begin any more.
+	absentAfter = placement.LeaseTTL + 3*time.Second
+	// lostAfter is the time after which the start of an idempotent job counts
+	// as lost if its VM does not answer.
+	lostAfter = 30 * time.Second
+	// lostOnceAfter is the same for a job that runs at most once.
+	lostOnceAfter = 10 * time.Minute
+	// staleAfter is the age of a stream beyond which the log counts as down.
+	staleAfter = 2 * time.Second
+	// recordsPerTeam bounds the records of callers that one team has under way.
+	recordsPerTeam = 64
+	// MaxAnswer bounds the answer that a job keeps, in bytes.
+	MaxAnswer = 512 << 10
+)
+
+// Starter places and starts tasks within the upper limits.
+type Starter interface {
+	// Place takes a slot lease and a unit of the team's allotment, or reports
+	// false at the end of the context.
+	Place(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool)
+	// GiveBack returns what Place took, unused.
+	GiveBack(team string, held *placement.Held)
+	// Call sends one start and gives back what Place took.
+	Call(ctx context.Context, held *placement.Held, task platform.Task) (dispatch.AttemptEnd, []byte, error)
+}
+
+// Config holds what a Runner works with. All members are required.
+type Config struct {
+	// Incarnation is the own incarnation.
+	Incarnation string
+	// Shards returns the streams of the jobs, or nil while their number is not
+	// known.
+	Shards  func() *logstream.Shards
+	Starter Starter
+	Workers platform.Workers
+	Clock   clockwork.Clock
+	// Members returns the entry incarnations that are known to run, without
+	// the own one.
+	Members func() []string
+}
--- /dev/null
+++ b/job/stop.go
@@ -0,0 +1,62 @@
+package job
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// Preempt asks the job that has run longest on the pools for a checkpoint and
+// a stop, so that its slot comes free. It reports false if no job can give
+// way. The job goes on elsewhere later.
+func (r *Runner) Preempt(pools []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var oldest *run
+	for _, a := range r.active {
+		if !a.givesWay(pools) || a.stop.Load() {
+			continue
+		}
+		if oldest == nil || a.started.Load() < oldest.started.Load() {
+			oldest = a
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.stop.Store(true)
+	return true
+}
+
+// givesWay reports whether the job runs on one of the pools and may be
+// started again. Without pools any will do.
+func (a *run) givesWay(pools []string) bool {
+	if a.r == nil || a.started.Load() == 0 {
+		return false
+	}
+	job, ok := a.mine()
+	if !ok || !job.Idempotent || job.State != statemachine.JobRunning {
+		return false
+	}
+	return len(pools) == 0 || slices.ContainsFunc(pools, func(p string) bool { return slices.Contains(job.Pools, p) })
+}
+
+// Stop begins no more jobs, stops those that go on elsewhere, and waits until
+// none runs under the entry's allotments.
+func (r *Runner) Stop(ctx context.Context) error {
+	r.stopping.Store(true)
+	for r.Active() > 0 {
+		for r.Preempt(nil) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%d jobs are not handed over", r.Active())
+		case <-r.cfg.Clock.After(scanInterval):
+		}
+	}
+	return nil
+}
--- a/statemachine/job.go
+++ b/statemachine/job.go
@@ -12,6 +12,8 @@
 	// MaxFailedTargets is the number of distinct targets on which an idempotent
 	// job may fail before it is ended.
 	MaxFailedTargets = 3
+	// MaxJobFailures bounds the failures that targets report, distinct or not.
+	MaxJobFailures = 10
 	// maxJobStops bounds the stops from outside after which a job goes on.
 	maxJobStops = 100
 )
@@ -67,6 +69,8 @@
 	Stops int `json:"stops,omitempty"`
 	// FailedOn are the distinct targets on which the job failed.
 	FailedOn []string `json:"failed_on,omitempty"`
+	// Failures counts the failures that targets reported.
+	Failures int `json:"failures,omitempty"`
 	// CancelAsked tells the owner to stop the job.
 	CancelAsked bool   `json:"cancel_asked,omitempty"`
 	Answer      []byte `json:"answer,omitempty"`
@@ -109,7 +113,9 @@
 	if !slices.Contains(j.FailedOn, j.Start.Target) {
 		j.FailedOn = append(slices.Clone(j.FailedOn), j.Start.Target)
 	}
-	if j.Idempotent && len(j.FailedOn) < MaxFailedTargets && !j.CancelAsked {
+	j.Failures++
+	again := len(j.FailedOn) < MaxFailedTargets && j.Failures < MaxJobFailures
+	if j.Idempotent && again && !j.CancelAsked {
 		j.State = JobQueued
 		return
 	}
