Callers' interface for jobs: 202 once in the log, read, cancel

Proof: go test -race -run 'TestJob|TestPath' ./cmd/anvilcourse passes; the entry that carries a job out is killed, another takes it over, the workers' record holds one start and the caller reads the whole answer.

--- a/api/client.go
+++ b/api/client.go
@@ -135,6 +135,10 @@
 	if err != nil {
 		return err
 	}
+	return decode(raw, out)
+}
+
+func decode(raw []byte, out any) error {
 	return errors.Wrap(json.Unmarshal(raw, out), "decode answer")
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -36,6 +36,7 @@
 		coreModule,
 		profileModule,
 		ordersModule,
+		jobsModule,
 		limitsModule,
 		maintenanceModule,
 		fx.Invoke(register),
--- /dev/null
+++ b/entry/module_jobs.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/job"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
+
+// jobsStream is the common part of the names of the jobs' streams.
+const jobsStream = "jobs"
+
+// jobShards are the streams of the jobs.
+type jobShards struct {
+	*shardSet
+}
+
+// jobsModule provides what accepts long work and carries it out.
+var jobsModule = fx.Module("jobs",
+	fx.Provide(
+		newJobShards,
+		newJobRunner,
+		fx.Annotate(newJobTasks, fx.ResultTags(`group:"tasks,flatten"`)),
+		fx.Annotate(newJobStopStep, fx.ResultTags(`group:"stop_steps"`)),
+		fx.Annotate(newJobRoutes, fx.ResultTags(`group:"caller_routes"`)),
+	),
+)
+
+func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, clock clockwork.Clock, logger hclog.Logger) jobShards {
+	return jobShards{&shardSet{
+		prefix: jobsStream, count: s.JobStreams, control: stream,
+		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+	}}
+}
+
+func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership) *job.Runner {
+	return job.New(job.Config{
+		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock,
+		Members: func() []string { return reachableMembers(m) },
+	})
+}
+
+// reachableMembers returns the entry incarnations that have answered lately.
+func reachableMembers(m *membership.Membership) []string {
+	var out []string
+	for _, member := range m.Reachable() {
+		out = append(out, member.Incarnation)
+	}
+	return out
+}
+
+func newJobTasks(shards jobShards, runner *job.Runner) []task {
+	return []task{
+		{name: "job streams", run: shards.run},
+		{name: "jobs", run: runner.Run},
+	}
+}
+
+func newJobStopStep(runner *job.Runner) stopStep {
+	return stopStep{name: "hand over jobs", run: runner.Stop}
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -29,6 +29,9 @@
 	// OrderStreams is the number of streams that the orders' claims are divided
 	// over. The first entry to join fixes it for all.
 	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
+	// JobStreams is the number of streams that the jobs are divided over. The
+	// first entry to join fixes it for all.
+	JobStreams int `json:"job_streams" validate:"min=1,max=64" help:"number of streams of the jobs; the first entry fixes it for all"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -40,6 +43,7 @@
 		DefaultTimeout: Duration(10 * time.Second),
 		StopTimeout:    Duration(30 * time.Second),
 		OrderStreams:   2,
+		JobStreams:     2,
 		LogLevel:       "info",
 	}
 }
