--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"strings"
+	"time"
 
+	"github.com/anvilcourse/anvilcourse/admission"
 	"github.com/anvilcourse/anvilcourse/placement"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -34,19 +37,36 @@
 	return bodyHash(req)
 }
 
-// Place takes a slot lease and a unit of the team's allotment for a job.
+// jobSlotPoll is the pause between two searches of a job for a slot.
+const jobSlotPoll = 50 * time.Millisecond
+
+// Place takes a slot lease and a unit of the team's allotment for a job. It
+// takes no slot while requests wait for one, and reports false at the end of
+// the context.
 func (d *Dispatcher) Place(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool) {
-	grant := &Grant{
-		Template:  &statemachine.Template{Pools: pools},
-		Workspace: &statemachine.Workspace{Team: team},
-		Queue:     statemachine.Queue{Class: statemachine.ClassJob},
+	l := d.lines.of(&statemachine.Template{Name: "jobs on " + strings.Join(pools, ","), Pools: pools})
+	for ctx.Err() == nil {
+		if held := d.placeJob(ctx, l, admission.Request{Team: team, Avoid: avoid}); held != nil {
+			return held, true
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.cfg.Clock.After(jobSlotPoll):
+		}
+	}
+	return nil, false
+}
+
+func (d *Dispatcher) placeJob(ctx context.Context, l *line, req admission.Request) *placement.Held {
+	if !l.MayPass(req.Team) {
+		return nil
 	}
-	held, _ := d.place(ctx, grant, avoid)
-	return held, held != nil
+	return d.takeNow(ctx, l, req)
 }
 
 // GiveBack returns what Place took, unused.
 func (d *Dispatcher) GiveBack(team string, held *placement.Held) {
+	held.Queue = ""
 	d.cfg.Allotment.Release(team, held.Holder)
 	d.cfg.Slots.Release(held)
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -105,6 +105,7 @@
 	defer s.d.cfg.Orders.starting.Delete(s)
 	number, outcome, again := s.claim(ctx, held)
 	if number == 0 {
+		held.Queue = ""
 		s.d.cfg.Allotment.Release(s.grant.Workspace.Team, held.Holder)
 		s.d.cfg.Slots.Release(held)
 		return outcome, again
--- a/entry/module.go
+++ b/entry/module.go
@@ -34,9 +34,11 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
 		profileModule,
 		ordersModule,
 		jobsModule,
+		sharesModule,
 		limitsModule,
 		maintenanceModule,
 		fx.Invoke(register),
@@ -104,9 +106,10 @@
 	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -117,6 +120,7 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
@@ -138,8 +142,8 @@
 	return dispatch.NewLimbo(workers, clock, func(team, _ string) { ledger.Release(team) })
 }
 
-func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -149,16 +153,19 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
 	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	ledger *quota.Ledger, preempter *jobPreempter,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Running:   func(team string) int { return ledger.Usage(team).Running },
+		Preempter: preempter,
 	})
 }
 
--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"sync/atomic"
+
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
@@ -25,6 +28,7 @@
 var jobsModule = fx.Module("jobs",
 	fx.Provide(
 		newJobShards,
+		newJobPreempter,
 		newJobRunner,
 		fx.Annotate(newJobTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newJobStopStep, fx.ResultTags(`group:"stop_steps"`)),
@@ -36,14 +40,36 @@
 	return jobShards{&shardSet{
 		prefix: jobsStream, count: s.JobStreams, control: stream,
 		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+		policy: snapshotPolicy(s),
 	}}
 }
 
-func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership) *job.Runner {
-	return job.New(job.Config{
+func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter) *job.Runner {
+	runner := job.New(job.Config{
 		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock,
 		Members: func() []string { return reachableMembers(m) },
 	})
+	preempter.runner.Store(runner)
+	return runner
+}
+
+// jobPreempter makes jobs give way to requests. The dispatcher needs it before
+// there is a runner, which needs the dispatcher.
+type jobPreempter struct {
+	runner atomic.Pointer[job.Runner]
+}
+
+func newJobPreempter() *jobPreempter {
+	return &jobPreempter{}
+}
+
+// Preempt implements admission.Preempter.
+func (p *jobPreempter) Preempt(ctx context.Context, pools []string, slots int) int {
+	runner := p.runner.Load()
+	if runner == nil {
+		return 0
+	}
+	return runner.Preempt(ctx, pools, slots)
 }
 
 // reachableMembers returns the entry incarnations that have answered lately.
--- a/job/runner_test.go
+++ b/job/runner_test.go
@@ -40,7 +40,7 @@
 	preempt := func(w *world) {
 		w.runningOn("j")
 		time.Sleep(10 * time.Second)
-		require.True(t, w.entries[0].Preempt([]string{"pool"}))
+		require.Equal(t, 1, w.entries[0].Preempt(context.Background(), []string{"pool"}, 5))
 	}
 	stop := func(w *world) {
 		w.runningOn("j")
@@ -129,8 +129,8 @@
 		w.accept("j", teamA, true, work)
 		w.runningOn("j")
 		time.Sleep(15 * time.Second)
-		require.True(t, w.entries[0].Preempt(nil))
-		require.False(t, w.entries[0].Preempt(nil), "one job gives way once")
+		require.Equal(t, 1, w.entries[0].Preempt(context.Background(), nil, 1))
+		require.Zero(t, w.entries[0].Preempt(context.Background(), nil, 1), "a job gives way once")
 		require.Equal(t, statemachine.JobDone, w.await("j").State)
 		require.Less(t, time.Since(begun), 25*time.Second)
 	})
--- a/job/stop.go
+++ b/job/stop.go
@@ -9,10 +9,32 @@
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
-// Preempt asks the job that has run longest on the pools for a checkpoint and
-// a stop, so that its slot comes free. It reports false if no job can give
-// way. The job goes on elsewhere later.
-func (r *Runner) Preempt(pools []string) bool {
+// Preempt asks the jobs that have run longest on the pools for a checkpoint
+// and a stop, so that up to the given number of slots come free, and returns
+// how many it asked. Without pools any job will do. The jobs go on elsewhere
+// later. It implements admission.Preempter.
+func (r *Runner) Preempt(_ context.Context, pools []string, slots int) int {
+	asked := 0
+	for r.givingWay(pools) < slots && r.preemptOne(pools) {
+		asked++
+	}
+	return asked
+}
+
+// givingWay counts the jobs on the pools that were asked before and still run.
+func (r *Runner) givingWay(pools []string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, a := range r.active {
+		if a.stop.Load() && a.givesWay(pools) {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *Runner) preemptOne(pools []string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var oldest *run
@@ -49,9 +71,7 @@
 func (r *Runner) Stop(ctx context.Context) error {
 	r.stopping.Store(true)
 	for r.Active() > 0 {
-		for r.Preempt(nil) {
-			continue
-		}
+		r.Preempt(ctx, nil, maxActive)
 		select {
 		case <-ctx.Done():
 			return errors.Newf("%d jobs are not handed over", r.Active())
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,8 @@
 	DefaultTimeout Duration `json:"default_timeout" validate:"min=1" help:"the caller's patience when it names none"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout" validate:"min=1" help:"bound of a graceful stop"`
+	// LogRetention is the time for which the platform's log keeps a record.
+	LogRetention Duration `json:"log_retention" validate:"min=1" help:"the time for which the platform's log keeps a record"`
 	// OrderStreams is the number of streams that the orders' claims are divided
 	// over. The first entry to join fixes it for all.
 	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
@@ -42,6 +44,7 @@
 		MaxBodyBytes:   1 << 20,
 		DefaultTimeout: Duration(10 * time.Second),
 		StopTimeout:    Duration(30 * time.Second),
+		LogRetention:   Duration(10 * time.Minute),
 		OrderStreams:   2,
 		JobStreams:     2,
 		LogLevel:       "info",
--- a/statemachine/job.go
+++ b/statemachine/job.go
@@ -14,8 +14,6 @@
 	MaxFailedTargets = 3
 	// MaxJobFailures bounds the failures that targets report, distinct or not.
 	MaxJobFailures = 10
-	// maxJobStops bounds the stops from outside after which a job goes on.
-	maxJobStops = 100
 )
 
 // JobState is the state of a job.
@@ -100,8 +98,6 @@
 		j.end(JobCancelled, "cancelled while it ran")
 	case !j.Idempotent:
 		j.end(JobFailed, "stopped before its end, and not started again")
-	case j.Stops > maxJobStops:
-		j.end(JobFailed, "stopped too often")
 	default:
 		j.State = JobQueued
 		j.Checkpoint = checkpoint
