--- a/entry/shards.go
+++ b/entry/shards.go
@@ -21,6 +21,7 @@
 	count   int
 	control *logstream.Stream
 	config  logstream.Config
+	policy  logstream.SnapshotPolicy
 	shards  atomic.Pointer[logstream.Shards]
 }
 
@@ -34,6 +35,7 @@
 	for ctx.Err() == nil {
 		if count, ok := s.control.State().StreamCounts.Get(s.prefix); ok {
 			shards := logstream.NewShards(s.prefix, count, s.config)
+			shards.KeepSnapshots(s.policy, func() bool { return isFirst(s.control.State(), s.config.Writer) })
 			s.shards.Store(shards)
 			shards.Run(ctx)
 			return
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -34,6 +34,9 @@
 	// NoLoans keeps the entry from borrowing parts of upper limits from other
 	// entries.
 	NoLoans bool `json:"no_loans" help:"keep from borrowing parts of upper limits from other entries"`
+	// JobStreams is the number of streams that the jobs are divided over. The
+	// first entry to join fixes it for all.
+	JobStreams int `json:"job_streams" validate:"min=1,max=64" help:"number of streams of the jobs; the first entry fixes it for all"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -46,6 +49,7 @@
 		StopTimeout:    Duration(30 * time.Second),
 		LogRetention:   Duration(10 * time.Minute),
 		OrderStreams:   2,
+		JobStreams:     2,
 		LogLevel:       "info",
 	}
 }
