Keep away from targets that do not answer, and bound an attempt's time

Cause: a frozen target held a request for its caller's whole patience, and a random choice could miss the one usable target of a pool. Change: two failed calls in a row eject a target for 500 ms and then twice as long each time, at most a third of a pool at once; a target that is slow or in the rack of the one that has failed the request comes last; urgent attempts end after three times the observed run time, at least 250 ms; a search over the pool finds every usable target. Before: with ejection off (trial) TestPlacer_EjectsSilentTargets and TestPlacer_ProbesAfterAnEjection fail. With the former random choice the first failed in some of 20 runs, as no target was found in a pool of two.

--- a/admission/line.go
+++ b/admission/line.go
@@ -194,3 +194,15 @@
 	}
 	return t
 }
+
+// Quantile returns the run time that starts of the queue are judged by, or 0
+// without observations.
+func (l *Line) Quantile(now time.Time, queue string) time.Duration {
+	return l.RunTimes(now, queue).Quantile(now, l.cfg.Safety)
+}
+
+// Mean returns the mean of the queue's latest run times, or 0 without
+// observations.
+func (l *Line) Mean(now time.Time, queue string) time.Duration {
+	return l.RunTimes(now, queue).Mean(now, l.cfg.Safety)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -71,6 +71,9 @@
 		cfg.Running = func(string) int { return 0 }
 	}
 	d := &Dispatcher{slots: cfg.Slots, lines: newLines(cfg.Running)}
+	if r, ok := cfg.Slots.(reporter); ok {
+		cfg.Workers = &reportingWorkers{Workers: cfg.Workers, clock: cfg.Clock, report: r}
+	}
 	cfg.Slots = &passingSlots{Slots: cfg.Slots, dispatcher: d}
 	d.cfg = cfg
 	return d
@@ -117,6 +120,7 @@
 func (d *Dispatcher) runClass(ctx context.Context, id string, req Request, grant *Grant) Outcome {
 	switch grant.Queue.Class {
 	case statemachine.ClassUrgent:
+		ctx = withAttempts(ctx, d.lines.of(grant.Template), grant.Workspace.Name+"."+grant.Queue.Name)
 		return d.runUrgent(ctx, id, req, grant)
 	case statemachine.ClassOrder:
 		return d.runOrder(ctx, id, req, grant)
--- /dev/null
+++ b/placement/health_test.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// countingWorkers grants slots except at the addresses that do not answer.
+type countingWorkers struct {
+	platform.Workers
+	silent map[string]bool
+	asked  map[string]int
+}
+
+func (w *countingWorkers) AcquireSlot(_ context.Context, address string, req platform.SlotRequest) (platform.SlotLease, error) {
+	w.asked[address]++
+	if w.silent[address] {
+		return platform.SlotLease{}, &platform.Error{Outcome: platform.Unknown, Code: platform.CodeTimeout}
+	}
+	return platform.SlotLease{ID: "lease", TTL: req.TTL, Free: 1}, nil
+}
+
+func newHealthPlacer(vms int) (*Placer, *countingWorkers, *clockwork.FakeClock) {
+	workers := &countingWorkers{silent: make(map[string]bool), asked: make(map[string]int)}
+	clock := clockwork.NewFakeClock()
+	state := statemachine.New()
+	for i := range vms {
+		id := fmt.Sprintf("vm-%d", i)
+		state.VMs = state.VMs.Set(id, &statemachine.VM{ID: id, Address: id, Pool: "pool", Rack: fmt.Sprintf("rack-%d", i/4), Slots: 8})
+	}
+	p := New("self", workers, clock)
+	p.SetFleet(state)
+	return p, workers, clock
+}
+
+func (w *countingWorkers) count(p *Placer, searches int) (failed int) {
+	clear(w.asked)
+	for range searches {
+		if _, err := p.Acquire(context.Background(), []string{"pool"}, ""); errors.Is(err, ErrNoSlot) {
+			failed++
+		}
+	}
+	return failed
+}
+
+// TestPlacer_UnconfirmedTakesNoNewWork checks the bound of ConfirmedFor, and
+// that a listing as live ends it.
+func TestPlacer_UnconfirmedTakesNoNewWork(t *testing.T) {
+	p, workers, clock := newHealthPlacer(2)
+	require.Zero(t, workers.count(p, 10))
+	clock.Advance(ConfirmedFor)
+	p.Observe([]platform.VMInfo{{ID: "vm-0", State: platform.VMLive}, {ID: "vm-1", State: platform.VMFailed}}, clock.Now())
+	clock.Advance(time.Millisecond)
+	require.Zero(t, workers.count(p, 10))
+	require.Zero(t, workers.asked["vm-1"])
+	clock.Advance(ConfirmedFor)
+	require.Equal(t, 10, workers.count(p, 10))
+	require.Empty(t, workers.asked)
+}
+
+// TestPlacer_EjectsSilentTargets checks that targets that do not answer are
+// left alone, but never more than a part of a pool at once.
+func TestPlacer_EjectsSilentTargets(t *testing.T) {
+	cases := []struct{ vms, silent, ejected int }{{10, 1, 1}, {12, 4, 4}, {12, 8, 4}, {2, 2, 1}}
+	for _, c := range cases {
+		p, workers, _ := newHealthPlacer(c.vms)
+		for range ejectAfter {
+			for i := range c.silent {
+				p.Report(fmt.Sprintf("vm-%d", i), false, 0)
+			}
+		}
+		require.Zero(t, workers.count(p, 200))
+		require.Len(t, workers.asked, c.vms-c.ejected)
+	}
+}
+
+// TestPlacer_ProbesAfterAnEjection checks that a target that answers again
+// takes work again.
+func TestPlacer_ProbesAfterAnEjection(t *testing.T) {
+	p, workers, clock := newHealthPlacer(2)
+	p.Report("vm-0", false, 0)
+	p.Report("vm-0", false, 0)
+	workers.count(p, 20)
+	require.Zero(t, workers.asked["vm-0"])
+	clock.Advance(firstEjection)
+	workers.count(p, 20)
+	require.NotZero(t, workers.asked["vm-0"])
+}
+
+// TestTarget_BetterThan checks the order of the reasons for a choice.
+func TestTarget_BetterThan(t *testing.T) {
+	p, _, _ := newHealthPlacer(6)
+	target := func(id string, free int64, slow bool) *Target {
+		v := p.Target(id)
+		v.free.Store(free)
+		v.health.slowness.Store(0)
+		if slow {
+			v.health.slowness.Store(2 * slowFactor * slownessUnit)
+		}
+		return v
+	}
+	cases := []struct {
+		name     string
+		a, b     *Target
+		avoided  *Target
+		expected bool
+	}{
+		{"freer", target("vm-1", 4, false), target("vm-2", 2, false), nil, true},
+		{"not slow before freer", target("vm-3", 1, false), target("vm-5", 8, true), nil, true},
+		{"other rack before freer", target("vm-4", 1, false), target("vm-2", 2, false), p.Target("vm-0"), true},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.expected, c.a.betterThan(c.b, c.avoided), c.name)
+	}
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -35,6 +35,8 @@
 type view struct {
 	pools map[string]*poolView
 	byID  map[string]*Target
+	// byAddress finds the target of a call.
+	byAddress map[string]*Target
 }
 
 type poolView struct {
@@ -64,7 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.view.Load()
-	next := &view{pools: make(map[string]*poolView), byID: make(map[string]*Target, state.VMs.Len())}
+	next := &view{pools: make(map[string]*poolView), byID: make(map[string]*Target, state.VMs.Len()), byAddress: make(map[string]*Target, state.VMs.Len())}
 	for id, vm := range state.VMs.All() {
 		target := reuse(old.byID[id], vm)
 		target.cordoned.Store(!vm.Available())
@@ -72,6 +74,7 @@
 			target.confirm(p.clock.Now())
 		}
 		next.byID[id] = target
+		next.byAddress[target.Address] = target
 		pool := next.pools[vm.Pool]
 		if pool == nil {
 			pool = &poolView{idle: &stack{}}
@@ -176,25 +179,32 @@
 	return nil, ErrNoSlot
 }
 
-// pick returns the freer of two random usable targets, or nil.
+// pick returns the better of two usable targets that follow a random place in
+// the pool, or nil if none is usable.
 func (p *Placer) pick(pool *poolView, avoid string) *Target {
 	now := p.clock.Now()
-	var best *Target
-	for range 2 * acquireTries {
-		target := pool.targets[rand.IntN(len(pool.targets))]
-		if target.ID == avoid || !target.usable(now) || target.recentlyFull(now) {
-			continue
-		}
-		if best == nil {
-			best = target
-			continue
-		}
-		if target.free.Load() > best.free.Load() {
-			best = target
+	avoided := p.Target(avoid)
+	first := p.usableAfter(pool, rand.IntN(len(pool.targets)), avoid, now)
+	if first == nil {
+		return nil
+	}
+	second := p.usableAfter(pool, rand.IntN(len(pool.targets)), avoid, now)
+	if second != nil && second.betterThan(first, avoided) {
+		return second
+	}
+	return first
+}
+
+// usableAfter returns the first target from the place on that may be asked for
+// a slot, or nil.
+func (p *Placer) usableAfter(pool *poolView, place int, avoid string, now time.Time) *Target {
+	for i := range pool.targets {
+		target := pool.targets[(place+i)%len(pool.targets)]
+		if target.ID != avoid && target.usable(now) && !target.recentlyFull(now) {
+			return target
 		}
-		return best
 	}
-	return best
+	return nil
 }
 
 func (p *Placer) request(ctx context.Context, target *Target) (*Held, error) {
@@ -214,6 +224,9 @@
 func (p *Placer) note(target *Target, err error) {
 	target.fullUS.Store(p.clock.Now().UnixMicro())
 	target.free.Store(0)
+	if platform.CodeOf(err) == platform.CodeTimeout || platform.CodeOf(err) == platform.CodeUnreachable {
+		p.failed(target)
+	}
 	if platform.CodeOf(err) == platform.CodeDraining {
 		target.leaving.Store(true)
 	}
--- a/placement/target.go
+++ b/placement/target.go
@@ -24,7 +24,8 @@
 	// full is when the target last refused a slot, in Unix microseconds.
 	fullUS atomic.Int64
 	// free is the number of free slots that the target last reported.
-	free atomic.Int64
+	free   atomic.Int64
+	health health
 }
 
 const (
@@ -37,6 +38,11 @@
 
 // usable reports whether the target may take new work.
 func (t *Target) usable(now time.Time) bool {
+	return t.inService(now) && !t.health.ejected(now)
+}
+
+// inService reports whether the target is live and meant to take work.
+func (t *Target) inService(now time.Time) bool {
 	return !t.leaving.Load() && !t.cordoned.Load() && now.UnixMicro()-t.confirmedUS.Load() <= ConfirmedFor.Microseconds()
 }
 
