--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -44,6 +44,7 @@
 	Allotment   Allotment
 	Workers     platform.Workers
 	Limbo       *Limbo
+	Orders      *Orders
 	Clock       clockwork.Clock
 	Ring        *timeline.Ring
 	// DefaultTimeout is the patience of a caller on a queue without one.
@@ -61,6 +62,7 @@
 	sequence atomic.Uint64
 	inflight atomic.Int64
 	stopping atomic.Bool
+	retries  *retryBudget
 	lines    *lines
 	slots    Slots
 }
@@ -70,7 +72,7 @@
 	if cfg.Running == nil {
 		cfg.Running = func(string) int { return 0 }
 	}
-	d := &Dispatcher{slots: cfg.Slots, lines: newLines(cfg.Running)}
+	d := &Dispatcher{retries: newRetryBudget(), slots: cfg.Slots, lines: newLines(cfg.Running)}
 	if r, ok := cfg.Slots.(reporter); ok {
 		cfg.Workers = &reportingWorkers{Workers: cfg.Workers, clock: cfg.Clock, report: r}
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -34,7 +34,9 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
 		profileModule,
+		ordersModule,
 		sharesModule,
 		limitsModule,
 		maintenanceModule,
@@ -103,9 +105,10 @@
 	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -116,6 +119,7 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
@@ -148,16 +152,17 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring, ledger *quota.Ledger,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	ledger *quota.Ledger,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
 		Running: func(team string) int { return ledger.Usage(team).Running },
 	})
 }
--- a/placement/held.go
+++ b/placement/held.go
@@ -12,6 +12,10 @@
 	Expires time.Time
 	// Granted is when the lease was asked for.
 	Granted time.Time
+	// Record names the VM's record of tasks at the grant.
+	Record string
+	// Started is the number of tasks that the VM had started at the grant.
+	Started uint64
 	// Holder is whose allotment the start uses. The caller that starts a task
 	// sets it.
 	Holder string
