Drive the teams' demand against running entries and report what came of it

The load command grants a key per workspace for the run, sends open-loop arrivals of all teams through every entry, steady or rotating between five times the mean and a twentieth, with orders if asked, bounded in time and number. It reports outcomes, latencies, answers that are not the request's own, and the distance from share, as a table, JSON and an SVG plot. (go test -race ./load; go test -run TestLoad_ ./cmd/anvilcourse)

--- a/cmd/anvilcourse/cost_bench_test.go
+++ b/cmd/anvilcourse/cost_bench_test.go
@@ -174,3 +174,50 @@
 	})
 	return wg.Wait
 }
+
+// BenchmarkLoad drives the demand of the association's teams over processes:
+// four entries and 84 slots.
+func BenchmarkLoad(b *testing.B) {
+	s, err := examples.Standin("apitt")
+	require.NoError(b, err)
+	s.Slots = 2
+	catalog, err := examples.Catalog("apitt")
+	require.NoError(b, err)
+	for i := range catalog.Workspaces {
+		catalog.Workspaces[i].Limit = 40
+	}
+	sys := testbed.New(b, s, 4)
+	sys.Publish(catalog)
+	sys.WaitCapacity(50, catalog.Workspaces[0].Team, 40)
+	file := filepath.Join(b.TempDir(), "catalog.json")
+	raw, err := json.Marshal(catalog)
+	require.NoError(b, err)
+	require.NoError(b, os.WriteFile(file, raw, 0o600))
+	const capacity = 840
+	for _, c := range []struct {
+		factor float64
+		steady bool
+	}{{0.8, true}, {1, true}, {1.5, true}, {5, true}, {3, false}} {
+		name := fmt.Sprintf("steady=%t/factor=%g", c.steady, c.factor)
+		b.Run(name, func(b *testing.B) {
+			length := "10s"
+			if !c.steady {
+				length = "30s"
+			}
+			for range b.N {
+				r := runLoad(b, sys, file, "-rate", fmt.Sprint(c.factor*capacity), "-duration", length, "-work", "100ms",
+					"-max", "200000", fmt.Sprintf("-steady=%t", c.steady))
+				sent, inTime, unknown, wrong := 0, 0, 0, 0
+				for _, t := range r.Teams {
+					sent, inTime, unknown, wrong = sent+t.Sent, inTime+t.Answered, unknown+t.Unknown, wrong+t.Wrong
+				}
+				b.ReportMetric(100*float64(inTime)/float64(sent), "in-time-%")
+				b.ReportMetric(r.Goodput, "goodput/s")
+				b.ReportMetric(float64(unknown), "unknown")
+				b.ReportMetric(float64(wrong), "wrong")
+				b.ReportMetric(100*r.MeanDistance, "mean-distance-%")
+				b.ReportMetric(100*r.WorstDistance, "worst-distance-%")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/anvilcourse/load_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/command"
+	"github.com/anvilcourse/anvilcourse/load"
+	"github.com/anvilcourse/anvilcourse/testbed"
+)
+
+// runLoad runs the load command against the system and returns its report.
+func runLoad(t testing.TB, sys *testbed.System, catalog string, args ...string) load.Report {
+	t.Helper()
+	t.Setenv("ANVILCOURSE_OPERATOR_KEY", testbed.OperatorKey)
+	args = append([]string{"load", "-json", "-entry", "http://" + sys.Entries[0].Settings.Operators}, args...)
+	args = append(args, catalog)
+	var stdout, stderr bytes.Buffer
+	require.Zero(t, command.Run(context.Background(), args, &stdout, &stderr), stderr.String())
+	var report load.Report
+	require.NoError(t, json.Unmarshal(stdout.Bytes(), &report))
+	return report
+}
+
+// TestLoad_ReportsEveryRequest checks that the command answers for each request
+// it has sent and that the keys it used are withdrawn.
+func TestLoad_ReportsEveryRequest(t *testing.T) {
+	sys, catalog := startUser(t, "apitt", 2)
+	plot := filepath.Join(t.TempDir(), "load.svg")
+	report := runLoad(t, sys, "../../examples/apitt/catalog.json", "-rate", "200", "-duration", "2s", "-work", "5ms", "-max", "300", "-orders", "0.1", "-plot", plot)
+	require.Len(t, report.Teams, len(catalog.Workspaces))
+	sent := 0
+	for _, team := range report.Teams {
+		sent += team.Sent
+		require.Zero(t, team.Failed+team.Unknown+team.Wrong)
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, sent, 300)
+	require.FileExists(t, plot)
+	require.GreaterOrEqual(t, sent, len(sys.Record().Starts))
+}
--- a/command/run.go
+++ b/command/run.go
@@ -45,6 +45,7 @@
 	c.Register(&poolCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&vmCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&waveCommand{operatorCommand: operatorCommand{output: out}}, "operating")
+	c.Register(&loadCommand{operatorCommand: operatorCommand{output: out}}, "trying out")
 	c.Register(&statusCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&timelineCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 }
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,150 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/shares"
+)
+
+// windowSeconds is the length of a window in which the distance from share is
+// measured.
+const windowSeconds = 10
+
+// Report is what a load measured.
+type Report struct {
+	Teams []TeamReport `json:"teams"`
+	// Seconds is the time until the last answer.
+	Seconds float64 `json:"seconds"`
+	// Goodput is the number of answers in time a second.
+	Goodput float64 `json:"goodput_per_second"`
+	// MeanDistance and WorstDistance are those from the owed slot time over
+	// teams and windows of 10 s, as a part of the team's share, over the seconds
+	// in which the offered load fills the capacity. They are 0 without one.
+	MeanDistance  float64 `json:"mean_distance"`
+	WorstDistance float64 `json:"worst_distance"`
+	// FullSeconds is the number of those seconds.
+	FullSeconds int `json:"full_seconds"`
+}
+
+// TeamReport is one team's part. Latencies are those of answers.
+type TeamReport struct {
+	Team     string  `json:"team"`
+	Share    float64 `json:"share"`
+	Sent     int     `json:"sent"`
+	Answered int     `json:"answered"`
+	NotRun   int     `json:"not_run"`
+	Failed   int     `json:"failed"`
+	Unknown  int     `json:"unknown"`
+	// Wrong counts the answers that did not belong to their request.
+	Wrong int     `json:"wrong"`
+	P50MS float64 `json:"p50_ms"`
+	P99MS float64 `json:"p99_ms"`
+	// Used is the mean number of slots in use, by second.
+	Used []float64 `json:"used"`
+}
+
+func (r *runner) report() *Report {
+	out := &Report{Seconds: time.Since(r.start).Seconds()}
+	total, seconds := 0, int(math.Ceil(out.Seconds))
+	weights := 0.0
+	for _, t := range r.teams {
+		weights += t.weight
+	}
+	for _, t := range r.teams {
+		line := t.report(seconds)
+		line.Share = t.weight / weights
+		total += line.Answered
+		out.Teams = append(out.Teams, line)
+	}
+	out.Goodput = float64(total) / out.Seconds
+	r.distance(out, int(r.cfg.Duration/time.Second))
+	return out
+}
+
+func (t *team) report(seconds int) TeamReport {
+	ms := func(quantile float64) float64 { return float64(t.latency.ValueAtQuantile(quantile)) / 1e3 }
+	out := TeamReport{
+		Team: t.name, Answered: t.outcomes[answered], NotRun: t.outcomes["not_run"], Failed: t.outcomes["failed"],
+		Unknown: t.outcomes[unknown], Wrong: t.wrong, P50MS: ms(50), P99MS: ms(99),
+	}
+	out.Sent = out.Answered + out.NotRun + out.Failed + out.Unknown
+	for second := range seconds {
+		out.Used = append(out.Used, t.used[second].Seconds())
+	}
+	return out
+}
+
+// distance measures how far the used slot time is from the owed one.
+func (r *runner) distance(out *Report, seconds int) {
+	used, owed := make([]float64, len(r.teams)), make([]float64, len(r.teams))
+	full, count := 0, 0.0
+	flush := func() {
+		for i := range r.teams {
+			if full > 0 {
+				d := math.Abs(used[i]-owed[i]) / (out.Teams[i].Share * float64(r.cfg.Capacity*full))
+				out.MeanDistance += d
+				out.WorstDistance = max(out.WorstDistance, d)
+				count++
+			}
+			used[i], owed[i] = 0, 0
+		}
+		out.FullSeconds += full
+		full = 0
+	}
+	for second := range seconds {
+		if owedNow, ok := r.owed(second); ok {
+			full++
+			for i, t := range r.teams {
+				used[i] += t.used[second].Seconds()
+				owed[i] += owedNow[i]
+			}
+		}
+		if second%windowSeconds == windowSeconds-1 {
+			flush()
+		}
+	}
+	flush()
+	out.MeanDistance /= max(1, count)
+}
+
+// owed returns the slots that the teams are owed in a second, and whether the
+// offered load fills the capacity.
+func (r *runner) owed(second int) ([]float64, bool) {
+	claims := make([]shares.Claim, len(r.teams))
+	offered := 0.0
+	for i, t := range r.teams {
+		demand := t.offered[second].Seconds()
+		claims[i] = shares.Claim{Weight: t.weight, Demand: max(demand, t.used[second].Seconds()), Limit: t.limit}
+		offered += min(demand, t.limit)
+	}
+	return shares.Compute(float64(r.cfg.Capacity), claims), offered >= float64(r.cfg.Capacity)
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "TEAM\tSHARE\tSENT\tANSWERED\tNOT RUN\tFAILED\tUNKNOWN\tWRONG\tP50 ms\tP99 ms\t")
+	for _, t := range r.Teams {
+		fmt.Fprintf(table, "%s\t%.0f %%\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n",
+			t.Team, 100*t.Share, t.Sent, t.Answered, t.NotRun, t.Failed, t.Unknown, t.Wrong, t.P50MS, t.P99MS)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "\n%.1f s, %.0f answers/s; distance from share in %d s when full: mean %.1f %%, worst %.1f %%\n",
+		r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
+	return err
+}
+
+// Wrong returns the number of answers that did not belong to their request.
+func (r *Report) Wrong() int {
+	wrong := 0
+	for _, t := range r.Teams {
+		wrong += t.Wrong
+	}
+	return wrong
+}
