--- a/admission/line.go
+++ b/admission/line.go
@@ -206,3 +206,8 @@
 func (l *Line) Mean(now time.Time, queue string) time.Duration {
 	return l.RunTimes(now, queue).Mean(now, l.cfg.Safety)
 }
+
+// Observed returns the number of the queue's latest run times.
+func (l *Line) Observed(now time.Time, queue string) int64 {
+	return l.RunTimes(now, queue).summarize(now, l.cfg.Safety).total
+}
--- a/admission/next.go
+++ b/admission/next.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		share := p.Weights[t.name] * p.Portions[t.name]
-		level[t] = (float64(l.cfg.Running(t.name)) + 1) / max(share, minWeight)
+		level[t] = (float64(l.cfg.Running(t.name)) + halfSlot) / max(share, minWeight)
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b *teamLine) int {
@@ -54,6 +54,11 @@
 	return out
 }
 
+// halfSlot is added to what a team runs before teams are compared, as in the
+// Sainte-Laguë method: adding a whole slot favours teams with a large share,
+// and adding none those with a small one.
+const halfSlot = 0.5
+
 // minWeight stands for the weight of a team that has none.
 const minWeight = 1e-6
 
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -13,6 +13,10 @@
 	// attemptFactor is how many times the observed run time one attempt may
 	// take before another target is tried.
 	attemptFactor = 3
+	// fewAttemptFactor is the same with fewer than manyRequests observations,
+	// whose quantile says little.
+	fewAttemptFactor = 10
+	manyRequests     = 200
 	// minAttempt bounds the time of one attempt from below.
 	minAttempt = 250 * time.Millisecond
 )
@@ -37,6 +41,9 @@
 	if long == 0 {
 		return 0
 	}
+	if a.line.Observed(now, a.queue) < manyRequests {
+		return max(minAttempt, fewAttemptFactor*long)
+	}
 	return max(minAttempt, attemptFactor*long)
 }
 
