--- /dev/null
+++ b/admission/model_distance_test.go
@@ -0,0 +1,57 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/shares"
+)
+
+// account adds the step to its window of 10 s, if the offered load fills the
+// fleet.
+func (m *model) account(at time.Duration) {
+	claims := make([]shares.Claim, len(m.teams))
+	used := make([]float64, len(m.teams))
+	offered := 0.0
+	for i, t := range m.teams {
+		for _, n := range m.nodes {
+			used[i] += float64(n.running[t.Team])
+		}
+		demand := m.rate(i, at) * m.meanRun.Seconds()
+		offered += demand
+		claims[i] = shares.Claim{Weight: t.Weight, Demand: max(demand, used[i]), Limit: t.Limit}
+	}
+	if at%(10*time.Second) == 0 || len(m.windows) == 0 {
+		m.windows = append(m.windows, window10{used: make([]float64, len(m.teams)), owed: make([]float64, len(m.teams))})
+	}
+	if offered < float64(m.capacity) {
+		return
+	}
+	last := m.windows[len(m.windows)-1]
+	for i, owed := range shares.Compute(float64(m.capacity), claims) {
+		last.used[i] += used[i]
+		last.owed[i] += owed
+	}
+}
+
+// distance returns the mean and the worst distance from the target over teams
+// and windows, as a part of the team's share.
+func (m *model) distance() (mean, worst float64) {
+	count := 0.0
+	for _, w := range m.windows {
+		total := 0.0
+		for _, owed := range w.owed {
+			total += owed
+		}
+		for i := range m.teams {
+			if total == 0 {
+				continue
+			}
+			d := math.Abs(w.used[i]-w.owed[i]) / (total * m.weight(i))
+			mean += d
+			worst = max(worst, d)
+			count++
+		}
+	}
+	return mean / max(1, count), worst
+}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -33,3 +33,12 @@
 		d.lines.of(t)
 	}
 }
+
+// Waiting returns the number of requests that wait for a slot.
+func (d *Dispatcher) Waiting() int {
+	total := 0
+	for _, l := range d.lines.all() {
+		total += l.Waiting()
+	}
+	return total
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -27,6 +27,7 @@
 	m.gauge("control_age_ms", func() any { return ageMS(c.Age()) })
 	m.gauge("control_current", func() any { return c.Current() })
 	m.gauge("inflight", func() any { return d.Inflight() })
+	m.gauge("waiting", func() any { return d.Waiting() })
 	m.gauge("unsettled_starts", func() any { return limbo.Len() })
 	m.gauge("teams", func() any { return ledger.Teams() })
 	m.gauge("platform_bytes_in", func() any { return t.platform.In() })
