--- a/cmd/anvilcourse/badinput_test.go
+++ b/cmd/anvilcourse/badinput_test.go
@@ -76,6 +76,11 @@
 		{"version as text", "PUT", operators, "/v1/templates/" + catalog.Template.Name, operatorAt("new"), string(template), 400, "bad_version"},
 		{"key for no workspace", "POST", operators, "/v1/keys", operator, `{"workspace":"nowhere"}`, 404, "not_found"},
 		{"withdraw an unknown key", "DELETE", operators, "/v1/keys/0000", operator, "", 404, "not_found"},
+		{"wave over no pool", "POST", operators, "/v1/waves", operator, `{"id":"w","pools":[],"deadline_ms":1000,"max_parallel":1}`, 400, "invalid"},
+		{"wave without a deadline", "POST", operators, "/v1/waves", operator, `{"id":"w","pools":["pool-1"],"max_parallel":1}`, 400, "invalid"},
+		{"wave over an unknown pool", "POST", operators, "/v1/waves", operator, `{"id":"w","pools":["x"],"deadline_ms":1000,"max_parallel":1}`, 404, "not_found"},
+		{"pause an unknown wave", "POST", operators, "/v1/waves/x/pause", operator, ``, 404, "not_found"},
+		{"zone budget below 0", "PUT", operators, "/v1/zones/az-1", operator, `{"name":"az-1","max_unavailable":-1}`, 400, "invalid"},
 		{"move an unknown VM", "POST", operators, "/v1/vms/vm-999/move", operator, `{"from":"pool-1","to":"pool-2","version":1}`, 404, "not_found"},
 	}
 	for _, c := range cases {
