--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -76,7 +76,7 @@
 	b := &bench{fleet: fleet, ledger: quota.NewLedger()}
 	slots := orderedSlots{workers: workers, holder: incarnation, vms: vms, ttl: placement.LeaseTTL}
 	b.ledger.SetAllotted(testTeam, 100)
-	gate := quota.NewGate(incarnation, b.ledger, permitted{})
+	gate := quota.NewGate(incarnation, b.ledger, permitted{}, clock)
 	limbo := NewLimbo(workers, clock, gate.Release)
 	b.Dispatcher = New(Config{
 		Incarnation: incarnation, Control: control, Slots: slots, Allotment: gate, Workers: workers,
--- a/entry/acceptance.go
+++ b/entry/acceptance.go
@@ -8,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -40,7 +41,7 @@
 			return false
 		}
 	}
-	return isMajority(state.Entries.Len()-len(missing), state.Entries.Len())
+	return membership.IsMajority(state.Entries.Len()-len(missing), state.Entries.Len())
 }
 
 // propose writes the command and answers with its acceptance.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -1,14 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
 
-// peerView is what a reachable member of the control state last said.
-type peerView struct {
-	readable bool
-	applied  uint64
-	// leaving members count in no majority any more.
-	leaving bool
-}
+	"github.com/anvilcourse/anvilcourse/membership"
+)
 
 // controlView is what one entry knows when it decides whether its control
 // state is current.
@@ -26,7 +22,7 @@
 	// entries is the number of members of the control state.
 	entries int
 	// peers are the other members of the control state that are reachable.
-	peers []peerView
+	peers []membership.Claim
 }
 
 // current reports whether keyed work may be admitted. With a young proof it
@@ -44,19 +40,5 @@
 	if !v.member {
 		return false
 	}
-	staying := 1
-	for _, p := range v.peers {
-		if p.readable || p.applied > v.next {
-			return false
-		}
-		if !p.leaving {
-			staying++
-		}
-	}
-	return isMajority(staying, v.entries)
-}
-
-// isMajority reports whether count is more than half of the whole.
-func isMajority(count, whole int) bool {
-	return 2*count > whole
+	return membership.NothingNew(v.next, v.entries, v.peers)
 }
--- a/entry/withdrawal_test.go
+++ b/entry/withdrawal_test.go
@@ -161,7 +161,7 @@
 	v := controlView{wallAge: age, monotonicAge: age, member: true, next: e.next, entries: len(m.entries)}
 	for _, beat := range e.heard {
 		if m.now-beat.at <= membership.ReachableFor {
-			v.peers = append(v.peers, peerView{readable: beat.readable, applied: beat.next})
+			v.peers = append(v.peers, membership.Claim{Readable: beat.readable, Applied: beat.next})
 		}
 	}
 	return v
--- a/logstream/shards.go
+++ b/logstream/shards.go
@@ -12,7 +12,8 @@
 
 // Shards is a fixed number of streams that divide work by its ID.
 type Shards struct {
-	streams []*Watched
+	streams      []*Watched
+	snapshotters []*Snapshotter
 }
 
 // NewShards returns the streams prefix-0 to prefix-(count-1), empty. The
@@ -21,11 +22,21 @@
 	s := &Shards{}
 	for i := range count {
 		cfg.Name = prefix + "-" + strconv.Itoa(i)
+		cfg.Restore = NewSnapshots(cfg.Log, cfg.Name).Load
 		s.streams = append(s.streams, Watch(New(cfg, statemachine.New())))
 	}
 	return s
 }
 
+// KeepSnapshots makes Run write snapshots of each stream while the process is
+// elected. It must be called before Run.
+func (s *Shards) KeepSnapshots(policy SnapshotPolicy, elected func() bool) {
+	for _, stream := range s.streams {
+		snapshots := NewSnapshots(stream.cfg.Log, stream.cfg.Name)
+		s.snapshotters = append(s.snapshotters, NewSnapshotter(stream.Stream, snapshots, policy, elected))
+	}
+}
+
 // For returns the stream of the ID.
 func (s *Shards) For(id string) *Watched {
 	return s.streams[xxhash.Sum64String(id)%uint64(len(s.streams))]
@@ -42,5 +53,8 @@
 	for _, stream := range s.streams {
 		wg.Go(func() { stream.Run(ctx) })
 	}
+	for _, snapshotter := range s.snapshotters {
+		wg.Go(func() { snapshotter.Run(ctx) })
+	}
 	wg.Wait()
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -33,6 +33,12 @@
 	OrderStreams int `json:"order_streams" validate:"min=1,max=64" help:"number of streams of the orders' claims; the first entry fixes it for all"`
 	// LogAppendsPerSecond is the log's rate of appends that the entries share.
 	LogAppendsPerSecond int `json:"log_appends_per_second" validate:"min=1" help:"the log's rate of appends a second that the entries share"`
+	// NoLoans keeps the entry from borrowing parts of upper limits from other
+	// entries.
+	NoLoans bool `json:"no_loans" help:"keep from borrowing parts of upper limits from other entries"`
+	// JobStreams is the number of streams that the jobs are divided over. The
+	// first entry to join fixes it for all.
+	JobStreams int `json:"job_streams" validate:"min=1,max=64" help:"number of streams of the jobs; the first entry fixes it for all"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"oneof=trace debug info warn error" help:"the lowest level that is logged"`
 }
@@ -45,6 +51,7 @@
 		StopTimeout:         Duration(30 * time.Second),
 		LogRetention:        Duration(10 * time.Minute),
 		OrderStreams:        2,
+		JobStreams:          2,
 		LogAppendsPerSecond: 300,
 		LogLevel:            "info",
 	}
