--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -41,6 +41,9 @@
 	Dispatcher *dispatch.Dispatcher
 	Operators  *operators
 	Ready      *readiness
+	Metrics    *metrics
+	Traffic    *traffic
+	Records    *recordEvents
 
 	Tasks          []task           `group:"tasks"`
 	OperatorRoutes []operatorRoutes `group:"operator_routes"`
@@ -73,9 +76,9 @@
 	if err != nil {
 		return err
 	}
-	d.peers = peer.NewServer(listeners[0], peerRoutes(d.Peers), d.Logger)
+	d.peers = peer.NewServer(d.Traffic.peers.Listener(listeners[0]), peerRoutes(d.Peers), d.Logger)
 	d.operators = newHTTPServer(d.Operators.handler(d.OperatorRoutes))
-	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.CallerRoutes))
+	d.callers = newHTTPServer(newCallersHandler(d.Settings, d.Dispatcher, d.Metrics, d.CallerRoutes))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.run(d.peers.Serve)
--- a/entry/module.go
+++ b/entry/module.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"os"
 	"time"
 
@@ -35,7 +34,12 @@
 		fx.StopTimeout(s.StopTimeout.Duration()+stopGrace),
 		platformModule,
 		coreModule,
+		logModule,
+		profileModule,
+		ordersModule,
+		sharesModule,
 		limitsModule,
+		maintenanceModule,
 		fx.Invoke(register),
 	)
 }
@@ -49,7 +53,10 @@
 		clockwork.NewRealClock,
 		newLogger,
 		newIdentity,
-		newPlatformClient,
+		newTraffic,
+		newControlClient,
+		newWorkerClient,
+		newPeerClient,
 		newLog,
 		newVMs,
 		newWorkers,
@@ -63,8 +70,8 @@
 		quota.NewLedger,
 		newPlacer,
 		newRing,
+		newRecordEvents,
 		newLimbo,
-		peer.NewClient,
 		newDescriber,
 		newMembership,
 		newControl,
@@ -73,6 +80,7 @@
 		newFleetWatch,
 		newReadiness,
 		newOperators,
+		newMetrics,
 		fx.Annotate(newCoreTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newHeartbeatHandler, fx.ResultTags(`group:"peers"`)),
 	),
@@ -86,28 +94,22 @@
 	}).With("entry", id.incarnation)
 }
 
-// newPlatformClient names the entry to the platform in the User-Agent header.
-func newPlatformClient(s settings.Entry) *http.Client {
-	client := platform.NewHTTPClient()
-	client.Transport = &userAgent{name: s.Name, next: client.Transport}
-	return client
+func newLog(s settings.Entry, client controlClient) platform.Log {
+	return platform.NewHTTPLog(s.Platform, client.Client)
 }
 
-func newLog(s settings.Entry, client *http.Client) platform.Log {
-	return platform.NewHTTPLog(s.Platform, client)
+func newVMs(s settings.Entry, client controlClient) platform.VMs {
+	return platform.NewHTTPVMs(s.Platform, client.Client)
 }
 
-func newVMs(s settings.Entry, client *http.Client) platform.VMs {
-	return platform.NewHTTPVMs(s.Platform, client)
+func newWorkers(client workerClient) platform.Workers {
+	return platform.NewHTTPWorkers(client.Client)
 }
 
-func newWorkers(client *http.Client) platform.Workers {
-	return platform.NewHTTPWorkers(client)
-}
-
-func newStream(id identity, log platform.Log, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	return logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
+		Restore: snapshots.Load,
 	}, statemachine.New())
 }
 
@@ -118,17 +120,15 @@
 			placer.SetFleet(state)
 		}
 	})
+	stream.ObserveInstall(placer.SetFleet)
 	return placer
 }
 
 // changesFleet reports whether a record that took effect concerns VMs.
 func changesFleet(results []statemachine.Result) bool {
 	for _, r := range results {
-		switch r.Kind {
-		case statemachine.KindVMAdd, statemachine.KindVMRemove, statemachine.KindVMMove:
-			if r.Void == nil {
-				return true
-			}
+		if r.Void == nil && statemachine.ChangesFleet(r.Kind) {
+			return true
 		}
 	}
 	return false
@@ -142,8 +142,8 @@
 	return dispatch.NewLimbo(workers, clock, gate.Release)
 }
 
-func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger, zone: s.AvailabilityZone}
+func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
@@ -153,16 +153,18 @@
 	})
 }
 
-func newControl(stream *logstream.Stream, m *membership.Membership) *control {
-	return &control{Stream: stream, membership: m}
+func newControl(id identity, stream *logstream.Stream, m *membership.Membership) *control {
+	return &control{Stream: stream, membership: m, self: id.incarnation}
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
-	workers platform.Workers, limbo *dispatch.Limbo, clock clockwork.Clock, ring *timeline.Ring,
+	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	ledger *quota.Ledger,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
-		Limbo: limbo, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
+		Running: func(team string) int { return ledger.Usage(team).Running },
 	})
 }
 
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -6,37 +6,72 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
-// follow reads the stream and applies its records until the context ends.
+// follow reads the stream and applies its records until the context ends or
+// the stream has a Fault.
 func (s *Stream) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.readOnce(ctx); err != nil {
+	if err := s.restore(ctx); err != nil {
+		s.cfg.Logger.Info("starting without a snapshot", "stream", s.cfg.Name, "reason", err.Error())
+	}
+	for ctx.Err() == nil && s.Fault() == nil {
+		err := s.readOnce(ctx)
+		s.readable.Store(err == nil)
+		if platform.CodeOf(err) == platform.CodeTrimmed {
+			s.restoreTrimmed(ctx)
+		}
+		if err != nil {
 			s.cfg.Logger.Debug("read failed", "stream", s.cfg.Name, "error", err.Error())
 			s.pause(ctx)
 		}
 	}
 }
 
+// restoreTrimmed installs a snapshot after the log has dropped the records that
+// the state needs next.
+func (s *Stream) restoreTrimmed(ctx context.Context) {
+	before := s.State().Next
+	if err := s.restore(ctx); err != nil || s.State().Next == before {
+		s.cfg.Logger.Error("the log has dropped records that were not applied, and there is no later snapshot",
+			"stream", s.cfg.Name, "offset", before)
+	}
+}
+
 // readOnce reads and applies one page. Reaching the end of the stream proves
 // that the state was current when the read was sent.
 func (s *Stream) readOnce(ctx context.Context) error {
 	limits := s.cfg.Limits
-	callCtx, cancel := context.WithTimeout(ctx, limits.ReadWait+limits.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, limits.ReadWait+limits.ReadTimeout)
 	defer cancel()
+	s.reads.Add(1)
 	sent := s.cfg.Clock.Now()
 	from := s.State().Next
 	page, err := s.cfg.Log.Read(callCtx, s.cfg.Name, from, limits.ReadLimit, limits.ReadWait)
 	if err != nil {
 		return err
 	}
-	s.applyPage(page)
+	if err := s.checkPage(page, from); err != nil {
+		return err
+	}
+	s.applyAll(page.From, page.Payloads)
 	if s.State().Next >= page.Next {
 		s.confirm(sent)
 	}
 	return nil
 }
 
-func (s *Stream) applyPage(page platform.Page) {
-	for i, payload := range page.Payloads {
-		s.publish(page.From+uint64(i), payload)
+// applyAll applies consecutive payloads, of which the first has the offset.
+// Payloads that have been applied are passed over, and a gap applies none.
+func (s *Stream) applyAll(from uint64, payloads [][]byte) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if from > s.State().Next {
+		return
+	}
+	for i, payload := range payloads {
+		s.publish(from+uint64(i), payload)
 	}
 }
+
+// Readable reports whether the last read of the log succeeded.
+func (s *Stream) Readable() bool {
+	return s.readable.Load() && s.Fault() == nil
+}
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -125,7 +125,18 @@
 	if _, ok := n.state.Member(n.name); !ok {
 		return false
 	}
-	return n.fresh() || membership.NothingNew(n.state, n.reachable())
+	return n.fresh() || membership.NothingNew(n.state.Next, n.state.Entries.Len(), n.votes())
+}
+
+// votes are those of the reachable members of the control state.
+func (n *node) votes() []membership.Vote {
+	var out []membership.Vote
+	for _, member := range n.reachable() {
+		if _, ok := n.state.Entries.Get(member.Incarnation); ok {
+			out = append(out, membership.Vote{Readable: member.Last.GetLogReadable(), Applied: member.Last.GetApplied()})
+		}
+	}
+	return out
 }
 
 func (n *node) fresh() bool { return n.model.clock.Now().Sub(n.asOf) <= modelCurrent }
--- a/statemachine/void.go
+++ b/statemachine/void.go
@@ -19,8 +19,17 @@
 	// ReasonDuplicate means that a record of the same writer with this or a
 	// later number has been applied.
 	ReasonDuplicate Reason = "duplicate"
+	// ReasonExpired means that the record's key lies outside the window.
+	ReasonExpired Reason = "expired"
 	// ReasonWriter means that the writer may not write the record.
 	ReasonWriter Reason = "writer"
+	// ReasonBudget means that an availability budget has no room.
+	ReasonBudget Reason = "budget"
+	// ReasonStep means that the VM or the wave is not in the step that the
+	// record needs.
+	ReasonStep Reason = "step"
+	// ReasonEpoch means that the writer does not hold the lease at the epoch.
+	ReasonEpoch Reason = "epoch"
 )
 
 // Void is the outcome of a record whose precondition failed.
