Let later joins and leaves not hold up the clearing of a removed entry

Cause: the least balance of a removed entry went on falling with entries that left after its removal, so that a rolling restart could keep it from being cleared, although it can use no state after its removal.

--- a/statemachine/electorate.go
+++ b/statemachine/electorate.go
@@ -48,10 +48,15 @@
 	entryCleared
 )
 
-// shiftElectorates records a change of the membership with every entry.
+// shiftElectorates records a change of the membership with every entry. A
+// removed entry uses no state after its removal, so that later joins and
+// leaves do not count for it.
 func (s *State) shiftElectorates(change membershipChange) {
 	s.MembershipVersion++
 	for incarnation, entry := range s.Entries.All() {
+		if entry.State == EntryRemoved && change != entryCleared {
+			continue
+		}
 		shifted := *entry
 		shifted.Electorate = entry.Electorate.shifted(change)
 		s.Entries = s.Entries.Set(incarnation, &shifted)
