--- a/entry/callers.go
+++ b/entry/callers.go
@@ -123,7 +123,7 @@
 		return http.StatusNotImplemented
 	case dispatch.CodeTaskFailed, dispatch.CodeTaskStopped:
 		return http.StatusBadGateway
-	case dispatch.CodeReplyLost, dispatch.CodeTimeout, dispatch.CodeAnswerNotKept:
+	case dispatch.CodeReplyLost, dispatch.CodeTimeout, dispatch.CodeAnswerNotKept, dispatch.CodeClaimUnknown:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusServiceUnavailable
--- a/placement/held.go
+++ b/placement/held.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+)
 
 // Held is a slot lease that this entry holds.
 type Held struct {
@@ -30,6 +34,14 @@
 	return h.valid(now)
 }
 
+// newHeld returns the lease that was asked for at the given time.
+func newHeld(target *Target, lease platform.SlotLease, sent time.Time) *Held {
+	return &Held{
+		Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin),
+		Record: lease.Record, Started: lease.Started,
+	}
+}
+
 // valid reports whether a start that is sent now arrives under the lease. It
 // compares wall and monotonic clocks: the latter stops while a VM is
 // suspended.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -207,10 +207,7 @@
 		return nil, err
 	}
 	target.free.Store(int64(lease.Free))
-	return &Held{
-		Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin),
-		Record: lease.Record, Started: lease.Started,
-	}, nil
+	return newHeld(target, lease, sent), nil
 }
 
 // note records what a refused slot tells about the target.
