--- a/job/harness_test.go
+++ b/job/harness_test.go
@@ -143,7 +143,7 @@
 	ledger := quota.NewLedger()
 	ledger.SetAllotted(teamA, 1000)
 	ledger.SetAllotted(teamB, 1000)
-	gate := quota.NewGate(name, ledger, permitted{})
+	gate := quota.NewGate(name, ledger, permitted{}, clock)
 	limbo := dispatch.NewLimbo(workers, clock, gate.Release)
 	e.Runner = New(Config{
 		Incarnation: name, Shards: func() *logstream.Shards { return shards }, Workers: workers, Clock: clock, Members: w.others(e),
