Let orders wait for a slot as long as their callers do

Cause: the bound of 1.5 s on the wait of urgent work held for orders too, so an order was refused while its caller had patience for more. Before: without MayWaitLong TestPlace_OrdersWaitForTheirPatience gets no slot. After: it gets the one that comes free after 5 s. (go test -race ./dispatch)

--- a/admission/line.go
+++ b/admission/line.go
@@ -121,7 +121,7 @@
 		t.refused++
 		return nil, &Refusal{Reason: ReasonLineFull, RetryAfter: wait}
 	}
-	late := wait > l.cfg.MaxWait
+	late := !req.MayWaitLong && wait > l.cfg.MaxWait
 	if late || !l.inTime(now.Add(wait), req) {
 		t.refused++
 		return nil, &Refusal{Reason: ReasonTooLate, RetryAfter: wait}
--- a/admission/next.go
+++ b/admission/next.go
@@ -73,7 +73,8 @@
 // late reports whether the waiter would be answered too late or has waited for
 // too long.
 func (l *Line) late(now time.Time, w *Waiter) bool {
-	return !l.inTime(now, w.Request) || now.Sub(w.entered) > l.cfg.MaxWait
+	tooLong := !w.MayWaitLong && now.Sub(w.entered) > l.cfg.MaxWait
+	return tooLong || !l.inTime(now, w.Request)
 }
 
 // refuse ends the wait without a slot.
--- a/admission/request.go
+++ b/admission/request.go
@@ -11,4 +11,7 @@
 	Deadline time.Time
 	// Avoid is a target that has failed the request, or "".
 	Avoid string
+	// MayWaitLong lets the request wait for as long as its caller does, and not
+	// only for the line's MaxWait.
+	MayWaitLong bool
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/anvilcourse/anvilcourse/admission"
 	"github.com/anvilcourse/anvilcourse/placement"
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // place takes a slot and then a unit of the team's allotment, in this order:
@@ -17,6 +18,7 @@
 	now := d.cfg.Clock.Now()
 	req := admission.Request{
 		Team: grant.Workspace.Team, Queue: grant.Workspace.Name + "." + grant.Queue.Name, Deadline: deadlineOf(ctx, now), Avoid: avoid,
+		MayWaitLong: grant.Queue.Class != statemachine.ClassUrgent,
 	}
 	if !l.InTime(now, req) {
 		return nil, notRun(CodeTimeout, "the caller's patience is shorter than the queue's requests take", busyRetryAfter)
--- a/dispatch/place_test.go
+++ b/dispatch/place_test.go
@@ -53,7 +53,7 @@
 	return &Grant{
 		Template:  &statemachine.Template{Name: "t", Pools: []string{"pool"}, Version: 1},
 		Workspace: &statemachine.Workspace{Name: "w", Team: "team"},
-		Queue:     statemachine.Queue{Name: "q"},
+		Queue:     statemachine.Queue{Name: "q", Class: statemachine.ClassUrgent},
 	}
 }
 
@@ -84,6 +84,22 @@
 	})
 }
 
+// TestPlace_OrdersWaitForTheirPatience checks that the bound on the wait of
+// urgent work is not one on orders.
+func TestPlace_OrdersWaitForTheirPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, start := newPlacing(1, 2), time.Now()
+		first, _ := d.place(withPatience(t, time.Minute), placingGrant(), "")
+		time.AfterFunc(5*time.Second, func() { d.cfg.Slots.Release(first) })
+		grant := placingGrant()
+		grant.Queue.Class = statemachine.ClassOrder
+		held, _ := d.place(withPatience(t, time.Minute), grant, "")
+		require.NotNil(t, held)
+		require.Equal(t, 5*time.Second, time.Since(start))
+		time.Sleep(2 * slotPoll)
+	})
+}
+
 // TestPlace_RefusesEarly checks that a request that cannot be answered in time
 // is refused at once and takes no slot.
 func TestPlace_RefusesEarly(t *testing.T) {
