--- a/entry/control.go
+++ b/entry/control.go
@@ -33,12 +33,5 @@
 	state := c.State()
 	v.next, v.entries = state.Next, state.Entries.Len()
 	_, v.member = state.Member(c.self)
-	for _, member := range c.membership.Reachable() {
-		if _, ok := state.Entries.Get(member.Incarnation); !ok {
-			continue
-		}
-		v.peers = append(v.peers, membership.Vote{
-			Readable: member.Last.GetLogReadable(), Applied: member.Last.GetApplied(), Leaving: member.Last.GetLeaving(),
-		})
-	}
+	v.peers = membership.Claims(state, c.membership.Reachable())
 }
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -22,7 +22,7 @@
 	// entries is the number of members of the control state.
 	entries int
 	// peers are the other members of the control state that are reachable.
-	peers []membership.Vote
+	peers []membership.Claim
 }
 
 // current reports whether keyed work may be admitted. With a young proof it
--- a/entry/module.go
+++ b/entry/module.go
@@ -37,6 +37,7 @@
 		logModule,
 		profileModule,
 		ordersModule,
+		jobsModule,
 		sharesModule,
 		limitsModule,
 		maintenanceModule,
@@ -159,12 +160,13 @@
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
 	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
-	ledger *quota.Ledger,
+	ledger *quota.Ledger, preempter *jobPreempter,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
-		Running: func(team string) int { return ledger.Usage(team).Running },
+		Running:   func(team string) int { return ledger.Usage(team).Running },
+		Preempter: preempter,
 	})
 }
 
--- a/entry/module_log.go
+++ b/entry/module_log.go
@@ -33,8 +33,11 @@
 }
 
 func newSnapshotter(s settings.Entry, id identity, stream *logstream.Stream, snapshots *logstream.Snapshots) *logstream.Snapshotter {
-	policy := logstream.SnapshotPolicy{Records: snapshotRecords, MaxAge: s.LogRetention.Duration() / snapshotsPerRetention}
-	return logstream.NewSnapshotter(stream, snapshots, policy, func() bool { return isFirst(stream.State(), id.incarnation) })
+	return logstream.NewSnapshotter(stream, snapshots, snapshotPolicy(s), func() bool { return isFirst(stream.State(), id.incarnation) })
+}
+
+func snapshotPolicy(s settings.Entry) logstream.SnapshotPolicy {
+	return logstream.SnapshotPolicy{Records: snapshotRecords, MaxAge: s.LogRetention.Duration() / snapshotsPerRetention}
 }
 
 func newLogTasks(snapshotter *logstream.Snapshotter, r *relay) []task {
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -38,6 +38,7 @@
 	return orderShards{&shardSet{
 		prefix: ordersStream, count: s.OrderStreams, control: stream,
 		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+		policy: snapshotPolicy(s),
 	}}
 }
 
--- a/membership/majority.go
+++ b/membership/majority.go
@@ -1,28 +1,51 @@
 package membership
 
-// Vote is what a reachable member of the control state last said.
-type Vote struct {
-	// Readable means that it can read the log.
+import "github.com/anvilcourse/anvilcourse/statemachine"
+
+// Claim is what a reachable member of the control state last said.
+type Claim struct {
+	// Readable means that the member can read the log.
 	Readable bool
-	// Applied is the offset that it applies next.
+	// Applied is the offset that the member applies next.
 	Applied uint64
-	// Leaving means that it counts in no majority any more.
+	// Leaving members count in no majority any more.
 	Leaving bool
 }
 
-// NothingNew reports whether more than half of the entries, the asking one
-// included, are reachable and stay, and none of those reached can read the log
-// or has applied more than next. Without the log nothing new can have been
-// accepted then.
-func NothingNew(next uint64, entries int, votes []Vote) bool {
+// Claims returns what the reachable members of the state said. The state is
+// read before the members.
+func Claims(state *statemachine.State, reachable []Member) []Claim {
+	var out []Claim
+	for _, member := range reachable {
+		if _, ok := state.Entries.Get(member.Incarnation); !ok {
+			continue
+		}
+		out = append(out, Claim{
+			Readable: member.Last.GetLogReadable(), Applied: member.Last.GetApplied(), Leaving: member.Last.GetLeaving(),
+		})
+	}
+	return out
+}
+
+// NothingNew reports whether nothing can have been accepted after the offset
+// next, though the log cannot be read here: more than half of the entries, the
+// asking one included, are reachable and stay, and none of those reached can
+// read the log or has applied more. A change is accepted once more than half
+// of the entries have applied it, so that one of those reached would have.
+func NothingNew(next uint64, entries int, claims []Claim) bool {
 	staying := 1
-	for _, vote := range votes {
-		if vote.Readable || vote.Applied > next {
+	for _, claim := range claims {
+		if claim.Readable || claim.Applied > next {
 			return false
 		}
-		if !vote.Leaving {
+		if !claim.Leaving {
 			staying++
 		}
 	}
-	return 2*staying > entries
+	return IsMajority(staying, entries)
+}
+
+// IsMajority reports whether count is more than half of the whole.
+func IsMajority(count, whole int) bool {
+	return 2*count > whole
 }
