--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -36,10 +36,10 @@
 	),
 )
 
-func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, clock clockwork.Clock, logger hclog.Logger) jobShards {
+func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) jobShards {
 	return jobShards{&shardSet{
 		prefix: jobsStream, count: s.JobStreams, control: stream,
-		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits()},
+		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
 		policy: snapshotPolicy(s),
 	}}
 }
