Report an entry ready once the streams of orders and jobs have been read

Cause: an entry said it was ready before it had read these streams, so the first orders and jobs after a start were refused not_run.

--- a/entry/module.go
+++ b/entry/module.go
@@ -192,6 +192,6 @@
 	}
 }
 
-func newReadiness(c *control, id identity) *readiness {
-	return &readiness{control: c, self: id.incarnation}
+func newReadiness(c *control, id identity, orders orderShards, jobs jobShards) *readiness {
+	return &readiness{control: c, self: id.incarnation, divided: []*shardSet{orders.shardSet, jobs.shardSet}}
 }
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -4,8 +4,10 @@
 
 // readiness tells the balancer whether this entry takes requests.
 type readiness struct {
-	control  *control
-	self     string
+	control *control
+	self    string
+	// divided are the streams of divided work, which must have been read once.
+	divided  []*shardSet
 	stopping atomic.Bool
 }
 
@@ -23,5 +25,10 @@
 	if !r.control.Current() {
 		return "configuration not current"
 	}
+	for _, set := range r.divided {
+		if !set.everRead() {
+			return "the " + set.prefix + " have not been read yet"
+		}
+	}
 	return ""
 }
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,23 @@
 	return s.shards.Load()
 }
 
+// neverRead is the age of a stream that has never been read to its end.
+const neverRead = time.Duration(math.MaxInt64)
+
+// everRead reports whether the end of every stream has been read once.
+func (s *shardSet) everRead() bool {
+	shards := s.get()
+	if shards == nil {
+		return false
+	}
+	for _, stream := range shards.All() {
+		if stream.Age() == neverRead {
+			return false
+		}
+	}
+	return true
+}
+
 // run finds out the number of the streams and runs them.
 func (s *shardSet) run(ctx context.Context) {
 	for ctx.Err() == nil {
