Let a proposer that gives up wait for the end of the append under way

A claim whose wait ended while a refused append was under way counted as unknown, though the log refused it a moment later.

Ruled out: treating every sent record as refused while the log says it is down (an append with a lost reply may be among them).

Change: a proposer that leaves while its record is under way waits up to 200 ms for that append's end.

--- a/logstream/proposal.go
+++ b/logstream/proposal.go
@@ -4,11 +4,16 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
+// leaveGrace is the time for which a proposer that gives up while its record is
+// under way waits for the end of that append.
+const leaveGrace = 200 * time.Millisecond
+
 // proposalState says how far a proposal has come.
 type proposalState int32
 
@@ -108,17 +113,24 @@
 	select {
 	case <-p.done:
 	case <-ctx.Done():
-		return p.leave("in time")
+		return p.leave("in time", s.cfg.Clock.After(leaveGrace))
 	case <-s.ended:
-		return p.leave("before the stream ended")
+		return p.leave("before the stream ended", nil)
 	}
 	return p.result, p.err
 }
 
 // leave ends the proposer's wait. A record that was not sent is refused: it
-// is never sent later.
-func (p *proposal) leave(when string) (statemachine.Result, error) {
+// is never sent later. One that is under way is waited for until the grace is
+// over, because the log may refuse it; a nil grace is over at once.
+func (p *proposal) leave(when string, grace <-chan time.Time) (statemachine.Result, error) {
 	p.refuseUnsent(when)
+	if !p.isDone() && grace != nil {
+		select {
+		case <-p.done:
+		case <-grace:
+		}
+	}
 	if p.isDone() {
 		return p.result, p.err
 	}
