Run jobs in the demo

Cause: the demo showed no long work.

Ruled out: reading a job at the entry that accepted it only; the record must be there for every entry.

Change: 12 jobs of the Trust's payouts, each accepted at one entry and read at another until it is done. A refusal of an order for want of the log says that it speaks of this submission alone.

--- /dev/null
+++ b/demo/jobs.go
@@ -0,0 +1,47 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/anvilcourse/anvilcourse/api"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	jobCount   = 12
+	jobTimeout = 15 * time.Second
+)
+
+// runJobs submits long work through one entry and waits for its end through
+// another.
+func (s *system) runJobs(ctx context.Context, key api.KeyGranted, queue string, report *Report) {
+	var accepted []string
+	for i := range jobCount {
+		id, err := uuid.NewV7()
+		if err != nil {
+			continue
+		}
+		body := fmt.Appendf(nil, `{"batch":%d,"work_ms":400}`, i)
+		job, err := s.caller(i%entryCount, key.Key).SubmitJob(ctx, queue, body, id.String())
+		if err == nil {
+			accepted = append(accepted, job.ID)
+		}
+	}
+	done := 0
+	for i, id := range accepted {
+		client := s.caller((i+1)%entryCount, key.Key)
+		err := poll(ctx, jobTimeout, "the end of a job", func() bool {
+			job, err := client.GetJob(ctx, id)
+			return err == nil && job.State == statemachine.JobDone
+		})
+		if err == nil {
+			done++
+		}
+	}
+	report.Jobs = done
+	report.check("every accepted job was done", done == jobCount, "%d of %d", done, jobCount)
+}
--- a/demo/report.go
+++ b/demo/report.go
@@ -24,6 +24,8 @@
 	Unknown  int `json:"unknown"`
 	// Orders counts the orders that both of their callers got an answer to.
 	Orders int `json:"orders"`
+	// Jobs counts the jobs that were done.
+	Jobs int `json:"jobs"`
 	// P50US and P99US are latencies of answered requests, in microseconds.
 	P50US int64 `json:"p50_us"`
 	P99US int64 `json:"p99_us"`
@@ -54,6 +56,7 @@
 	fmt.Fprintf(w, "requests: %d answered, %d not run, %d failed, %d unknown\n", r.Answered, r.NotRun, r.Failed, r.Unknown)
 	fmt.Fprintf(w, "latency:  median %v, 99th percentile %v\n", time.Duration(r.P50US)*time.Microsecond, time.Duration(r.P99US)*time.Microsecond)
 	fmt.Fprintf(w, "orders:   %d answered, each sent twice at once through two entries\n", r.Orders)
+	fmt.Fprintf(w, "jobs:     %d done, accepted at one entry and read at another\n", r.Jobs)
 	fmt.Fprintf(w, "key:      refused at every entry %d ms after its withdrawal\n", r.WithdrawnMS)
 	fmt.Fprintf(w, "wave:     a pool's VMs drained, rebooted and returned under load in %.1f s\n\n", float64(r.WaveMS)/1000)
 	for _, c := range r.Checks {
--- a/demo/run.go
+++ b/demo/run.go
@@ -45,7 +45,7 @@
 func (s *system) runUsers(ctx context.Context, report *Report) error {
 	limits := make(map[string]int)
 	var keys []api.KeyGranted
-	var queues, orderQueues []string
+	var queues, orderQueues, jobQueues []string
 	for _, user := range examples.Users {
 		catalog, err := examples.Catalog(user)
 		if err != nil {
@@ -63,7 +63,8 @@
 		}
 		keys = append(keys, key)
 		queues = append(queues, catalog.Workspaces[0].Name+"."+catalog.Template.Queues[0].Name)
-		orderQueues = append(orderQueues, catalog.Workspaces[0].Name+"."+orderQueue(catalog.Template))
+		orderQueues = append(orderQueues, catalog.Workspaces[0].Name+"."+queueOf(catalog.Template, statemachine.ClassOrder))
+		jobQueues = append(jobQueues, catalog.Workspaces[0].Name+"."+queueOf(catalog.Template, statemachine.ClassJob))
 	}
 	if err := s.awaitCapacity(ctx, limits); err != nil {
 		return err
@@ -75,6 +76,7 @@
 		close(waveEnded)
 	}()
 	orderTasks := s.runOrders(ctx, keys[1], orderQueues[1], report)
+	s.runJobs(ctx, keys[1], jobQueues[1], report)
 	wrong := s.runLoad(ctx, keys, queues, waveEnded, report)
 	if err := <-wave; err != nil {
 		return err
@@ -85,10 +87,10 @@
 	return nil
 }
 
-// orderQueue returns the name of the template's queue of orders.
-func orderQueue(t statemachine.Template) string {
+// queueOf returns the name of the template's first queue of the class.
+func queueOf(t statemachine.Template, class statemachine.Class) string {
 	for _, q := range t.Queues {
-		if q.Class == statemachine.ClassOrder {
+		if q.Class == class {
 			return q.Name
 		}
 	}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -95,7 +95,7 @@
 // that the order may be claimed again.
 func (s *submission) claimAndStart(ctx context.Context) (Outcome, bool) {
 	if s.stream.Age() > logStaleAfter {
-		return notRun(CodeLogUnavailable, "the log cannot be read, so no order can be claimed", logRetryAfter), false
+		return notRun(CodeLogUnavailable, "this submission did not run: the log cannot be read, so no order can be claimed; what an earlier submission of the key did is not known here", logRetryAfter), false
 	}
 	held, refusal := s.d.place(ctx, s.grant, "")
 	if held == nil {
@@ -124,7 +124,7 @@
 		Lease: held.Lease, Record: held.Record, Started: held.Started,
 	})
 	if err != nil && platform.OutcomeOf(err) == platform.Refused {
-		return 0, notRun(CodeLogUnavailable, "the log took no claim: "+err.Error(), logRetryAfter), false
+		return 0, notRun(CodeLogUnavailable, "this submission did not run: the log took no claim; what an earlier submission of the key did is not known here: "+err.Error(), logRetryAfter), false
 	}
 	if err != nil {
 		return 0, Outcome{Kind: Unknown, Code: CodeClaimUnknown, RetryAfter: logRetryAfter,
