Spend less on heartbeats, bound the records of VMs, choose ports apart

(1) Every heartbeat request carried the sender's whole load, which nobody reads: a caller learns from the answer, whose age its own clock bounds. (2) An entry without work asked as often as a busy one. (3) Registering 5,000 VMs at once filled the queue of 4,096 proposals, so an operator's change was refused as log_unavailable. (4) The tests' ports came from the range of outgoing connections, and one was taken between the choice and its use ("address already in use").

Ruled out: longer intervals for busy entries, since shares and loans are measured with 250 ms; a larger queue, which the next size fills again.

Change: requests name only the asker; an entry without running or waiting work asks every second interval; at most 256 records of VMs wait for the log at once; package freeport takes ports below the range of outgoing connections.

--- a/demo/system.go
+++ b/demo/system.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/entry"
+	"github.com/anvilcourse/anvilcourse/freeport"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
@@ -58,7 +58,7 @@
 }
 
 func (s *system) startEntry(ctx context.Context, index int) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := freeport.Addresses(3)
 	if err != nil {
 		return err
 	}
@@ -78,20 +78,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses whose ports were free just now.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		out = append(out, listener.Addr().String())
-	}
-	return out, nil
-}
-
 func (s *system) awaitReady(ctx context.Context) error {
 	return poll(ctx, readyTimeout, "the entries to be ready", func() bool {
 		for _, e := range s.entries {
--- a/entry/fleetwatch.go
+++ b/entry/fleetwatch.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
@@ -18,6 +18,8 @@
 const (
 	listInterval = 500 * time.Millisecond
 	listTimeout  = time.Second
+	// maxProposals bounds the records of VMs that wait for the log at once.
+	maxProposals = 256
 )
 
 // fleetWatch follows the platform's VM list: it tells the placer which VMs
@@ -74,21 +76,35 @@
 // that another entry wrote first makes this one void.
 func (f *fleetWatch) register(ctx context.Context, list []platform.VMInfo) {
 	state := f.stream.State()
-	var wg sync.WaitGroup
+	var commands []statemachine.Command
 	for _, info := range list {
 		_, known := state.VMs.Get(info.ID)
 		_, pooled := state.Pools.Get(info.Pool)
-		if known || !pooled || info.State != platform.VMLive {
-			continue
+		if !known && pooled && info.State == platform.VMLive {
+			commands = append(commands, &statemachine.VMAdd{VM: vmOf(info)})
 		}
-		wg.Go(func() {
-			_, err := f.stream.Propose(ctx, &statemachine.VMAdd{VM: vmOf(info)})
-			if err != nil {
-				f.logger.Debug("VM not registered", "vm", info.ID, "error", err.Error())
+	}
+	f.proposeAll(ctx, commands)
+}
+
+// proposeAll writes the commands, a bounded number at a time: operators'
+// changes wait in the same queue for the log.
+func (f *fleetWatch) proposeAll(ctx context.Context, commands []statemachine.Command) {
+	var group errgroup.Group
+	group.SetLimit(maxProposals)
+	for _, command := range commands {
+		if ctx.Err() != nil {
+			break
+		}
+		group.Go(func() error {
+			if _, err := f.stream.Propose(ctx, command); err != nil {
+				vm := statemachine.SubjectOf(command).VM
+				f.logger.Debug("record of a VM not written", "kind", command.Kind(), "vm", vm, "error", err.Error())
 			}
+			return nil
 		})
 	}
-	wg.Wait()
+	_ = group.Wait()
 }
 
 func vmOf(info platform.VMInfo) statemachine.VM {
--- a/entry/vmhealth.go
+++ b/entry/vmhealth.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/platform"
@@ -15,15 +14,7 @@
 
 // writeHealth proposes what the VM list says of failures and recoveries.
 func (f *fleetWatch) writeHealth(ctx context.Context, list []platform.VMInfo) {
-	var wg sync.WaitGroup
-	for _, command := range healthCommands(f.stream.State(), list, f.clock.Now()) {
-		wg.Go(func() {
-			if _, err := f.stream.Propose(ctx, command); err != nil {
-				f.logger.Debug("health of a VM not written", "kind", command.Kind(), "error", err.Error())
-			}
-		})
-	}
-	wg.Wait()
+	f.proposeAll(ctx, healthCommands(f.stream.State(), list, f.clock.Now()))
 }
 
 // healthCommands returns the records that bring the VMs' conditions in line
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -17,6 +17,9 @@
 	// HeartbeatInterval is the time between two heartbeats to a member.
 	HeartbeatInterval = 250 * time.Millisecond
 	heartbeatTimeout  = 500 * time.Millisecond
+	// quietRounds is the number of intervals between two heartbeats of an entry
+	// that has no work.
+	quietRounds = 2
 	// ReachableFor is the time for which an answer proves a member reachable.
 	ReachableFor = 2 * time.Second
 )
@@ -40,6 +43,9 @@
 	State func() *statemachine.State
 	// Describe returns the own heartbeat.
 	Describe func() *peerpb.Heartbeat
+	// Quiet reports whether the entry has no work, so that it may ask the others
+	// less often.
+	Quiet func() bool
 }
 
 // Membership exchanges heartbeats with the other entries.
@@ -60,8 +66,10 @@
 func (m *Membership) Run(ctx context.Context) {
 	ticker := m.cfg.Clock.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
-	for {
-		m.Beat(ctx)
+	for round := 0; ; round++ {
+		if !m.cfg.Quiet() || round%quietRounds == 0 {
+			m.Beat(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -131,7 +139,10 @@
 
 func (m *Membership) beat(ctx context.Context, address string) error {
 	sent := m.cfg.Clock.Now()
-	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: m.Heartbeat()}}
+	// The caller learns from the answer, whose age its own clock bounds; the
+	// request only says who asks.
+	asker := &peerpb.Heartbeat{Incarnation: m.cfg.Self}
+	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: asker}}
 	resp, err := m.cfg.Caller.Call(ctx, address, req)
 	if err != nil {
 		return err
