Let one function run background work at an interval

Ruled out: folding in the five loops that differ (work before the first tick, a return from within); a flag for each would read worse than the loop.

Change: package periodic; the giving back of leases has a file of its own.

Before and after: behaviour is the same; go test -race passes for placement, quota, logstream, dispatch, job and entry.

--- a/dispatch/limbo.go
+++ b/dispatch/limbo.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/platform"
 )
 
@@ -64,16 +65,7 @@
 
 // Run settles starts until the context ends.
 func (l *Limbo) Run(ctx context.Context) {
-	ticker := l.clock.NewTicker(limboInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			l.settleAll(ctx)
-		}
-	}
+	periodic.Run(ctx, l.clock, limboInterval, l.settleAll)
 }
 
 func (l *Limbo) settleAll(ctx context.Context) {
--- a/dispatch/orderresolve.go
+++ b/dispatch/orderresolve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
@@ -41,16 +42,7 @@
 // became of the order, wherever the holder is.
 func (o *Orders) Run(ctx context.Context) {
 	defer o.end()
-	ticker := o.cfg.Clock.NewTicker(resolveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			o.resolveAll(ctx)
-		}
-	}
+	periodic.Run(ctx, o.cfg.Clock, resolveInterval, o.resolveAll)
 }
 
 func (o *Orders) resolveAll(ctx context.Context) {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -12,6 +12,7 @@
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/peer"
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
@@ -38,16 +39,7 @@
 }
 
 func (r *relay) run(ctx context.Context) {
-	ticker := r.clock.NewTicker(relayInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			r.once(ctx)
-		}
-	}
+	periodic.Run(ctx, r.clock, relayInterval, r.once)
 }
 
 // once asks one peer, if the own reads are late and a peer knows more.
--- a/job/runner.go
+++ b/job/runner.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -28,17 +29,8 @@
 // Run carries out the entry's jobs and takes over those whose owner is gone,
 // until the context ends.
 func (r *Runner) Run(ctx context.Context) {
-	ticker := r.cfg.Clock.NewTicker(scanInterval)
-	defer ticker.Stop()
 	defer r.wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			r.scan(ctx)
-		}
-	}
+	periodic.Run(ctx, r.cfg.Clock, scanInterval, r.scan)
 }
 
 // Active returns the number of jobs that the entry carries out now.
--- a/logstream/snapshotter.go
+++ b/logstream/snapshotter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/anvilcourse/anvilcourse/periodic"
 )
 
 const (
@@ -38,16 +40,7 @@
 
 // Run writes snapshots when they are due until the context ends.
 func (s *Snapshotter) Run(ctx context.Context) {
-	ticker := s.stream.cfg.Clock.NewTicker(snapshotCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			s.once(ctx)
-		}
-	}
+	periodic.Run(ctx, s.stream.cfg.Clock, snapshotCheck, s.once)
 }
 
 // once writes a snapshot if one is due.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -277,37 +277,3 @@
 func (p *Placer) MarkLeaving(h *Held) {
 	h.Target.leaving.Store(true)
 }
-
-// Run gives leases back that stay unused, until the context ends.
-func (p *Placer) Run(ctx context.Context) {
-	ticker := p.clock.NewTicker(idleFor / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			p.giveBack(ctx)
-		}
-	}
-}
-
-// giveBack releases the idle leases that are older than idleFor. The others
-// go back on their stack.
-func (p *Placer) giveBack(ctx context.Context) {
-	now := p.clock.Now()
-	for _, pool := range p.view.Load().pools {
-		for _, held := range pool.idle.takeAll() {
-			if !held.valid(now) {
-				continue
-			}
-			if now.Sub(held.Granted) < idleFor {
-				pool.idle.push(held)
-				continue
-			}
-			ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
-			_ = p.workers.ReleaseSlot(ctx, held.Target.Address, held.Lease)
-			cancel()
-		}
-	}
-}
--- a/quota/allotter.go
+++ b/quota/allotter.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -44,16 +45,7 @@
 
 // Run adjusts the allotments until the context ends.
 func (a *Allotter) Run(ctx context.Context) {
-	ticker := a.clock.NewTicker(adjustInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			a.adjustAll(ctx)
-		}
-	}
+	periodic.Run(ctx, a.clock, adjustInterval, a.adjustAll)
 }
 
 // adjustAll adjusts all teams side by side, so that their records share
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 )
 
@@ -53,16 +54,7 @@
 
 // Run borrows and returns until the context ends.
 func (b *Borrower) Run(ctx context.Context) {
-	ticker := b.clock.NewTicker(borrowInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			b.once(ctx)
-		}
-	}
+	periodic.Run(ctx, b.clock, borrowInterval, b.once)
 }
 
 // once does what is due. Its calls run side by side and end within
--- a/quota/clearer.go
+++ b/quota/clearer.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -47,16 +48,7 @@
 
 // Run clears removed entries until the context ends.
 func (c *Clearer) Run(ctx context.Context) {
-	ticker := c.clock.NewTicker(clearInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			c.once(ctx)
-		}
-	}
+	periodic.Run(ctx, c.clock, clearInterval, c.once)
 }
 
 func (c *Clearer) once(ctx context.Context) {
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/periodic"
 )
 
 const (
@@ -135,16 +137,7 @@
 
 // Run takes back the loans that have lapsed until the context ends.
 func (l *Lender) Run(ctx context.Context) {
-	ticker := l.clock.NewTicker(lapseInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			l.reclaim(ctx)
-		}
-	}
+	periodic.Run(ctx, l.clock, lapseInterval, l.reclaim)
 }
 
 // reclaim asks the VMs for the loans that ended without a return, and takes
