--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -45,21 +45,6 @@
 	return out
 }
 
-// quiet reports whether no team has work that runs or waits here.
-func (d *describer) quiet() bool {
-	for _, waiting := range d.board.waiting() {
-		if waiting > 0 {
-			return false
-		}
-	}
-	for _, usage := range d.ledger.Teams() {
-		if usage.Running > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // readableFor is the age of the latest proof up to which the log counts as
 // readable. It is below currentFor, so that the others know of an outage before
 // their own proofs run out.
--- a/entry/module.go
+++ b/entry/module.go
@@ -154,7 +154,7 @@
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
 	return membership.New(membership.Config{
 		Self: id.incarnation, SelfAddress: s.Peers, Seeds: s.Seeds, Caller: client, Clock: clock,
-		State: stream.State, Describe: d.describe, Quiet: d.quiet,
+		State: stream.State, Describe: d.describe,
 	})
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -17,9 +17,6 @@
 	// HeartbeatInterval is the time between two heartbeats to a member.
 	HeartbeatInterval = 250 * time.Millisecond
 	heartbeatTimeout  = 500 * time.Millisecond
-	// quietRounds is the number of intervals between two heartbeats of an entry
-	// that has no work.
-	quietRounds = 2
 	// ReachableFor is the time for which an answer proves a member reachable.
 	ReachableFor = 2 * time.Second
 )
@@ -43,9 +40,6 @@
 	State func() *statemachine.State
 	// Describe returns the own heartbeat.
 	Describe func() *peerpb.Heartbeat
-	// Quiet reports whether the entry has no work, so that it may ask the others
-	// less often.
-	Quiet func() bool
 }
 
 // Membership exchanges heartbeats with the other entries.
@@ -66,10 +60,8 @@
 func (m *Membership) Run(ctx context.Context) {
 	ticker := m.cfg.Clock.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
-		if !m.cfg.Quiet() || round%quietRounds == 0 {
-			m.Beat(ctx)
-		}
+	for {
+		m.Beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
