Wait for at least the first entry's part in the naive clearing test

Cause: the test waited until exactly 2 tasks ran, which are the first entry's own part. Its four callers start at once and the others lend what they do not use, so that the count can go from 0 or 2 to 4 between two polls; then it stays at 4 for the 12 s of a task and the wait runs out. Change: the wait ends at 2 or more. What the test shows, that the limit breaks, is as it was. Conclusion: an exact count that may be passed between two polls is no condition to wait for.

--- a/cmd/anvilcourse/limits_test.go
+++ b/cmd/anvilcourse/limits_test.go
@@ -126,7 +126,9 @@
 	status, err := l.Operator(0).Status(context.Background())
 	require.NoError(t, err)
 	l.run(0, 4, 12*time.Second)
-	l.Wait("the first entry to run its part", func() bool { return l.running() == 2 })
+	// It may run more by then than its own part: the others lend what they do
+	// not use.
+	l.Wait("the first entry to run its part", func() bool { return l.running() >= 2 })
 	l.Entries[0].Pause()
 	l.clearAtOnce(t, status.Incarnation)
 	l.run(1, 6, time.Second)
