Test the acceptance of changes while the members change

Cause: the model of withdrawals keeps its members fixed; that a change stays accepted while entries join, leave, are removed and cleared was argued, not tested. Ruled out: changing the model of withdrawals, which is about time. Who may find a majority is a matter of offsets only. Change: random records and random progress of each process; once a change is accepted, no process that does not know it may find more than half of the entries that it knows among those that do not know it either.

--- /dev/null
+++ b/entry/churn_test.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// churn is a log whose members change at random, and how far each process has
+// applied it.
+type churn struct {
+	// states holds the state after each offset.
+	states  []*statemachine.State
+	seq     map[string]uint64
+	applied map[string]uint64
+	// changes are the offsets of changes of the configuration.
+	changes []uint64
+	joined  int
+}
+
+func newChurn(members int) *churn {
+	c := &churn{states: []*statemachine.State{statemachine.New()}, seq: map[string]uint64{}, applied: map[string]uint64{}}
+	for range members {
+		c.join()
+	}
+	return c
+}
+
+func (c *churn) end() *statemachine.State { return c.states[len(c.states)-1] }
+
+func (c *churn) write(writer string, command statemachine.Command) *statemachine.Void {
+	c.seq[writer]++
+	next, results := c.end().Apply(c.end().Next, statemachine.Batch{Writer: writer, Records: []statemachine.Record{
+		{Seq: c.seq[writer], Command: command},
+	}})
+	c.states = append(c.states, next)
+	return results[0].Void
+}
+
+func (c *churn) join() {
+	name := fmt.Sprintf("e%d", c.joined)
+	c.joined++
+	c.write(name, &statemachine.EntryJoin{Entry: statemachine.Entry{Incarnation: name}})
+	c.applied[name] = c.end().Next
+}
+
+// draw returns one of the processes that have not left.
+func (c *churn) draw(t *rapid.T, label string) string {
+	names := make([]string, 0, len(c.applied))
+	for name := range c.applied {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return rapid.SampledFrom(names).Draw(t, label)
+}
+
+// step writes one record, and lets one process apply some of the log.
+func (c *churn) step(t *rapid.T) {
+	writer, other := c.draw(t, "writer"), c.draw(t, "other")
+	switch rapid.IntRange(0, 8).Draw(t, "record") {
+	case 0:
+		c.join()
+	case 1:
+		if len(c.applied) > 1 && c.write(writer, &statemachine.EntryLeave{Incarnation: writer}) == nil {
+			delete(c.applied, writer)
+		}
+	case 2, 3:
+		version := c.states[c.applied[writer]].MembershipVersion
+		c.write(writer, &statemachine.EntryAck{Version: version})
+	case 4:
+		c.write(writer, &statemachine.EntryRemove{Incarnation: other})
+	case 5:
+		c.write(writer, &statemachine.EntryClear{Incarnation: other})
+	default:
+		c.changes = append(c.changes, c.end().Next)
+		c.write(writer, &statemachine.PoolSet{Pool: statemachine.Pool{Name: fmt.Sprint(len(c.changes))}})
+	}
+	reader := c.draw(t, "reader")
+	c.applied[reader] = rapid.Uint64Range(c.applied[reader], c.end().Next).Draw(t, "applied")
+}
+
+// accepts reports whether a process tells its operator that the change is
+// accepted.
+func (c *churn) accepts(t *rapid.T, offset uint64, rule acceptanceRule) bool {
+	reader := c.draw(t, "asked")
+	if c.applied[reader] <= offset {
+		return false
+	}
+	return rule(c.states[c.applied[reader]], c.applied, offset)
+}
+
+// refuses reports whether every process that does not know the change finds no
+// majority among those that do not know it either.
+func (c *churn) refuses(offset uint64) error {
+	for name, applied := range c.applied {
+		if applied > offset {
+			continue
+		}
+		known := c.states[applied]
+		if _, ok := known.Member(name); !ok {
+			continue
+		}
+		votes := 0
+		for member := range known.Entries.All() {
+			if at, works := c.applied[member]; works && at <= offset {
+				votes++
+			}
+		}
+		if membership.IsMajority(votes, known.Entries.Len()) {
+			return fmt.Errorf("%s at offset %d finds %d of %d entries without the change at %d",
+				name, applied, votes, known.Entries.Len(), offset)
+		}
+	}
+	return nil
+}
+
+type acceptanceRule func(state *statemachine.State, said map[string]uint64, offset uint64) bool
+
+// exploreChurn runs random schedules. It returns how many changes were accepted
+// and the faults that were found.
+func exploreChurn(t *testing.T, rule acceptanceRule) (accepted int, faults []error) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChurn(rapid.IntRange(2, 6).Draw(t, "members"))
+		for range 40 {
+			c.step(t)
+			for _, offset := range c.changes {
+				if !c.accepts(t, offset, rule) {
+					continue
+				}
+				accepted++
+				if err := c.refuses(offset); err != nil {
+					faults = append(faults, err)
+				}
+			}
+		}
+	})
+	return accepted, faults
+}
+
+// TestAcceptance_MembersChange checks that no entry can work without an
+// accepted change, while entries join, leave, are removed and cleared, and
+// acknowledge or apply nothing for any time.
+func TestAcceptance_MembersChange(t *testing.T) {
+	accepted, faults := exploreChurn(t, isAccepted)
+	t.Logf("accepted %d", accepted)
+	require.Empty(t, faults)
+	require.Greater(t, accepted, 100)
+}
+
+// TestAcceptance_NaiveMajority shows that more than half of the entries of now
+// are not enough while members change.
+func TestAcceptance_NaiveMajority(t *testing.T) {
+	naive := func(state *statemachine.State, said map[string]uint64, offset uint64) bool {
+		knowing := 0
+		for name := range state.Entries.All() {
+			if said[name] > offset {
+				knowing++
+			}
+		}
+		return membership.IsMajority(knowing, state.Entries.Len())
+	}
+	accepted, faults := exploreChurn(t, naive)
+	t.Logf("accepted %d, broken %d", accepted, len(faults))
+	require.NotEmpty(t, faults)
+}
