Let an entry that is started in a log outage work on loans

Cause: an entry that was started while the log was down worked for up to 2 s, by the proof that it got from a peer, and refused then until the log was back: only members of the control state could work by the majority's rule. Each entry replaced in an outage was lost to the users for the rest of it, although the others lend to it. Ruled out: that a new process is as safe as a member by the same rule. A trial of the model with 10,000 schedules found majorities for it among removed entries that nobody waits for any more; so these do not count for it. Change: who has not joined finds a majority without itself and without removed entries; who has left, was removed or cleared finds none. It is ready while the log cannot be read. The model's processes now clear as entries do, with quota.Unconfirmed and the electorate: a trial with 5,000 schedules had found majorities of an entry that was cleared at random, which no entry would do.

--- a/entry/churn_test.go
+++ b/entry/churn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -76,7 +78,7 @@
 	case 4:
 		c.write(writer, &statemachine.EntryRemove{Incarnation: other})
 	case 5:
-		c.write(writer, &statemachine.EntryClear{Incarnation: other})
+		c.clear(writer, other)
 	default:
 		c.changes = append(c.changes, c.end().Next)
 		c.write(writer, &statemachine.PoolSet{Pool: statemachine.Pool{Name: fmt.Sprint(len(c.changes))}})
@@ -85,6 +87,21 @@
 	c.applied[reader] = rapid.Uint64Range(c.applied[reader], c.end().Next).Draw(t, "applied")
 }
 
+// clear clears the other as entries do, once it can find no majority any more.
+func (c *churn) clear(writer, other string) {
+	state := c.states[c.applied[writer]]
+	removed, ok := state.Entries.Get(other)
+	if !ok || removed.State != statemachine.EntryRemoved {
+		return
+	}
+	unconfirmed := quota.Unconfirmed(state, removed, func(name string) bool {
+		return c.applied[name] > removed.RemovedAt
+	})
+	if !removed.Electorate.CanHaveMajority(unconfirmed) {
+		c.write(writer, &statemachine.EntryClear{Incarnation: other})
+	}
+}
+
 // accepts reports whether a process tells its operator that the change is
 // accepted.
 func (c *churn) accepts(t *rapid.T, offset uint64, rule acceptanceRule) bool {
@@ -95,31 +112,36 @@
 	return rule(c.states[c.applied[reader]], c.applied, offset)
 }
 
-// refuses reports whether every process that does not know the change finds no
-// majority among those that do not know it either.
+// refuses reports whether nobody who does not know the change finds a majority
+// that does not know it either: no member, and no process that has not joined
+// and took its state from another.
 func (c *churn) refuses(offset uint64) error {
 	for name, applied := range c.applied {
 		if applied > offset {
 			continue
 		}
 		known := c.states[applied]
-		if _, ok := known.Member(name); !ok {
-			continue
-		}
-		votes := 0
-		for member := range known.Entries.All() {
-			if at, works := c.applied[member]; works && at <= offset {
-				votes++
-			}
+		if _, ok := known.Member(name); ok && membership.IsMajority(c.votes(known.Entries.All(), offset), known.Entries.Len()) {
+			return fmt.Errorf("%s at offset %d finds a majority without the change at %d", name, applied, offset)
 		}
-		if membership.IsMajority(votes, known.Entries.Len()) {
-			return fmt.Errorf("%s at offset %d finds %d of %d entries without the change at %d",
-				name, applied, votes, known.Entries.Len(), offset)
+		if membership.IsMajority(c.votes(known.Members(), applied), known.Entries.Len()) {
+			return fmt.Errorf("a new process at offset %d finds a majority without the change at %d", applied, offset)
 		}
 	}
 	return nil
 }
 
+// votes counts the entries that work and have applied no more than the offset.
+func (c *churn) votes(entries iter.Seq2[string, *statemachine.Entry], offset uint64) int {
+	votes := 0
+	for entry := range entries {
+		if at, works := c.applied[entry]; works && at <= offset {
+			votes++
+		}
+	}
+	return votes
+}
+
 type acceptanceRule func(state *statemachine.State, said map[string]uint64, offset uint64) bool
 
 // exploreChurn runs random schedules. It returns how many changes were accepted
--- a/entry/control.go
+++ b/entry/control.go
@@ -32,6 +32,6 @@
 func (c *control) addPeers(v *controlView) {
 	state := c.State()
 	v.next, v.entries = state.Next, state.Entries.Len()
-	_, v.member = state.Member(c.self)
+	v.standing = standingOf(state, c.self)
 	v.peers = c.membership.Claims(state)
 }
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -15,8 +15,8 @@
 	wallAge, monotonicAge time.Duration
 	// faulted means that the log's offsets are no longer those of the state.
 	faulted bool
-	// member means that this entry is a member of its control state.
-	member bool
+	// standing is what this entry is in its control state.
+	standing standing
 	// next is the offset that this entry applies next.
 	next uint64
 	// entries is the number of members of the control state.
@@ -29,7 +29,7 @@
 // current reports whether keyed work may be admitted. It may with a young proof,
 // be it the own one or that of a member that has applied no more. Without one it
 // may only while this entry reaches more than half of the members, itself
-// included, and none of them can read the log or has applied more: a change is
+// included if it is one, and none of them can read the log or has applied more: a change is
 // accepted once more than half of the members have applied it, so that one of
 // those reached would have.
 func (v controlView) current() bool {
@@ -39,8 +39,9 @@
 	if max(v.wallAge, v.monotonicAge) <= currentFor {
 		return true
 	}
-	if !v.member {
+	if v.standing == standingGone {
 		return false
 	}
-	return membership.IsProven(v.next, v.peers, currentFor) || membership.NothingNew(v.next, v.entries, v.peers)
+	return membership.IsProven(v.next, v.peers, currentFor) ||
+		membership.NothingNew(v.next, v.standing == standingMember, v.entries, v.peers)
 }
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -19,12 +19,15 @@
 	if fault := r.control.Fault(); fault != nil {
 		return fault.Error()
 	}
-	if _, ok := r.control.State().Member(r.self); !ok {
+	if !r.mayServe() {
 		return "not joined"
 	}
 	if !r.control.Current() {
 		return "configuration not current"
 	}
+	if !r.control.Readable() {
+		return ""
+	}
 	for _, set := range r.divided {
 		if !set.everRead() {
 			return "the " + set.prefix + " have not been read yet"
@@ -32,3 +35,16 @@
 	}
 	return ""
 }
+
+// mayServe reports whether this entry is a member, or could not join because
+// the log is down and works on what others lend.
+func (r *readiness) mayServe() bool {
+	switch standingOf(r.control.State(), r.self) {
+	case standingMember:
+		return true
+	case standingNew:
+		return !r.control.Readable() && r.control.Identity() != ""
+	default:
+		return false
+	}
+}
--- a/entry/withdrawal_test.go
+++ b/entry/withdrawal_test.go
@@ -165,7 +165,7 @@
 // view is what the entry decides on.
 func (m *model) view(e *modelEntry) controlView {
 	age := m.now - e.asOf
-	v := controlView{wallAge: age, monotonicAge: age, member: true, next: e.next, entries: len(m.entries)}
+	v := controlView{wallAge: age, monotonicAge: age, standing: standingMember, next: e.next, entries: len(m.entries)}
 	for _, beat := range e.heard {
 		if m.now-beat.at <= membership.ReachableFor {
 			v.peers = append(v.peers, m.claim(e, beat))
--- a/membership/majority.go
+++ b/membership/majority.go
@@ -14,6 +14,8 @@
 	Applied uint64
 	// Leaving members count in no majority any more.
 	Leaving bool
+	// Removed entries count in no majority that one finds which has not joined.
+	Removed bool
 	// Age is the age of the member's proof that its control state was current
 	// at Applied.
 	Age time.Duration
@@ -24,12 +26,13 @@
 func Claims(state *statemachine.State, reachable []Member, now time.Time) []Claim {
 	var out []Claim
 	for _, member := range reachable {
-		if _, ok := state.Entries.Get(member.Incarnation); !ok {
+		entry, ok := state.Entries.Get(member.Incarnation)
+		if !ok {
 			continue
 		}
 		out = append(out, Claim{
 			Readable: member.Last.GetLogReadable(), Applied: member.Last.GetApplied(), Leaving: member.Last.GetLeaving(),
-			Age: member.ControlAge(now),
+			Removed: entry.State == statemachine.EntryRemoved, Age: member.ControlAge(now),
 		})
 	}
 	return out
@@ -48,23 +51,32 @@
 }
 
 // NothingNew reports whether nothing can have been accepted after the offset
-// next, though the log cannot be read here: more than half of the entries, the
-// asking one included, are reachable and stay, and none of those reached can
-// read the log or has applied more. A change is accepted once more than half
-// of the entries have applied it, so that one of those reached would have.
-func NothingNew(next uint64, entries int, claims []Claim) bool {
-	staying := 1
+// next, though the log cannot be read here: more than half of the entries are
+// reachable and stay, and none of those reached can read the log or has applied
+// more. A change is accepted once more than half of the entries have applied
+// it, so that one of those reached would have. The asking process is one of the
+// entries if it has joined.
+func NothingNew(next uint64, joined bool, entries int, claims []Claim) bool {
+	staying := 0
+	if joined {
+		staying = 1
+	}
 	for _, claim := range claims {
 		if claim.Readable || claim.Applied > next {
 			return false
 		}
-		if !claim.Leaving {
+		if claim.stays(joined) {
 			staying++
 		}
 	}
 	return IsMajority(staying, entries)
 }
 
+// stays reports whether the claim counts in a majority.
+func (c Claim) stays(askerJoined bool) bool {
+	return !c.Leaving && (askerJoined || !c.Removed)
+}
+
 // IsMajority reports whether count is more than half of the whole.
 func IsMajority(count, whole int) bool {
 	return 2*count > whole
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -127,7 +127,7 @@
 	}
 	claims := membership.Claims(n.state, n.reachable(), n.model.clock.Now())
 	return n.fresh() || membership.IsProven(n.state.Next, claims, modelCurrent) ||
-		membership.NothingNew(n.state.Next, n.state.Entries.Len(), claims)
+		membership.NothingNew(n.state.Next, true, n.state.Entries.Len(), claims)
 }
 
 func (n *node) fresh() bool { return n.model.clock.Now().Sub(n.asOf) <= modelCurrent }
