Drive jobs and cancellations with load, and check promises from outside

Cause: load drove urgent requests and orders alone, failed only on answers that were not the caller's own, and an interrupted run told nothing of long work.

Ruled out: a class of flags for each kind of job (the template's queues say what runs at most once); reading the limits' record (it covers the whole life of the stand-in, also limits of before).

Change: jobs at a rate of their own, on queues of both kinds, watched through another entry to their end, cancelled in part and in waves; orders sent twice at once; outcomes and percentiles by class; five promises judged, three of them against the workers' record; lines of progress; the report as an HTML page; settings checked by one sentence each.

Before and after: a fake entry that breaks one promise a time is found out for each (TestRun_SeesEachBrokenPromise); before, only crossed answers were.

Conclusion: load shows broken promises by its exit code. It does not check upper limits and withdrawn keys.

--- a/cmd/anvilcourse/load_test.go
+++ b/cmd/anvilcourse/load_test.go
@@ -44,3 +44,35 @@
 	require.FileExists(t, plot)
 	require.GreaterOrEqual(t, sent, len(sys.Record().Starts))
 }
+
+// TestLoad_KeepsItsPromises drives requests, orders sent twice, jobs that run
+// at most once and waves of cancellations, and holds every promise against the
+// workers' own record.
+func TestLoad_KeepsItsPromises(t *testing.T) {
+	sys, _ := startUser(t, "pakhtun", 2)
+	report := runLoad(t, sys, "../../examples/pakhtun/catalog.json", "-rate", "100", "-duration", "4s", "-work", "5ms", "-orders", "0.2",
+		"-repeats", "0.5", "-jobs", "20", "-job-work", "200ms", "-cancel", "0.4", "-cancel-every", "2s", "-record", sys.Platform)
+	var sent []load.Class
+	for _, class := range report.Classes {
+		sent = append(sent, class.Class)
+	}
+	require.Equal(t, []load.Class{load.ClassRequest, load.ClassOrder, load.ClassJobOnce}, sent)
+	for _, p := range report.Promises {
+		require.True(t, p.Checked, p.Name)
+		require.Zero(t, p.Broken, "%s: %s", p.Name, p.Detail)
+	}
+	require.Zero(t, report.Open)
+}
+
+// TestLoad_FailsOnABrokenPromise checks the exit code: no job of this load can
+// end within its wait.
+func TestLoad_FailsOnABrokenPromise(t *testing.T) {
+	sys, _ := startUser(t, "apitt", 1)
+	t.Setenv("ANVILCOURSE_OPERATOR_KEY", testbed.OperatorKey)
+	var stdout, stderr bytes.Buffer
+	args := []string{"load", "-entry", "http://" + sys.Entries[0].Settings.Operators, "-duration", "1s", "-work", "5ms",
+		"-jobs", "20", "-job-work", "10m", "-job-wait", "1s", "../../examples/apitt/catalog.json"}
+	require.Equal(t, 1, command.Run(context.Background(), args, &stdout, &stderr))
+	require.Contains(t, stderr.String(), "promises broke")
+	require.Contains(t, stdout.String(), "BROKEN")
+}
--- a/command/load.go
+++ b/command/load.go
@@ -5,6 +5,7 @@
 	"flag"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -14,39 +15,54 @@
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/load"
 	"github.com/anvilcourse/anvilcourse/settings"
+	"github.com/anvilcourse/anvilcourse/standin"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
-const (
-	maxLoadDuration = 10 * time.Minute
-	maxLoadRate     = 50000
-	loadConnections = 1024
-)
+const loadConnections = 1024
 
 type loadCommand struct {
 	operatorCommand
-	cfg  load.Config
-	plot string
+	cfg    load.Config
+	plot   string
+	record string
 }
 
 func (*loadCommand) Name() string     { return "load" }
 func (*loadCommand) Synopsis() string { return "drive the demand of a catalog's teams and report" }
 func (*loadCommand) Usage() string {
-	return "load [flags] CATALOG\n  Send requests of every team through every entry, with keys granted for the run.\n" +
-		"  Exits with 1 if an answer did not belong to its request.\n"
+	return "load [flags] CATALOG\n  Send requests, orders and jobs of every team through every entry, with keys\n" +
+		"  granted for the run. Exits with 1 if a promise broke. An interrupted run\n  reports what there is.\n"
 }
 
 func (c *loadCommand) SetFlags(f *flag.FlagSet) {
 	c.operatorCommand.SetFlags(f)
 	f.Float64Var(&c.cfg.Rate, "rate", 100, "mean requests per second over all teams, up to 50000")
 	f.DurationVar(&c.cfg.Duration, "duration", 10*time.Second, "time to send for, up to 10m")
-	f.IntVar(&c.cfg.MaxRequests, "max", 100000, "number of requests to send at most")
+	f.IntVar(&c.cfg.MaxRequests, "max", 100000, "number of requests and jobs to send at most")
 	f.DurationVar(&c.cfg.Work, "work", 50*time.Millisecond, "mean run time of a request; single ones are ten-fold apart")
-	f.DurationVar(&c.cfg.Timeout, "timeout", 2*time.Second, "patience of the callers")
+	f.DurationVar(&c.cfg.Timeout, "timeout", 2*time.Second, "patience of the callers, up to 1m")
 	f.Float64Var(&c.cfg.Orders, "orders", 0, "part of the requests that are orders, from 0 to 1")
+	f.Float64Var(&c.cfg.Repeats, "repeats", 0, "part of the orders that are sent twice at once, from 0 to 1")
 	f.BoolVar(&c.cfg.Steady, "steady", false, "keep the demand steady; otherwise it rotates five-fold")
 	f.Uint64Var(&c.cfg.Seed, "seed", 1, "seed of arrivals and run times")
-	f.StringVar(&c.plot, "plot", "", "write the slots in use by team as SVG to this `file`")
+	c.setJobFlags(f)
+	c.setReportFlags(f)
+}
+
+func (c *loadCommand) setJobFlags(f *flag.FlagSet) {
+	f.Float64Var(&c.cfg.Jobs, "jobs", 0, "mean jobs per second over all teams, up to 1000")
+	f.Float64Var(&c.cfg.JobsOnce, "jobs-once", 0.5, "part of the jobs that run at most once, if the template has job queues of both kinds")
+	f.DurationVar(&c.cfg.JobWork, "job-work", 2*time.Second, "mean run time of a job; single ones are ten-fold apart")
+	f.DurationVar(&c.cfg.JobWait, "job-wait", time.Minute, "time in which an accepted job must end, up to 10m")
+	f.Float64Var(&c.cfg.Cancel, "cancel", 0, "part of the jobs that are cancelled, from 0 to 1")
+	f.DurationVar(&c.cfg.CancelEvery, "cancel-every", 0, "send all due cancellations at once at this interval; 0 sends each when it is due")
+}
+
+func (c *loadCommand) setReportFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.cfg.ProgressEvery, "progress", time.Second, "interval of the lines of progress on standard error; 0 or -json for none")
+	f.StringVar(&c.record, "record", "", "base `URL` of the stand-in, to check starts against the workers' own record")
+	f.StringVar(&c.plot, "plot", "", "write the slots in use by team to this `file`, as SVG, or with the report if it ends in .html")
 }
 
 func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -67,27 +83,18 @@
 	if err := c.print(report); err != nil {
 		return c.fail(err)
 	}
-	if wrong := report.Wrong(); wrong > 0 {
-		return c.fail(errors.Newf("%d answers did not belong to their requests", wrong))
+	if broken := report.Broken(); broken > 0 {
+		return c.fail(errors.Newf("promises broke in %d cases", broken))
 	}
 	return subcommands.ExitSuccess
 }
 
 // check refuses flags outside their bounds.
 func (c *loadCommand) check() error {
-	switch {
-	case !(c.cfg.Rate > 0 && c.cfg.Rate <= maxLoadRate):
-		return errors.Newf("-rate must be above 0 and up to %d", maxLoadRate)
-	case c.cfg.Duration <= 0 || c.cfg.Duration > maxLoadDuration:
-		return errors.Newf("-duration must be above 0 and up to %s", maxLoadDuration)
-	case c.cfg.MaxRequests < 1:
-		return errors.New("-max must be 1 or more")
-	case c.cfg.Work <= 0 || c.cfg.Timeout <= 0:
-		return errors.New("-work and -timeout must be above 0")
-	case !(c.cfg.Orders >= 0 && c.cfg.Orders <= 1):
-		return errors.New("-orders must be from 0 to 1")
-	}
-	return nil
+	if c.cfg.ProgressEvery < 0 {
+		return errors.Newf("-progress is %s; it must be 0 or more", c.cfg.ProgressEvery)
+	}
+	return c.cfg.Check()
 }
 
 func (c *loadCommand) run(ctx context.Context, catalog settings.Catalog) (*load.Report, error) {
@@ -96,13 +103,28 @@
 		return nil, errors.Wrap(err, "read the VMs")
 	}
 	cfg := c.cfg
-	cfg.Operator = api.NewClient(c.entry, os.Getenv(keyVariable), &http.Client{Timeout: operatorTimeout})
+	cfg.Operator = c.client()
 	cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadConnections}}
 	cfg.Catalog = catalog
 	cfg.Capacity = slotsOf(vms, catalog.Template.Pools)
+	if c.record != "" {
+		cfg.Record = c.starts
+	}
+	if !c.json && cfg.ProgressEvery > 0 {
+		load.ProgressHeader(c.stderr)
+		cfg.Progress = func(p load.Progress) { p.Print(c.stderr) }
+	}
 	return load.Run(ctx, cfg)
 }
 
+// starts reads the workers' own account of starts by task.
+func (c *loadCommand) starts() (map[string]int, error) {
+	client := api.NewClient(c.record, "", &http.Client{Timeout: operatorTimeout})
+	var record standin.Record
+	err := client.Get(context.Background(), "/v1/record", &record)
+	return record.Starts, err
+}
+
 func slotsOf(vms []statemachine.VM, pools []string) int {
 	slots := 0
 	for _, vm := range vms {
@@ -130,7 +152,11 @@
 	if err != nil {
 		return err
 	}
-	if err := report.Plot(file); err != nil {
+	write := report.Plot
+	if filepath.Ext(c.plot) == ".html" {
+		write = report.Page
+	}
+	if err := write(file); err != nil {
 		_ = file.Close()
 		return err
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -17,6 +17,14 @@
 // Report is what a load measured.
 type Report struct {
 	Teams []TeamReport `json:"teams"`
+	// Classes holds the classes of which anything was sent.
+	Classes []ClassReport `json:"classes"`
+	// Promises tells what held, as seen from outside.
+	Promises []Promise `json:"promises"`
+	// Interrupted is set if the run was ended before its time.
+	Interrupted bool `json:"interrupted"`
+	// Open is the number of accepted jobs whose end was not seen.
+	Open int `json:"open_jobs"`
 	// Seconds is the time until the last answer.
 	Seconds float64 `json:"seconds"`
 	// Goodput is the number of answers in time a second.
@@ -30,7 +38,8 @@
 	FullSeconds int `json:"full_seconds"`
 }
 
-// TeamReport is one team's part. Latencies are those of answers.
+// TeamReport is one team's part of the requests and orders. Latencies are
+// those of answers. Used covers jobs as well.
 type TeamReport struct {
 	Team     string  `json:"team"`
 	Share    float64 `json:"share"`
@@ -61,14 +70,28 @@
 		out.Teams = append(out.Teams, line)
 	}
 	out.Goodput = float64(total) / out.Seconds
+	r.reportClasses(out)
 	r.distance(out, int(r.cfg.Duration/time.Second))
 	return out
 }
 
+func (r *runner) reportClasses(out *Report) {
+	for _, class := range classes {
+		tally, ok := r.classes[class]
+		if !ok {
+			continue
+		}
+		if line := tally.report(class); line.Sent > 0 {
+			out.Classes = append(out.Classes, line)
+			out.Open += line.Outcomes[openJob]
+		}
+	}
+}
+
 func (t *team) report(seconds int) TeamReport {
 	ms := func(quantile float64) float64 { return float64(t.latency.ValueAtQuantile(quantile)) / 1e3 }
 	out := TeamReport{
-		Team: t.name, Answered: t.outcomes[answered], NotRun: t.outcomes["not_run"], Failed: t.outcomes["failed"],
+		Team: t.name, Answered: t.outcomes[answered], NotRun: t.outcomes[notRun], Failed: t.outcomes[failed],
 		Unknown: t.outcomes[unknown], Wrong: t.wrong, P50MS: ms(50), P99MS: ms(99),
 	}
 	out.Sent = out.Answered + out.NotRun + out.Failed + out.Unknown
@@ -135,11 +158,28 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "\n%.1f s, %.0f answers/s; distance from share in %d s when full: mean %.1f %%, worst %.1f %%\n",
-		r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
+	fmt.Fprintln(w)
+	if err := r.printClasses(w); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := r.printPromises(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "\n%s\n", r.summary())
 	return err
 }
 
+// summary is the last line of the report.
+func (r *Report) summary() string {
+	end := ""
+	if r.Interrupted {
+		end = "interrupted after "
+	}
+	return fmt.Sprintf("%s%.1f s, %.0f answers/s; distance from share in %d s when full: mean %.1f %%, worst %.1f %%",
+		end, r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
+}
+
 // Wrong returns the number of answers that did not belong to their request.
 func (r *Report) Wrong() int {
 	wrong := 0
--- a/load/run.go
+++ b/load/run.go
@@ -2,23 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"github.com/anvilcourse/anvilcourse/api"
-	"github.com/anvilcourse/anvilcourse/standin"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
+// Outcomes of a submission as the callers' interface names them.
 const (
 	answered = "answered"
+	notRun   = "not_run"
+	failed   = "failed"
 	unknown  = "unknown"
 )
 
@@ -27,16 +26,36 @@
 	cfg     Config
 	entries []string
 	teams   []*team
+	classes map[Class]*tally
+	fates   *fates
 	start   time.Time
 	sent    atomic.Int64
 	calls   sync.WaitGroup
+
+	openJobs atomic.Int64
+	mu       sync.Mutex
+	// accepted counts the accepted jobs, brokenJobs those that broke their
+	// promise, and wrongJobs those with an answer of another one.
+	accepted, brokenJobs, wrongJobs int
+	// brokenJob says what was wrong with the first broken job.
+	brokenJob string
+}
+
+func newRunner(cfg Config) *runner {
+	r := &runner{cfg: cfg, classes: make(map[Class]*tally), fates: newFates(), start: time.Now()}
+	for _, class := range classes {
+		r.classes[class] = newTally()
+	}
+	return r
 }
 
 // Run drives the load through every entry that the operator's entry knows, and
-// waits for the last answer. It grants a key per workspace and withdraws it at
-// the end. An error means that the load could not be driven.
+// waits for the last answer and the end of the last job. It grants a key per
+// workspace and withdraws it at the end. Once the context ends it submits
+// nothing more, stops watching jobs, and reports what there is. An error means
+// that the load could not be driven.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	r := &runner{cfg: cfg}
+	r := newRunner(cfg)
 	status, err := cfg.Operator.Status(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the status")
@@ -52,8 +71,10 @@
 		return nil, err
 	}
 	r.drive(ctx)
-	r.calls.Wait()
-	return r.report(), nil
+	out := r.report()
+	out.Interrupted = ctx.Err() != nil
+	out.Promises = r.promises(out)
+	return out, nil
 }
 
 // grant makes the teams with a key each. The result withdraws the keys.
@@ -72,43 +93,65 @@
 		hashes = append(hashes, key.Hash)
 		t := newTeam(w.Team, float64(w.SharePermille), float64(w.Limit))
 		t.key = key.Key
-		t.urgent = queueOf(r.cfg.Catalog.Template, w.Name, statemachine.ClassUrgent)
-		t.order = queueOf(r.cfg.Catalog.Template, w.Name, statemachine.ClassOrder)
+		t.findQueues(r.cfg.Catalog.Template, w.Name)
+		if err := r.checkQueues(t); err != nil {
+			return withdraw, err
+		}
 		r.teams = append(r.teams, t)
 	}
 	return withdraw, nil
 }
 
-// queueOf returns the full name of the workspace's first queue of the class,
-// or "".
-func queueOf(t statemachine.Template, workspace string, class statemachine.Class) string {
-	for _, q := range t.Queues {
-		if q.Class == class {
-			return workspace + "." + q.Name
-		}
+// checkQueues reports what the catalog lacks for the load.
+func (r *runner) checkQueues(t *team) error {
+	switch {
+	case t.urgent == "" && r.cfg.Orders < 1:
+		return errors.New("the catalog's template has no urgent queue; use -orders 1")
+	case t.order == "" && r.cfg.Orders > 0:
+		return errors.New("the catalog's template has no queue for orders; use -orders 0")
+	case t.job == "" && t.jobOnce == "" && r.cfg.Jobs > 0:
+		return errors.New("the catalog's template has no queue for jobs; use -jobs 0")
 	}
-	return ""
+	return nil
 }
 
-// drive sends the requests of all teams until the time or the number is over.
+// drive submits the work of all teams until the time or the number is over,
+// and waits for its end.
 func (r *runner) drive(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Duration)
-	defer cancel()
 	r.start = time.Now()
+	sending, cancel := context.WithTimeout(ctx, r.cfg.Duration)
+	defer cancel()
+	hide := r.startProgress(ctx)
+	defer hide()
 	weights := 0.0
 	for _, t := range r.teams {
 		weights += t.weight
 	}
 	var wg sync.WaitGroup
 	for i, t := range r.teams {
-		wg.Go(func() { r.driveTeam(ctx, i, t, r.cfg.Rate*t.weight/weights) })
+		part := t.weight / weights
+		wg.Go(func() { r.arrivals(sending, i, requestArrivals, r.cfg.Rate*part, r.sendRequest(ctx, t)) })
+		wg.Go(func() { r.arrivals(sending, i, jobArrivals, r.cfg.Jobs*part, r.sendJob(ctx, t)) })
 	}
 	wg.Wait()
+	r.calls.Wait()
 }
 
-// driveTeam sends one team's requests, whether or not earlier ones have ended.
-func (r *runner) driveTeam(ctx context.Context, index int, t *team, mean float64) {
-	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(index)))
+// arrivalKind keeps the random numbers of requests and jobs apart.
+type arrivalKind uint64
+
+const (
+	requestArrivals arrivalKind = 0
+	jobArrivals     arrivalKind = 1 << 32
+)
+
+// arrivals calls send at random times with the given mean rate, whether or not
+// earlier work has ended.
+func (r *runner) arrivals(ctx context.Context, index int, kind arrivalKind, mean float64, send func(*rand.Rand, int64)) {
+	if mean <= 0 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(index)|uint64(kind)))
 	next := time.Duration(0)
 	for {
 		rate := mean
@@ -121,53 +164,26 @@
 			return
 		case <-time.After(time.Until(r.start.Add(next))):
 		}
-		if r.sent.Add(1) > int64(r.cfg.MaxRequests) {
+		number := r.sent.Add(1)
+		if number > int64(r.cfg.MaxRequests) {
 			return
 		}
-		queue, key := t.urgent, ""
-		if t.order != "" && rng.Float64() < r.cfg.Orders {
-			queue, key = t.order, uuid.Must(uuid.NewV7()).String()
-		}
-		entry := r.entries[rng.IntN(len(r.entries))]
-		work := runTime(rng, r.cfg.Work)
-		number := r.sent.Load()
-		r.calls.Go(func() { r.submit(context.WithoutCancel(ctx), t, entry, queue, key, work, number) })
+		send(rng, number)
 	}
 }
 
-// submit sends one request and counts its end.
-func (r *runner) submit(ctx context.Context, t *team, entry, queue, key string, work time.Duration, number int64) {
-	work = work.Round(time.Millisecond)
-	body := fmt.Appendf(nil, `{"queue":%q,"number":%d,"work_ms":%d}`, queue, number, work.Milliseconds())
-	sent := time.Now()
-	t.sent(sent.Sub(r.start), work)
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout+callMargin)
-	defer cancel()
-	reply, err := api.NewClient(entry, t.key, r.cfg.HTTP).Submit(ctx, queue, body, r.cfg.Timeout, key)
-	took := time.Since(sent)
-	wrong := err == nil && !belongs(body, reply)
-	t.ended(outcomeOf(err), time.Since(r.start), took, work, wrong)
-}
-
-// callMargin is how long a caller waits for the refusal after its patience.
-const callMargin = 2 * time.Second
-
-func outcomeOf(err error) string {
-	if err == nil {
-		return answered
-	}
-	var problem *api.Problem
-	if errors.As(err, &problem) {
-		return problem.Outcome
-	}
-	return unknown
+// entry returns any entry's callers' address.
+func (r *runner) entry(rng *rand.Rand) string {
+	return r.entries[rng.IntN(len(r.entries))]
 }
 
-// belongs reports whether the answer is whole and is that of the request.
-func belongs(body []byte, reply api.Reply) bool {
-	var answer standin.TaskAnswer
-	if err := json.Unmarshal(reply.Body, &answer); err != nil {
-		return false
+// queueOf returns the full name of the workspace's first queue that fits, or
+// "".
+func queueOf(t statemachine.Template, workspace string, fits func(statemachine.Queue) bool) string {
+	for _, q := range t.Queues {
+		if fits(q) {
+			return workspace + "." + q.Name
+		}
 	}
-	return answer.Digest == standin.Digest(body)
+	return ""
 }
--- a/load/team.go
+++ b/load/team.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // team collects what became of one team's requests.
@@ -12,9 +14,10 @@
 	name   string
 	weight float64
 	limit  float64
-	urgent string
-	order  string
-	key    string
+	// urgent, order, job and jobOnce are queues, or "" for none.
+	urgent, order, job, jobOnce string
+	// key is the key that its callers show.
+	key string
 
 	mu       sync.Mutex
 	outcomes map[string]int
@@ -29,11 +32,24 @@
 func newTeam(name string, weight, limit float64) *team {
 	return &team{
 		name: name, weight: weight, limit: limit, outcomes: make(map[string]int),
-		latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		latency: newLatency(),
 		offered: make(map[int]time.Duration), used: make(map[int]time.Duration),
 	}
 }
 
+// findQueues finds the team's queues in the template of its workspace.
+func (t *team) findQueues(template statemachine.Template, workspace string) {
+	find := func(class statemachine.Class, once func(statemachine.Queue) bool) string {
+		return queueOf(template, workspace, func(q statemachine.Queue) bool { return q.Class == class && once(q) })
+	}
+	either := func(statemachine.Queue) bool { return true }
+	again := func(q statemachine.Queue) bool { return !q.RunsAtMostOnce() }
+	t.urgent = find(statemachine.ClassUrgent, either)
+	t.order = find(statemachine.ClassOrder, either)
+	t.job = find(statemachine.ClassJob, again)
+	t.jobOnce = find(statemachine.ClassJob, statemachine.Queue.RunsAtMostOnce)
+}
+
 // sent counts the offered slot time of a request.
 func (t *team) sent(at, work time.Duration) {
 	t.mu.Lock()
@@ -57,6 +73,20 @@
 	spread(t.used, max(0, at-work), work)
 }
 
+// usedBy counts the slot time of a job that has ended by then.
+func (t *team) usedBy(at, work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spread(t.used, max(0, at-work), work)
+}
+
+// countWrong counts an answer that did not belong to its request.
+func (t *team) countWrong() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrong++
+}
+
 // spread adds the time from a point on to the seconds that it lies in.
 func spread(seconds map[int]time.Duration, from, length time.Duration) {
 	for length > 0 {
