--- a/command/operator.go
+++ b/command/operator.go
@@ -34,7 +34,12 @@
 }
 
 func (c *operatorCommand) client() *api.Client {
-	return api.NewClient(c.entry, os.Getenv(keyVariable), &http.Client{Timeout: operatorTimeout})
+	return c.clientAt(c.entry)
+}
+
+// clientAt is a client for the operators' address of any entry.
+func (*operatorCommand) clientAt(base string) *api.Client {
+	return api.NewClient(base, os.Getenv(keyVariable), &http.Client{Timeout: operatorTimeout})
 }
 
 func (c *operatorCommand) printJSON(v any) error {
--- a/command/wave.go
+++ b/command/wave.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
@@ -74,17 +76,22 @@
 	if c.json {
 		return c.done(c.printJSON(waves))
 	}
-	table := c.table()
+	return c.done(printWaves(c.stdout, waves))
+}
+
+// printWaves writes the waves and what they wait for as a table.
+func printWaves(w io.Writer, waves []api.WaveStatus) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "WAVE\tSTATE\tDONE\tACTIVE\tPENDING\tBLOCKED\tGIVEN UP\tLENT\tPLANNER\tCAUSE")
-	for _, w := range waves {
-		p := w.Progress
+	for _, wave := range waves {
+		p := wave.Progress
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n",
-			w.ID, w.State, p.Done, p.Active, p.Pending, p.Blocked, p.Skipped, p.Lent, w.Planner, w.Cause)
+			wave.ID, wave.State, p.Done, p.Active, p.Pending, p.Blocked, p.Skipped, p.Lent, wave.Planner, wave.Cause)
 	}
-	for _, w := range waves {
-		for _, condition := range w.Conditions {
-			fmt.Fprintf(table, "  %s waits:\t%s\t%s\t%s\t%s\n", w.ID, condition.Reason, condition.Pool, condition.VM, condition.Message)
+	for _, wave := range waves {
+		for _, condition := range wave.Conditions {
+			fmt.Fprintf(table, "  %s waits:\t%s\t%s\t%s\t%s\n", wave.ID, condition.Reason, condition.Pool, condition.VM, condition.Message)
 		}
 	}
-	return c.done(table.Flush())
+	return table.Flush()
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -40,3 +40,13 @@
 	// entry-2 record_key_grant
 	// entry-1 request_answered
 }
+
+// TestCursor_ReturnsEachEventOnce checks that a late event of one entry is
+// returned though a later one of another was before.
+func TestCursor_ReturnsEachEventOnce(t *testing.T) {
+	var cursor Cursor
+	a1, a2, b1 := Event{Entry: "a", Seq: 1, AtUS: 1}, Event{Entry: "a", Seq: 2, AtUS: 9}, Event{Entry: "b", Seq: 1, AtUS: 5}
+	require.Equal(t, []Event{a1, a2}, cursor.Next([]Event{a1, a2}))
+	require.Equal(t, []Event{b1}, cursor.Next([]Event{a1, b1, a2}))
+	require.Empty(t, cursor.Next([]Event{a1, b1, a2}))
+}
