Feed the planner each pool's need from observed load

Cause: the planner was told no pool's need, so a wave took every pool down to its budget whatever its load, and lent spare VMs to pools that stood idle. Ruled out: declared run times and sizes, which may be ten times off; the latest sample alone, which swings with every burst of a rotating demand (at least 40 changes in 20 min in TestTracker_FollowsTheMeanOfRotatingDemand); the need without a cap, under which a wave over pools asked for more than they hold never ends. Change: package sizing divides the load that the entries exchange in their heartbeats over the pools and keeps the highest mean of the last ten minutes. Each entry follows it, so that one that takes the lease over knows it already. A full pool is maintained one VM at a time. Gauge vms_needed.

--- /dev/null
+++ b/entry/demandwatch_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/admission"
+	"github.com/anvilcourse/anvilcourse/logstream"
+	"github.com/anvilcourse/anvilcourse/membership"
+	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/quota"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// loadedPeer answers each heartbeat with a team's load.
+type loadedPeer struct{}
+
+func (loadedPeer) Call(context.Context, string, *peerpb.Request) (*peerpb.Response, error) {
+	return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		Incarnation: "other", Teams: []*peerpb.TeamLoad{{Team: "t", Running: 5, Waiting: 3}},
+	}}}, nil
+}
+
+// TestDemandWatch_AddsUpTheEntries checks that a pool's need follows the load
+// of this entry and of the others, and that an entry which answers no more
+// counts no more.
+func TestDemandWatch_AddsUpTheEntries(t *testing.T) {
+	state, _ := statemachine.New().Apply(0, statemachine.Batch{Writer: "w", Records: []statemachine.Record{
+		{Seq: 1, Command: &statemachine.PoolSet{Pool: statemachine.Pool{Name: "p"}}},
+		{Seq: 2, Command: &statemachine.VMAdd{VM: statemachine.VM{ID: "vm", Pool: "p", Slots: 8}}},
+		{Seq: 3, Command: &statemachine.TemplateSet{Template: statemachine.Template{Name: "x", Pools: []string{"p"}}}},
+		{Seq: 4, Command: &statemachine.WorkspaceSet{Workspace: statemachine.Workspace{Name: "x", Template: "x", Team: "t", Limit: 99}}},
+	}})
+	clock := clockwork.NewFakeClock()
+	stream := logstream.New(logstream.Config{Name: "control", Writer: "e", Clock: clock, Logger: hclog.NewNullLogger(), Limits: logstream.DefaultLimits()}, state)
+	ledger, board := quota.NewLedger(), newLoadBoard()
+	ledger.SetAllotted("t", 0)
+	board.set([]admission.Load{{Team: "t", Waiting: 24}})
+	d := &describer{stream: stream, ledger: ledger, board: board}
+	members := membership.New(membership.Config{
+		Self: "e", Seeds: []string{"other"}, Caller: loadedPeer{}, Clock: clock, State: stream.State, Describe: d.describe,
+	})
+	w := newDemandWatch(stream, members, d, clock)
+	require.Nil(t, w.need())
+
+	members.Beat(context.Background())
+	w.once(context.Background())
+	clock.Advance(time.Second)
+	w.once(context.Background())
+	require.Equal(t, map[string]int{"p": 5}, w.need(), "32 slots of demand, at most 8 of 10 slots used")
+
+	clock.Advance(membership.ReachableFor)
+	require.InDelta(t, 24.0, w.loads()["t"].Waiting, 0)
+	require.Zero(t, w.loads()["t"].Running)
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,7 +19,7 @@
 	refusals *expvar.Map
 }
 
-func newMetrics(c *control, d *dispatch.Dispatcher, limbo *dispatch.Limbo, ledger *quota.Ledger, t *traffic) *metrics {
+func newMetrics(c *control, d *dispatch.Dispatcher, limbo *dispatch.Limbo, ledger *quota.Ledger, t *traffic, demand *demandWatch) *metrics {
 	m := &metrics{vars: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map)}
 	m.vars.Set("requests", m.outcomes)
 	m.vars.Set("requests_without_answer", m.refusals)
@@ -30,6 +30,7 @@
 	m.gauge("waiting", func() any { return d.Waiting() })
 	m.gauge("unsettled_starts", func() any { return limbo.Len() })
 	m.gauge("teams", func() any { return ledger.Teams() })
+	m.gauge("vms_needed", func() any { return demand.need() })
 	m.gauge("platform_bytes_in", func() any { return t.platform.In() })
 	m.gauge("platform_bytes_out", func() any { return t.platform.Out() })
 	m.gauge("peer_bytes_in", func() any { return t.peers.In() })
--- a/entry/module_maintenance.go
+++ b/entry/module_maintenance.go
@@ -26,6 +26,7 @@
 var maintenanceModule = fx.Module("maintenance",
 	fx.Provide(
 		newMaintenanceKeeper,
+		newDemandWatch,
 		newExecutor,
 		fx.Annotate(newMaintenanceTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newMaintenanceStop, fx.ResultTags(`group:"stop_steps"`)),
@@ -42,13 +43,13 @@
 }
 
 func newExecutor(id identity, keeper *lease.Keeper, stream *logstream.Stream, workers platform.Workers, client workerClient,
-	watch *fleetWatch, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
+	watch *fleetWatch, demand *demandWatch, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
 ) *executor.Executor {
 	return executor.New(executor.Config{
 		Lease: keeper, Log: stream, Workers: workers, Pools: platform.NewHTTPPools(client.Client),
 		Clock: clock, Logger: logger, Params: maintenance.DefaultParams(placement.LeaseTTL), Self: id.incarnation,
 		ListedAt:       watch.listedAt,
-		Need:           func() map[string]int { return nil },
+		Need:           demand.need,
 		Checkpointable: func(platform.TaskStatus) bool { return false },
 		Report: func(a maintenance.Action) {
 			ring.Add(actionEvent(id.incarnation, stream.State().Next, clock.Now(), a))
@@ -71,10 +72,11 @@
 	return event
 }
 
-func newMaintenanceTasks(keeper *lease.Keeper, exec *executor.Executor) []task {
+func newMaintenanceTasks(keeper *lease.Keeper, exec *executor.Executor, demand *demandWatch) []task {
 	return []task{
 		{name: "maintenance lease", run: keeper.Run},
 		{name: "maintenance", run: exec.Run},
+		{name: "demand", run: demand.run},
 	}
 }
 
--- a/entry/waves.go
+++ b/entry/waves.go
@@ -18,10 +18,11 @@
 	operators *operators
 	executor  *executor.Executor
 	watch     *fleetWatch
+	demand    *demandWatch
 }
 
-func newWaveRoutes(o *operators, e *executor.Executor, watch *fleetWatch) operatorRoutes {
-	w := &waves{operators: o, executor: e, watch: watch}
+func newWaveRoutes(o *operators, e *executor.Executor, watch *fleetWatch, demand *demandWatch) operatorRoutes {
+	w := &waves{operators: o, executor: e, watch: watch, demand: demand}
 	return func(group *gin.RouterGroup) {
 		group.GET("/waves", w.list)
 		group.GET("/waves/:name", w.get)
@@ -88,7 +89,7 @@
 	if plan := w.executor.Latest(); plan != nil {
 		return plan.Conditions
 	}
-	observed := maintenance.Observation{ListedAt: w.watch.listedAt()}
+	observed := maintenance.Observation{ListedAt: w.watch.listedAt(), Need: w.demand.need()}
 	params := maintenance.DefaultParams(placement.LeaseTTL)
 	return maintenance.Decide(w.operators.control.State(), observed, params, time.Now()).Conditions
 }
--- a/maintenance/capacity.go
+++ b/maintenance/capacity.go
@@ -24,12 +24,21 @@
 	lent := lentByPool(s)
 	spares := hasSpares(s)
 	for name, pool := range s.Pools.All() {
+		usage, _ := s.PoolUsage.Get(name)
+		own := usage.VMs - lent[name]
+		need, known := observed[name]
 		c.spare[name] = pool.Spare
 		c.keepSize[name] = spares && !pool.Spare && c.policies[name].KeepSize
-		c.need[name] = observed[name]
-		if c.keepSize[name] {
-			usage, _ := s.PoolUsage.Get(name)
-			c.need[name] = usage.VMs - lent[name]
+		if known && need <= own-pool.MaxUnavailable {
+			// The VMs that the budget may take are not needed, so none is lent.
+			c.keepSize[name] = false
+		}
+		switch {
+		case c.keepSize[name]:
+			c.need[name] = own
+		default:
+			// A pool that needs all that it has is still maintained, one VM at a time.
+			c.need[name] = min(need, own-1)
 		}
 	}
 	return c
--- /dev/null
+++ b/sizing/need_test.go
@@ -0,0 +1,133 @@
+package sizing
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+var start = time.UnixMilli(0)
+
+// rotating is a demand in slots that asks for five times its mean for a part
+// of each period and for a twentieth in between.
+func rotating(mean float64, at time.Duration) float64 {
+	const period, burst = 30 * time.Second, 5760 * time.Millisecond
+	if at%period < burst {
+		return 5 * mean
+	}
+	return mean / 20
+}
+
+// TestTracker_FollowsTheMeanOfRotatingDemand checks that a pool whose demand
+// rotates within seconds needs the VMs for its mean, and that the need of the
+// latest sample alone, and that of declared run times ten times off, break it.
+func TestTracker_FollowsTheMeanOfRotatingDemand(t *testing.T) {
+	const mean, perVM = 40.0, 8.0
+	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80}}
+	want := int(math.Ceil(mean / (perVM * utilization)))
+	tracker := NewTracker()
+	latest, changes := 0, 0
+	for at := time.Duration(0); at < 20*time.Minute; at += time.Second {
+		demand := rotating(mean, at)
+		tracker.Observe(start.Add(at), map[string]float64{"a": demand})
+		if naive := int(math.Ceil(demand / (perVM * utilization))); naive != latest {
+			latest = naive
+			changes++
+		}
+		if at >= windowLength {
+			require.InDelta(t, want, tracker.Need(sizes)["a"], 1, "at %v", at)
+		}
+	}
+	require.GreaterOrEqual(t, changes, 40, "the latest sample alone swings with each burst")
+	declared := int(math.Ceil(10 * mean / (perVM * utilization)))
+	require.Greater(t, declared, sizes["a"].VMs, "a declared run time ten times off asks for more than the pool")
+}
+
+// TestTracker_HoldsThePeakThenLetsGo checks that the need covers the highest
+// window for as long as a VM may be away, and no longer.
+func TestTracker_HoldsThePeakThenLetsGo(t *testing.T) {
+	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80}}
+	tracker := NewTracker()
+	now := start
+	run := func(demand float64, lasts time.Duration) {
+		for end := now.Add(lasts); now.Before(end); now = now.Add(time.Second) {
+			tracker.Observe(now, map[string]float64{"a": demand})
+		}
+	}
+	run(64, 2*windowLength)
+	run(8, (windowCount-2)*windowLength)
+	require.Equal(t, 10, tracker.Need(sizes)["a"])
+	run(8, 3*windowLength)
+	require.Equal(t, 2, tracker.Need(sizes)["a"])
+}
+
+// TestTracker_Clock lists steps of the clock and what they count as.
+func TestTracker_Clock(t *testing.T) {
+	sizes := map[string]Size{"a": {VMs: 10, Slots: 80}}
+	for _, c := range []struct {
+		name string
+		step time.Duration
+		want int
+	}{
+		{"a second", time.Second, 10},
+		{"backwards", -time.Hour, 0},
+		{"a long pause", time.Hour, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := NewTracker()
+			tracker.Observe(start, map[string]float64{"a": 8})
+			tracker.Observe(start.Add(c.step), map[string]float64{"a": 64})
+			require.Equal(t, c.want, tracker.Need(sizes)["a"])
+			require.Empty(t, tracker.pools["a"].past, "a step of the clock fills no window")
+		})
+	}
+}
+
+// fleet is a state of pools of the given numbers of VMs of 8 slots, with one
+// template of one team per set of pools.
+func fleet(t *testing.T, vms map[string]int, templates map[string][]string) *statemachine.State {
+	s := statemachine.New()
+	seq := uint64(0)
+	apply := func(c statemachine.Command) {
+		seq++
+		next, results := s.Apply(s.Next, statemachine.Batch{Writer: "op", Records: []statemachine.Record{{Seq: seq, Command: c}}})
+		require.Nil(t, results[0].Void)
+		s = next
+	}
+	for pool, count := range vms {
+		apply(&statemachine.PoolSet{Pool: statemachine.Pool{Name: pool}})
+		for i := range count {
+			apply(&statemachine.VMAdd{VM: statemachine.VM{ID: pool + string(rune('a'+i)), Pool: pool, Slots: 8}})
+		}
+	}
+	for name, pools := range templates {
+		apply(&statemachine.TemplateSet{Template: statemachine.Template{Name: name, Pools: pools}})
+		apply(&statemachine.WorkspaceSet{Workspace: statemachine.Workspace{Name: name, Template: name, Team: name, Limit: 200}})
+	}
+	return s
+}
+
+// TestDemandOf lists loads and where they go.
+func TestDemandOf(t *testing.T) {
+	s := fleet(t, map[string]int{"p1": 2, "p2": 6, "idle": 1}, map[string][]string{"both": {"p1", "p2"}, "one": {"p1"}})
+	for _, c := range []struct {
+		name  string
+		loads map[string]Load
+		want  map[string]float64
+	}{
+		{"none", nil, map[string]float64{"p1": 0, "p2": 0}},
+		{"by slots", map[string]Load{"both": {Running: 30, Waiting: 2}}, map[string]float64{"p1": 8, "p2": 24}},
+		{"where the other's work cannot go", map[string]Load{"both": {Running: 48}, "one": {Running: 16}}, map[string]float64{"p1": 16, "p2": 48}},
+		{"beyond the slots", map[string]Load{"both": {Waiting: 128}}, map[string]float64{"p1": 32, "p2": 96}},
+		{"up to the limit", map[string]Load{"one": {Running: 150, Waiting: 900}}, map[string]float64{"p1": 200, "p2": 0}},
+		{"of an unknown team", map[string]Load{"other": {Running: 5}}, map[string]float64{"p1": 0, "p2": 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, DemandOf(s, SizesOf(s), c.loads))
+		})
+	}
+}
