Move VMs between pools by demand, with hysteresis

Cause: a lasting shift of demand between pools that share no template was met by operators' moves only. Ruled out: a move at each difference, as rotating demand causes them without end; a threshold on the need, which needs two bounds by guess; spare VMs as givers, which the loss of a rack and waves need. Change: for each pair of pools sizing.Mover adds up what a moved VM would have won, never below 0 (one-sided CUSUM). The move begins once that has reached its cost: the VM's time out of service, and that again by the weight of moves over shares. The first entry in order writes an ordinary drain, which is void without room in the budgets; the holder of the maintenance lease finishes it. Pools that a wave or another step concerns start over.

--- a/entry/demandwatch.go
+++ b/entry/demandwatch.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
@@ -12,37 +13,73 @@
 	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 	"github.com/anvilcourse/anvilcourse/sizing"
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // demandInterval is the time between two samples of the pools' demand.
 const demandInterval = time.Second
 
-// demandWatch follows the pools' demand by the loads that the entries
-// exchange.
+// moveTimeout bounds the write of the record that begins a move.
+const moveTimeout = 2 * time.Second
+
+// demandWatch follows the pools' demand by the loads that the entries exchange
+// and begins the moves between pools that it calls for.
 type demandWatch struct {
+	id         identity
 	stream     *logstream.Stream
 	membership *membership.Membership
 	describer  *describer
 	clock      clockwork.Clock
-	// tracker belongs to the goroutine of run.
+	logger     hclog.Logger
+	// tracker and mover belong to the goroutine of run.
 	tracker *sizing.Tracker
+	mover   *sizing.Mover
 	latest  atomic.Pointer[map[string]int]
 }
 
-func newDemandWatch(stream *logstream.Stream, m *membership.Membership, d *describer, clock clockwork.Clock) *demandWatch {
-	return &demandWatch{stream: stream, membership: m, describer: d, clock: clock, tracker: sizing.NewTracker()}
+func newDemandWatch(id identity, stream *logstream.Stream, m *membership.Membership, d *describer, clock clockwork.Clock, logger hclog.Logger) *demandWatch {
+	return &demandWatch{
+		id: id, stream: stream, membership: m, describer: d, clock: clock, logger: logger,
+		tracker: sizing.NewTracker(), mover: sizing.NewMover(),
+	}
 }
 
 func (w *demandWatch) run(ctx context.Context) {
 	periodic.Run(ctx, w.clock, demandInterval, w.once)
 }
 
-func (w *demandWatch) once(context.Context) {
-	state := w.stream.State()
+func (w *demandWatch) once(ctx context.Context) {
+	now, state := w.clock.Now(), w.stream.State()
 	sizes := sizing.SizesOf(state)
-	w.tracker.Observe(w.clock.Now(), sizing.DemandOf(state, sizes, w.loads()))
+	demand := sizing.DemandOf(state, sizes, w.loads())
+	w.tracker.Observe(now, demand)
 	need := w.tracker.Need(sizes)
 	w.latest.Store(&need)
+	costs := sizing.Costs(state)
+	w.mover.Observe(now, sizes, demand, costs, sizing.Busy(state))
+	if !isFirst(state, w.id.incarnation) {
+		return
+	}
+	if move, vm := sizing.Choose(state, w.mover.Due(sizes, costs), sizes, need); vm != nil {
+		w.begin(ctx, move, vm)
+	}
+}
+
+// begin drains the VM for the other pool. The holder of the maintenance lease
+// finishes the move.
+func (w *demandWatch) begin(ctx context.Context, move sizing.Move, vm *statemachine.VM) {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	drain := &statemachine.VMDrain{VM: vm.ID, Pool: move.From, Expected: vm.Version, MoveTo: move.To}
+	result, err := w.stream.Propose(ctx, drain)
+	switch {
+	case err != nil:
+		w.logger.Debug("move not begun", "vm", vm.ID, "error", err.Error())
+	case result.Void != nil:
+		w.logger.Debug("move void", "vm", vm.ID, "reason", result.Void.Error())
+	default:
+		w.logger.Info("VM moves by demand", "vm", vm.ID, "from", move.From, "to", move.To)
+	}
 }
 
 // need returns the number of VMs that each pool needs, or nil before the
--- a/entry/demandwatch_test.go
+++ b/entry/demandwatch_test.go
@@ -45,7 +45,7 @@
 	members := membership.New(membership.Config{
 		Self: "e", Seeds: []string{"other"}, Caller: loadedPeer{}, Clock: clock, State: stream.State, Describe: d.describe,
 	})
-	w := newDemandWatch(stream, members, d, clock)
+	w := newDemandWatch(identity{incarnation: "e"}, stream, members, d, clock, hclog.NewNullLogger())
 	require.Nil(t, w.need())
 
 	members.Beat(context.Background())
--- /dev/null
+++ b/sizing/choose.go
@@ -0,0 +1,62 @@
+package sizing
+
+import "github.com/anvilcourse/anvilcourse/statemachine"
+
+// Choose returns the first of the due moves that may begin now and the VM to
+// move, or nil. A move waits while the budgets have no room and while the pool
+// needs the VM itself.
+func Choose(s *statemachine.State, due []Move, sizes map[string]Size, need map[string]int) (Move, *statemachine.VM) {
+	for _, move := range due {
+		if !gives(s, move.From, sizes[move.From], need[move.From]) {
+			continue
+		}
+		if vm := pick(s, move.From); vm != nil {
+			return move, vm
+		}
+	}
+	return Move{}, nil
+}
+
+// Busy returns the pools that a step of a VM or a wave concerns.
+func Busy(s *statemachine.State) map[string]bool {
+	out := make(map[string]bool)
+	for id := range s.UnderMaintenance.All() {
+		if vm, ok := s.VMs.Get(id); ok {
+			out[vm.Pool] = true
+			out[vm.Maintenance.MoveTo] = true
+		}
+	}
+	for _, wave := range s.Waves.All() {
+		for _, pool := range wave.Pools {
+			out[pool] = out[pool] || !wave.State.Ended()
+		}
+	}
+	return out
+}
+
+// gives reports whether the pool can give a VM away for good.
+func gives(s *statemachine.State, name string, size Size, need int) bool {
+	pool, ok := s.Pools.Get(name)
+	return ok && size.VMs > pool.MinVMs && size.Serving > need && s.PoolRoom(name) > 0
+}
+
+// pick returns a VM of the pool in the availability zone that holds most of
+// its VMs in service, or nil. Lent VMs stay.
+func pick(s *statemachine.State, pool string) *statemachine.VM {
+	zones := make(map[string]int)
+	for _, vm := range s.VMs.All() {
+		if vm.Pool == pool && vm.Available() {
+			zones[vm.AvailabilityZone]++
+		}
+	}
+	var out *statemachine.VM
+	for _, vm := range s.VMs.All() {
+		if vm.Pool != pool || !vm.Available() || vm.Home != "" || s.ZoneRoom(vm.AvailabilityZone) <= 0 {
+			continue
+		}
+		if out == nil || zones[vm.AvailabilityZone] > zones[out.AvailabilityZone] {
+			out = vm
+		}
+	}
+	return out
+}
--- a/sizing/demand.go
+++ b/sizing/demand.go
@@ -16,15 +16,15 @@
 
 // DemandOf divides the teams' loads over the pools that their work may run on
 // and returns each pool's demand in slots. The templates of the fewest pools
-// come first, since their work can go nowhere else. Work goes where slots are
-// free, and beyond that in proportion to the pools' slots.
+// come first, since their work can go nowhere else. Work goes where healthy
+// slots are free, and beyond that in proportion to them.
 func DemandOf(s *statemachine.State, sizes map[string]Size, loads map[string]Load) map[string]float64 {
 	out := make(map[string]float64)
 	for _, d := range templateDemands(s, loads) {
 		rest := d.slots
-		free := weigh(d.pools, func(pool string) float64 { return max(0, float64(sizes[pool].Slots)-out[pool]) })
+		free := weigh(d.pools, func(pool string) float64 { return max(0, float64(sizes[pool].HealthySlots)-out[pool]) })
 		rest -= spread(out, free, min(rest, free.total))
-		spread(out, weigh(d.pools, func(pool string) float64 { return float64(sizes[pool].Slots) }), rest)
+		spread(out, weigh(d.pools, func(pool string) float64 { return float64(sizes[pool].HealthySlots) }), rest)
 	}
 	return out
 }
--- a/sizing/need_test.go
+++ b/sizing/need_test.go
@@ -27,7 +27,7 @@
 // latest sample alone, and that of declared run times ten times off, break it.
 func TestTracker_FollowsTheMeanOfRotatingDemand(t *testing.T) {
 	const mean, perVM = 40.0, 8.0
-	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80}}
+	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80, HealthySlots: 80}}
 	want := int(math.Ceil(mean / (perVM * utilization)))
 	tracker := NewTracker()
 	latest, changes := 0, 0
@@ -50,7 +50,7 @@
 // TestTracker_HoldsThePeakThenLetsGo checks that the need covers the highest
 // window for as long as a VM may be away, and no longer.
 func TestTracker_HoldsThePeakThenLetsGo(t *testing.T) {
-	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80}}
+	sizes := map[string]Size{"a": {VMs: 10, Serving: 10, Slots: 80, HealthySlots: 80}}
 	tracker := NewTracker()
 	now := start
 	run := func(demand float64, lasts time.Duration) {
--- a/sizing/size.go
+++ b/sizing/size.go
@@ -10,6 +10,9 @@
 	Serving int
 	// Slots counts the slots of all VMs of the pool.
 	Slots int
+	// HealthySlots counts those of the VMs that have not failed, under
+	// maintenance or not.
+	HealthySlots int
 	// Spare tells whether the pool lends its VMs to others.
 	Spare bool
 }
@@ -32,6 +35,9 @@
 	for _, vm := range s.VMs.All() {
 		size := out[vm.Pool]
 		size.Slots += vm.Slots
+		if vm.Condition == statemachine.ConditionHealthy {
+			size.HealthySlots += vm.Slots
+		}
 		out[vm.Pool] = size
 	}
 	return out
