Let spare VMs stand in for failed ones

Cause: spare VMs were lent by waves only, so the loss of a rack of four left a pool with a budget of two below it for as long as the rack was away. Change: record vm_lend puts an idle VM of a spare pool that no template uses into service elsewhere at once, under the epoch of the maintenance lease. It makes no VM unavailable and needs no room. The planner lends as many as a pool lacks to its own size less its budget, once failures are 2 s old, and moves them home by a drain once the pool was quiet for a minute. Before and after: go test ./maintenance -run '^$' -bench SpareVMs -benchtime 1x, worst rack of each fleet lost in the middle of a wave for 30 min.

--- a/entry/module_maintenance.go
+++ b/entry/module_maintenance.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -67,7 +68,7 @@
 		event.VM = a.VM.ID
 	}
 	if a.MoveTo != "" {
-		event.Detail = "to pool " + a.MoveTo
+		event.Detail = strings.TrimSpace("to pool " + a.MoveTo + " " + a.Cause)
 	}
 	return event
 }
--- a/maintenance/action.go
+++ b/maintenance/action.go
@@ -14,6 +14,8 @@
 	ActionReboot ActionKind = "reboot"
 	// ActionMove puts a VM that was seen empty into another pool.
 	ActionMove ActionKind = "move"
+	// ActionLend puts an idle spare VM into service in another pool.
+	ActionLend ActionKind = "lend"
 	// ActionReturn puts a VM back into service that was confirmed healthy.
 	ActionReturn ActionKind = "return"
 	// ActionGiveUp puts a VM back into service that did not become empty.
@@ -31,7 +33,7 @@
 	Wave string
 	// VM is a VM as the decision saw it, or nil for a wave's action.
 	VM *statemachine.VM
-	// MoveTo is the pool to drain the VM for, or empty.
+	// MoveTo is the pool to drain the VM for or to lend it to, or empty.
 	MoveTo string
 	// Task is the task to checkpoint.
 	Task string
--- a/maintenance/bench_test.go
+++ b/maintenance/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/anvilcourse/anvilcourse/examples"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -52,3 +53,29 @@
 		})
 	}
 }
+
+// BenchmarkSpareVMs sweeps the number of spare VMs through the loss of the
+// worst rack in the middle of a wave. Its time means nothing.
+func BenchmarkSpareVMs(b *testing.B) {
+	run := func(user, way string, spares int, decide decider) {
+		b.Run(fmt.Sprintf("%s/%s/spares=%d", user, way, spares), func(b *testing.B) {
+			var out rackLoss
+			for b.Loop() {
+				out = worstRack(b, user, spares, decide)
+			}
+			b.ReportMetric(out.below.Minutes(), "below-VM-min")
+			b.ReportMetric(out.longest.Seconds(), "longest-s")
+			b.ReportMetric(out.took.Minutes(), "roll-out-min")
+			b.ReportMetric(float64(out.moves), "moves")
+			b.ReportMetric(out.lent.Hours(), "lent-VM-h")
+			b.ReportMetric(out.took.Hours()*float64(spares)-out.lent.Hours(), "idle-VM-h")
+		})
+	}
+	for _, user := range examples.Users {
+		for spares := range 9 {
+			run(user, "planner", spares, Decide)
+		}
+		run(user, "no_cover", 4, waveLoansOnly)
+		run(user, "no_cover", 8, waveLoansOnly)
+	}
+}
--- a/maintenance/command.go
+++ b/maintenance/command.go
@@ -12,6 +12,8 @@
 		return &statemachine.VMReboot{VM: a.VM.ID, Expected: a.VM.Version, Epoch: epoch}
 	case ActionMove:
 		return &statemachine.VMMove{VM: a.VM.ID, From: a.VM.Pool, To: a.MoveTo, Expected: a.VM.Version, Epoch: epoch}
+	case ActionLend:
+		return &statemachine.VMLend{VM: a.VM.ID, From: a.VM.Pool, To: a.MoveTo, Expected: a.VM.Version, Epoch: epoch}
 	case ActionReturn, ActionGiveUp:
 		return &statemachine.VMReturn{VM: a.VM.ID, Expected: a.VM.Version, Epoch: epoch}
 	case ActionPauseWave:
--- a/maintenance/executor/executor.go
+++ b/maintenance/executor/executor.go
@@ -51,7 +51,7 @@
 
 // HasWork reports whether the state has something for a lease holder to do.
 func HasWork(s *statemachine.State) bool {
-	if s.UnderMaintenance.Len() > 0 || s.Lent.Len() > 0 {
+	if s.UnderMaintenance.Len() > 0 || s.Lent.Len() > 0 || maintenance.NeedsCover(s) {
 		return true
 	}
 	for _, wave := range s.Waves.All() {
--- a/maintenance/params.go
+++ b/maintenance/params.go
@@ -14,6 +14,9 @@
 	// FailureSettle is the time for which a failure is watched before it
 	// pauses a wave: a lost rack shows itself VM by VM.
 	FailureSettle time.Duration
+	// CoverSettle is the time for which no VM of a pool may have failed or come
+	// back before a spare VM that stands in leaves it.
+	CoverSettle time.Duration
 	// MoveDeadline is the time after which an operator's drain is given up.
 	MoveDeadline time.Duration
 }
@@ -26,6 +29,7 @@
 		UsageLag:      250 * time.Millisecond,
 		ListStale:     3 * time.Second,
 		FailureSettle: 2 * time.Second,
+		CoverSettle:   time.Minute,
 		MoveDeadline:  10 * time.Minute,
 	}
 }
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -21,6 +21,7 @@
 	capacity capacity
 	fleet    *fleetView
 	room     *room
+	short    shortages
 	plan     Plan
 }
 
@@ -29,12 +30,14 @@
 	open := openWaves(s)
 	d := &planner{state: s, observed: observed, params: p, now: now}
 	d.watchSteps()
-	if len(open) == 0 && s.Lent.Len() == 0 {
+	if len(open) == 0 && s.Lent.Len() == 0 && !NeedsCover(s) {
 		return d.plan
 	}
 	d.fleet = newFleetView(s, open)
 	d.capacity = newCapacity(s, observed.Need)
 	d.room = newRoom(s)
+	d.short = newShortages(s)
+	d.watchCover()
 	for _, wave := range open {
 		d.watchWave(d.fleet.waves[wave.ID])
 	}
--- a/maintenance/view.go
+++ b/maintenance/view.go
@@ -34,6 +34,9 @@
 	spares []*statemachine.VM
 	// strays are lent VMs in service.
 	strays []*statemachine.VM
+	// changedMS is when the condition of a VM of the pool changed last, in Unix
+	// milliseconds.
+	changedMS map[string]int64
 }
 
 type rackCount struct {
@@ -48,7 +51,7 @@
 
 // newFleetView sorts the VMs once for all open waves.
 func newFleetView(s *statemachine.State, open []*statemachine.Wave) *fleetView {
-	v := &fleetView{waves: make(map[string]*waveView), racks: make(map[string]rackCount)}
+	v := &fleetView{waves: make(map[string]*waveView), racks: make(map[string]rackCount), changedMS: make(map[string]int64)}
 	for _, wave := range open {
 		v.waves[wave.ID] = &waveView{wave: wave}
 	}
@@ -63,6 +66,7 @@
 			rack.failed++
 		}
 		v.racks[vm.Rack] = rack
+		v.changedMS[vm.Pool] = max(v.changedMS[vm.Pool], vm.ConditionSinceMS)
 		v.addSpare(vm, spare[vm.Pool])
 		for _, view := range v.waves {
 			view.add(vm)
--- a/maintenance/watch_loans.go
+++ b/maintenance/watch_loans.go
@@ -23,6 +23,10 @@
 		if l.work[vm.Pool] > 0 {
 			continue
 		}
+		if d.short.needs(vm.Pool) {
+			d.waitWave(ReasonCapacity, v.wave.ID, vm.Pool, "a spare VM stands in for failed ones")
+			continue
+		}
 		to, ok := d.nextPool(v, l)
 		if !ok {
 			to = vm.Home
@@ -113,16 +117,18 @@
 		return
 	}
 	d.room.take(vm)
+	d.short.leave(vm)
 	l.lent[to]++
 	d.act(Action{Kind: ActionDrain, Wave: v.wave.ID, VM: vm, MoveTo: to})
 }
 
-// watchStrays sends lent VMs home that no open wave uses.
+// watchStrays sends lent VMs home that no open wave uses and no pool needs.
 func (d *planner) watchStrays(open []*statemachine.Wave) {
 	for _, vm := range d.fleet.strays {
 		used := slices.ContainsFunc(open, func(w *statemachine.Wave) bool { return slices.Contains(w.Pools, vm.Pool) })
-		if !used && d.room.refuse(vm) == "" {
+		if !used && !d.stillNeeded(vm) && d.room.refuse(vm) == "" {
 			d.room.take(vm)
+			d.short.leave(vm)
 			d.act(Action{Kind: ActionDrain, VM: vm, MoveTo: vm.Home})
 		}
 	}
--- a/statemachine/subject.go
+++ b/statemachine/subject.go
@@ -26,6 +26,8 @@
 		return Subject{VM: c.VM, Wave: c.Wave}
 	case *VMMove:
 		return Subject{VM: c.VM}
+	case *VMLend:
+		return Subject{VM: c.VM}
 	case *VMReboot:
 		return Subject{VM: c.VM}
 	case *VMReturn:
--- a/statemachine/vm.go
+++ b/statemachine/vm.go
@@ -103,6 +103,7 @@
 	KindVMRemove:    func() Command { return &VMRemove{} },
 	KindVMMove:      func() Command { return &VMMove{} },
 	KindVMDrain:     func() Command { return &VMDrain{} },
+	KindVMLend:      func() Command { return &VMLend{} },
 	KindVMReboot:    func() Command { return &VMReboot{} },
 	KindVMReturn:    func() Command { return &VMReturn{} },
 	KindVMFailed:    func() Command { return &VMFailed{} },
--- /dev/null
+++ b/statemachine/vmlend.go
@@ -0,0 +1,66 @@
+package statemachine
+
+import "slices"
+
+// KindVMLend is the kind of VMLend.
+const KindVMLend Kind = "vm_lend"
+
+// VMLend puts an idle spare VM into service in another pool, to which it
+// belongs from then on, until it is drained and moved home. It needs no drain
+// and no room in a budget: a spare pool that no template uses runs no work, so
+// no VM becomes unavailable. It is void unless the VM serves at home in such a
+// pool at the Expected version.
+type VMLend struct {
+	VM       string `json:"vm"`
+	From     string `json:"from"`
+	To       string `json:"to"`
+	Expected uint64 `json:"expected"`
+	// Epoch is the epoch of the maintenance lease.
+	Epoch uint64 `json:"epoch"`
+}
+
+// Kind implements Command.
+func (*VMLend) Kind() Kind { return KindVMLend }
+
+func (c *VMLend) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if void := checkEpoch(next, ctx.writer, c.Epoch); void != nil {
+		return void
+	}
+	if vm.Pool != c.From {
+		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.From)
+	}
+	if !vm.Available() || vm.Home != "" {
+		return voidf(ReasonStep, "VM %s does not serve at home", c.VM)
+	}
+	if !next.Lends(c.From) {
+		return voidf(ReasonStep, "pool %s may run work; drain VM %s first", c.From, c.VM)
+	}
+	if c.To == "" {
+		return voidf(ReasonInvalid, "VM %s is lent to no pool", c.VM)
+	}
+	if void := checkMove(next, vm, c.To); void != nil {
+		return void
+	}
+	lent := *vm
+	lent.Pool, lent.Home = c.To, c.From
+	next.replaceVM(vm, &lent)
+	return nil
+}
+
+// Lends reports whether the pool is a spare one that no template uses.
+func (s *State) Lends(name string) bool {
+	pool, ok := s.Pools.Get(name)
+	if !ok || !pool.Spare {
+		return false
+	}
+	for _, template := range s.Templates.All() {
+		if slices.Contains(template.Pools, name) {
+			return false
+		}
+	}
+	return true
+}
