Checkpoint idempotent jobs in a drain's second half

Cause: the planner knew of no task that may be checkpointed, so a job longer than a drain's deadline kept its VM out of every wave. Ruled out: asking the worker, which does not know what may run again; urgent requests and orders, which have a caller waiting or run at most once. Change: a task counts as checkpointable if it is the running start of an idempotent job by the jobs' streams. Its owner finds it stopped and resumes it elsewhere, as it does after a preemption. Non-idempotent jobs are waited for.

--- /dev/null
+++ b/entry/checkpointable.go
@@ -0,0 +1,18 @@
+package entry
+
+import (
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// checkpointable reports whether the task is the running start of an
+// idempotent job: its owner resumes it elsewhere from the checkpoint. Any
+// other task, and one that this entry does not know, is waited for.
+func (s jobShards) checkpointable(task platform.TaskStatus) bool {
+	shards := s.get()
+	if shards == nil {
+		return false
+	}
+	job, ok := shards.For(task.ID).State().Jobs.Get(task.ID)
+	return ok && job.Idempotent && job.State == statemachine.JobRunning && job.Attempt == task.Attempt
+}
--- a/entry/module_maintenance.go
+++ b/entry/module_maintenance.go
@@ -44,14 +44,14 @@
 }
 
 func newExecutor(id identity, keeper *lease.Keeper, stream *logstream.Stream, workers platform.Workers, client workerClient,
-	watch *fleetWatch, demand *demandWatch, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
+	watch *fleetWatch, demand *demandWatch, jobs jobShards, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
 ) *executor.Executor {
 	return executor.New(executor.Config{
 		Lease: keeper, Log: stream, Workers: workers, Pools: platform.NewHTTPPools(client.Client),
 		Clock: clock, Logger: logger, Params: maintenance.DefaultParams(placement.LeaseTTL), Self: id.incarnation,
 		ListedAt:       watch.listedAt,
 		Need:           demand.need,
-		Checkpointable: func(platform.TaskStatus) bool { return false },
+		Checkpointable: jobs.checkpointable,
 		Report: func(a maintenance.Action) {
 			ring.Add(actionEvent(id.incarnation, stream.State().Next, clock.Now(), a))
 		},
