Measure the distance from shares of each way to maintain the fleet

Cause: the table of baselines had no distance from shares, and was measured without the pools' need. Ruled out: nothing. Change: the model divides the serving slots among the user's teams while each asks for its upper limit. Each user is measured over pools that need nothing and pools that need more than they hold, and both must take at most half the time of one VM at a time, where one row was held to it before. Before and after: go test ./maintenance -run TestMeasure -v.

--- a/maintenance/baseline_test.go
+++ b/maintenance/baseline_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/examples"
+	"github.com/anvilcourse/anvilcourse/shares"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -58,26 +59,71 @@
 	took, lent, short time.Duration
 	moves             int
 	voids, breaches   int
+	// distance is the mean over teams and time of the part of their shares that
+	// teams lack while each asks for its whole upper limit.
+	distance float64
 }
 
-func measure(t testing.TB, user string, size fleetSize, decide decider) outcome {
+// sharesOf returns the slots of each team of a user if the fleet has the given
+// number and each team asks for its whole upper limit.
+func sharesOf(t testing.TB, user string, slots float64) []float64 {
+	catalog, err := examples.Catalog(user)
+	require.NoError(t, err)
+	claims := make([]shares.Claim, len(catalog.Workspaces))
+	for i, w := range catalog.Workspaces {
+		claims[i] = shares.Claim{Weight: float64(w.SharePermille), Demand: float64(w.Limit), Limit: float64(w.Limit)}
+	}
+	return shares.Compute(slots, claims)
+}
+
+// distance is the mean part of their shares that the teams lack now.
+func (m *model) distance(user string) float64 {
+	const slotsPerVM = 8
+	own, serving := 0, 0
+	lent := lentByPool(m.state)
+	for name, usage := range m.state.PoolUsage.All() {
+		if pool, _ := m.state.Pools.Get(name); !pool.Spare {
+			own += usage.VMs - lent[name]
+			serving += usage.VMs - usage.Unavailable
+		}
+	}
+	owed, got := sharesOf(m.t, user, float64(own*slotsPerVM)), sharesOf(m.t, user, float64(serving*slotsPerVM))
+	sum := 0.0
+	for i := range owed {
+		sum += max(0, owed[i]-got[i]) / owed[i]
+	}
+	return sum / float64(len(owed))
+}
+
+// measure runs a wave while each pool needs the given number of VMs.
+func measure(t testing.TB, user string, size fleetSize, decide decider, need int) outcome {
 	m := newModel(t, size, weightsOf(t, user), decide, 1)
+	m.need = make(map[string]int)
+	for name, pool := range m.state.Pools.All() {
+		if !pool.Spare {
+			m.need[name] = need
+		}
+	}
 	m.startWave(100)
 	out := outcome{}
 	start := m.now
 	for !m.wave().State.Ended() && m.now.Sub(start) < modelLimit {
 		m.step("p1")
 		out.short += shortfall(m)
+		out.distance += m.distance(user) * float64(modelTick)
 	}
+	out.distance /= float64(m.now.Sub(start))
 	require.Equal(t, statemachine.WaveDone, m.wave().State)
 	require.Zero(t, m.cut)
 	out.took, out.lent, out.moves, out.voids, out.breaches = m.now.Sub(start), m.lentTime, m.moves, m.voids, m.breaches
 	return out
 }
 
-// TestMeasure_AgainstBaselines holds the plans of both users against one VM at
-// a time, groups of a fixed size and a fleet without spare VMs.
+// TestMeasure_AgainstBaselines holds the plans of both users, over pools that
+// need nothing and pools that need more than they hold, against one VM at a
+// time, groups of a fixed size and a fleet without spare VMs.
 func TestMeasure_AgainstBaselines(t *testing.T) {
+	const full = 50
 	noSpare := userFleet
 	noSpare.spares = 0
 	for _, user := range examples.Users {
@@ -85,17 +131,20 @@
 			name string
 			out  outcome
 		}{
-			{"planner", measure(t, user, userFleet, Decide)},
-			{"one at a time", measure(t, user, userFleet, oneAtATime)},
-			{"groups of 5", measure(t, user, userFleet, fixedSize(5))},
-			{"no spare", measure(t, user, noSpare, Decide)},
+			{"planner, idle", measure(t, user, userFleet, Decide, 0)},
+			{"planner, full", measure(t, user, userFleet, Decide, full)},
+			{"one at a time", measure(t, user, userFleet, oneAtATime, full)},
+			{"groups of 5", measure(t, user, userFleet, fixedSize(5), full)},
+			{"no spare, idle", measure(t, user, noSpare, Decide, 0)},
+			{"no spare, full", measure(t, user, noSpare, Decide, full)},
 		}
 		for _, row := range rows {
-			t.Logf("%-8s %-14s took %-9v moves %d, spare lent %.1f VM-h, below own size %.1f VM-h, void %d, breaches %d",
-				user, row.name, row.out.took, row.out.moves, row.out.lent.Hours(), row.out.short.Hours(), row.out.voids, row.out.breaches)
+			t.Logf("%-8s %-14s took %-9v moves %d, spare lent %.1f VM-h, below own size %.1f VM-h, distance from shares %.2f %%, void %d, breaches %d",
+				user, row.name, row.out.took, row.out.moves, row.out.lent.Hours(), row.out.short.Hours(), 100*row.out.distance, row.out.voids, row.out.breaches)
 			require.Zero(t, row.out.breaches)
 		}
-		require.LessOrEqual(t, 2*rows[0].out.took, rows[1].out.took)
+		require.LessOrEqual(t, 2*rows[0].out.took, rows[2].out.took)
+		require.LessOrEqual(t, 2*rows[1].out.took, rows[2].out.took)
 	}
 }
 
@@ -137,7 +186,7 @@
 func TestMeasure_MovesAgainstTheLeast(t *testing.T) {
 	for pools := 2; pools <= 6; pools++ {
 		size := fleetSize{pools: pools, vmsPerPool: 4, spares: 2, perRack: 2, zones: 2, budget: 2}
-		out := measure(t, "pakhtun", size, Decide)
+		out := measure(t, "pakhtun", size, Decide, size.vmsPerPool)
 		least := leastMoves(pools, minLentPools, (pools+minLentPools-1)/minLentPools)
 		t.Logf("%d pools: %d moves, least %d", pools, out.moves, least)
 		require.LessOrEqual(t, 10*out.moves, 11*least)
