Tell targets that fail everything from jobs that can never run

Cause: a job ended after failing on 3 distinct targets, whoever was at fault: bad targets ended jobs that can run, and nothing kept new work from a target that fails everything, which frees its slots fastest. Change: package verdict (pure, probabilities of both causes from the failures of both); the owner's verdict and a typed reason in JobEnd, records without a verdict keep their old meaning; VMQuarantine and VMRelease in the control stream under the budgets; package quarantine, which collects the evidence from the job streams and writes; operators' calls and `vm quarantine`, `vm release`, a state column in `vm list`; a wave's condition `quarantined`. An answer too large to keep ends the job at once instead of after three starts. TestBudget_HoldsOverRandomSchedules draws quarantines and releases as well; the job tests' harness has a judge. No other test was changed. Failures of requests and orders are no evidence yet.

--- a/api/client.go
+++ b/api/client.go
@@ -91,6 +91,20 @@
 	return out, err
 }
 
+// QuarantineVM keeps the VM from new work until it is released.
+func (c *Client) QuarantineVM(ctx context.Context, vm string, req VMQuarantineRequest) (Accepted, error) {
+	var out Accepted
+	err := c.call(ctx, http.MethodPost, "/v1/vms/"+url.PathEscape(vm)+"/quarantine", nil, req, &out)
+	return out, err
+}
+
+// ReleaseVM ends the VM's quarantine.
+func (c *Client) ReleaseVM(ctx context.Context, vm string, req VMReleaseRequest) (Accepted, error) {
+	var out Accepted
+	err := c.call(ctx, http.MethodPost, "/v1/vms/"+url.PathEscape(vm)+"/release", nil, req, &out)
+	return out, err
+}
+
 // MoveVM moves a VM to another pool.
 func (c *Client) MoveVM(ctx context.Context, vm string, req VMMoveRequest) (Accepted, error) {
 	var out Accepted
--- a/api/operators.go
+++ b/api/operators.go
@@ -30,6 +30,18 @@
 	Hash string `json:"hash"`
 }
 
+// VMQuarantineRequest asks to keep a VM from new work.
+type VMQuarantineRequest struct {
+	Version uint64 `json:"version" validate:"min=1"`
+	// Message tells other operators why.
+	Message string `json:"message,omitempty" validate:"max=256"`
+}
+
+// VMReleaseRequest asks to end a VM's quarantine.
+type VMReleaseRequest struct {
+	Version uint64 `json:"version" validate:"min=1"`
+}
+
 // VMMoveRequest asks to move a VM to another pool.
 type VMMoveRequest struct {
 	From    string `json:"from" validate:"required"`
--- a/entry/jobroutes.go
+++ b/entry/jobroutes.go
@@ -113,7 +113,7 @@
 }
 
 func jobOf(j *statemachine.Job) api.Job {
-	return api.Job{ID: j.ID, State: j.State, Attempt: j.Attempt, VM: j.Start.Target, Answer: j.Answer, Message: j.Message}
+	return api.Job{ID: j.ID, State: j.State, Attempt: j.Attempt, VM: j.Start.Target, Answer: j.Answer, Message: j.Message, Reason: j.Reason}
 }
 
 // writeJobError answers a call for a job that could not be carried out.
--- a/entry/module.go
+++ b/entry/module.go
@@ -38,6 +38,7 @@
 		profileModule,
 		ordersModule,
 		jobsModule,
+		quarantineModule,
 		sharesModule,
 		limitsModule,
 		maintenanceModule,
--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -13,6 +13,7 @@
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/quarantine"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -36,17 +37,17 @@
 	),
 )
 
-func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) jobShards {
+func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger, judge *quarantine.Judge) jobShards {
 	return jobShards{&shardSet{
 		prefix: jobsStream, count: s.JobStreams, control: stream,
 		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s),
+		policy: snapshotPolicy(s), observe: judge.Observe,
 	}}
 }
 
-func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter) *job.Runner {
+func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter, judge *quarantine.Judge) *job.Runner {
 	runner := job.New(job.Config{
-		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock,
+		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock, Judge: judge,
 		Members: func() []string { return reachableMembers(m) },
 	})
 	preempter.runner.Store(runner)
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -23,6 +23,8 @@
 	control *logstream.Stream
 	config  logstream.Config
 	policy  logstream.SnapshotPolicy
+	// observe is told of each payload of every stream, if set.
+	observe logstream.Observer
 	shards  atomic.Pointer[logstream.Shards]
 }
 
@@ -54,6 +56,7 @@
 		if count, ok := s.control.State().StreamCounts.Get(s.prefix); ok {
 			shards := logstream.NewShards(s.prefix, count, s.config)
 			shards.KeepSnapshots(s.policy, func() bool { return isFirst(s.control.State(), s.config.Writer) })
+			s.watch(shards)
 			s.shards.Store(shards)
 			shards.Run(ctx)
 			return
@@ -66,6 +69,15 @@
 	}
 }
 
+func (s *shardSet) watch(shards *logstream.Shards) {
+	if s.observe == nil {
+		return
+	}
+	for _, stream := range shards.All() {
+		stream.Observe(s.observe)
+	}
+}
+
 // propose writes the number of the settings. An earlier record makes it void.
 // It waits until the end of the control stream has been read.
 func (s *shardSet) propose(ctx context.Context) {
--- a/job/config.go
+++ b/job/config.go
@@ -63,6 +63,8 @@
 	Starter Starter
 	Workers platform.Workers
 	Clock   clockwork.Clock
+	// Judge gives the verdicts on failed starts.
+	Judge Judge
 	// Members returns the entry incarnations that are known to run, without
 	// the own one.
 	Members func() []string
--- a/job/harness_test.go
+++ b/job/harness_test.go
@@ -17,8 +17,10 @@
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/platform/fakelog"
 	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/quarantine"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/verdict"
 )
 
 const (
@@ -137,16 +139,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	e := &entry{name: name, cancel: cancel, log: w.log}
 	workers := mortal{Workers: w.fleet, e: e}
+	judge := quarantine.NewJudge(verdict.DefaultParams(), clock)
 	shards := logstream.NewShards("jobs", 2, logstream.Config{
 		Writer: name, Log: w.log.For(name), Clock: clock, Logger: hclog.NewNullLogger(), Limits: logstream.DefaultLimits(),
 	})
+	for _, stream := range shards.All() {
+		stream.Observe(judge.Observe)
+	}
 	ledger := quota.NewLedger()
 	ledger.SetAllotted(teamA, 1000)
 	ledger.SetAllotted(teamB, 1000)
 	gate := quota.NewGate(name, ledger, permitted{}, clock)
 	limbo := dispatch.NewLimbo(workers, clock, gate.Release)
 	e.Runner = New(Config{
-		Incarnation: name, Shards: func() *logstream.Shards { return shards }, Workers: workers, Clock: clock, Members: w.others(e),
+		Incarnation: name, Shards: func() *logstream.Shards { return shards }, Workers: workers, Clock: clock, Members: w.others(e), Judge: judge,
 		Starter: dispatch.New(dispatch.Config{
 			Incarnation: name, Slots: roundRobin{workers: workers, next: &atomic.Int64{}}, Allotment: gate,
 			Workers: workers, Limbo: limbo, Clock: clock,
--- a/job/resolve.go
+++ b/job/resolve.go
@@ -24,6 +24,7 @@
 			answered = asked
 		}
 		if end := judge(current, list, err, asked.Sub(first), asked.Sub(answered)); end != nil {
+			a.addVerdict(current, end)
 			a.record(ctx, end)
 			return
 		}
--- a/job/run.go
+++ b/job/run.go
@@ -102,6 +102,7 @@
 		a.resolve(ctx, job)
 		return
 	}
+	a.addVerdict(job, record)
 	a.record(ctx, record)
 }
 
@@ -128,6 +129,7 @@
 func withAnswer(out *statemachine.JobEnd, answer []byte) *statemachine.JobEnd {
 	if len(answer) > MaxAnswer {
 		out.End, out.Message = statemachine.JobAttemptFailed, "the answer is too large to keep"
+		out.Verdict = statemachine.JobVerdictAnswerTooLarge
 		return out
 	}
 	out.End, out.Answer = statemachine.JobAttemptAnswered, answer
--- a/maintenance/condition.go
+++ b/maintenance/condition.go
@@ -23,6 +23,9 @@
 	ReasonRestarting Reason = "restarting"
 	// ReasonVMFailed means that a VM has failed or is unconfirmed.
 	ReasonVMFailed Reason = "vm_failed"
+	// ReasonQuarantined means that a VM is in quarantine as one that fails
+	// everything, or by an operator.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonDeadline means that a VM was given up at its deadline.
 	ReasonDeadline Reason = "deadline"
 	// ReasonHealth means that VMs fail after their maintenance.
--- a/maintenance/watch_health.go
+++ b/maintenance/watch_health.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // watchHealth stops a wave whose VMs fail, and reports whether it may go on. A
@@ -45,9 +47,7 @@
 // watchEnd ends a wave that has nothing left to do.
 func (d *planner) watchEnd(v *waveView) {
 	for _, vm := range v.blocked {
-		d.plan.Conditions = append(d.plan.Conditions, Condition{
-			Reason: ReasonVMFailed, Wave: v.wave.ID, Pool: vm.Pool, VM: vm.ID, Message: string(vm.Condition),
-		})
+		d.plan.Conditions = append(d.plan.Conditions, blockedBy(v.wave.ID, vm))
 	}
 	left := len(v.pending) + len(v.blocked) + len(v.active) + len(v.moving) + len(v.lent)
 	if left == 0 {
@@ -55,3 +55,12 @@
 		d.act(Action{Kind: ActionEndWave, Wave: v.wave.ID, WaveVersion: v.wave.Version, Cause: cause})
 	}
 }
+
+// blockedBy says why the wave cannot begin with the VM.
+func blockedBy(wave string, vm *statemachine.VM) Condition {
+	out := Condition{Reason: ReasonVMFailed, Wave: wave, Pool: vm.Pool, VM: vm.ID, Message: string(vm.Condition)}
+	if vm.Condition == statemachine.ConditionHealthy && vm.Quarantine != nil {
+		out.Reason, out.Message = ReasonQuarantined, string(vm.Quarantine.Cause)
+	}
+	return out
+}
--- /dev/null
+++ b/quarantine/decide_test.go
@@ -0,0 +1,85 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+	"github.com/anvilcourse/anvilcourse/verdict"
+)
+
+// stream applies commands to a state.
+type stream struct {
+	t     *testing.T
+	state *statemachine.State
+	seq   uint64
+}
+
+func (s *stream) apply(at time.Time, c statemachine.Command) {
+	s.t.Helper()
+	s.seq++
+	next, results := s.state.Apply(s.state.Next, statemachine.Batch{
+		Writer: "op", AtMS: at.UnixMilli(), Records: []statemachine.Record{{Seq: s.seq, Command: c}},
+	})
+	s.state = next
+	require.Nil(s.t, results[0].Void)
+}
+
+// newFleet returns a pool of 10 VMs in two availability zones, of which two
+// may be unavailable.
+func newFleet(t *testing.T, at time.Time) *stream {
+	s := &stream{t: t, state: statemachine.New()}
+	s.apply(at, &statemachine.PoolSet{Pool: statemachine.Pool{Name: "p", MaxUnavailable: 2}})
+	for i := range 10 {
+		vm := statemachine.VM{ID: fmt.Sprintf("vm-%d", i), Pool: "p", AvailabilityZone: fmt.Sprintf("z-%d", i%2)}
+		s.apply(at, &statemachine.VMAdd{VM: vm})
+	}
+	return s
+}
+
+// TestDecide_BudgetAndReturn lets three targets fail everything: two of them
+// are put into quarantine, as the budget allows, each decided record takes
+// effect, and all serve again on trial when their time is over.
+func TestDecide_BudgetAndReturn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	now := clock.Now()
+	s := newFleet(t, now)
+	judge := NewJudge(verdict.DefaultParams(), clock)
+	fail := func(from, to int) {
+		for n := from; n < to; n++ {
+			for _, vm := range []string{"vm-0", "vm-1", "vm-2"} {
+				job := &statemachine.Job{ID: fmt.Sprintf("%s-%d", vm, n), Team: fmt.Sprint(n % 3), Start: statemachine.JobTarget{Target: vm}}
+				require.Equal(t, statemachine.JobVerdictOpen, judge.Failed(job))
+			}
+		}
+	}
+	step := func() int {
+		commands := Decide(s.state, judge.suspects(s.state), clock.Now())
+		for _, c := range commands {
+			s.apply(clock.Now(), c)
+		}
+		return len(commands)
+	}
+	fail(0, 2)
+	require.Zero(t, step(), "two failures prove nothing")
+	fail(2, 16)
+	require.Len(t, judge.suspects(s.state), 3)
+	require.Equal(t, 2, step())
+	require.Zero(t, s.state.PoolRoom("p"))
+	require.Zero(t, step(), "the budget has no room")
+
+	clock.Advance(time.Minute)
+	require.Equal(t, 2, step(), "both are released")
+	require.Equal(t, 1, step(), "the third takes one of their places")
+	for id, vm := range s.state.VMs.All() {
+		require.Equal(t, id != "vm-2", vm.Available(), id)
+	}
+	fail(16, 20)
+	require.Equal(t, 1, step(), "four failures put one that is on trial back")
+	vm, _ := s.state.VMs.Get("vm-0")
+	require.Equal(t, clock.Now().Add(2*time.Minute).UnixMilli(), vm.Quarantine.UntilMS)
+}
--- /dev/null
+++ b/quarantine/watch.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/periodic"
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+const (
+	// watchInterval is the time between two looks at the suspects.
+	watchInterval = 500 * time.Millisecond
+	// recordTimeout bounds the wait for one record.
+	recordTimeout = 2 * time.Second
+)
+
+// Log is the control stream.
+type Log interface {
+	State() *statemachine.State
+	Propose(ctx context.Context, c statemachine.Command) (statemachine.Result, error)
+}
+
+// Watch writes the records of quarantines and releases.
+type Watch struct {
+	Judge  *Judge
+	Log    Log
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+	// Elected reports whether this entry writes now. Two at once do no harm.
+	Elected func() bool
+}
+
+// Run writes until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	periodic.Run(ctx, w.Clock, watchInterval, w.once)
+}
+
+func (w *Watch) once(ctx context.Context) {
+	state := w.Log.State()
+	suspects := w.Judge.suspects(state)
+	if !w.Elected() {
+		return
+	}
+	for _, command := range Decide(state, suspects, w.Clock.Now()) {
+		w.propose(ctx, command)
+	}
+}
+
+func (w *Watch) propose(ctx context.Context, command statemachine.Command) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	vm := statemachine.SubjectOf(command).VM
+	result, err := w.Log.Propose(ctx, command)
+	switch {
+	case err != nil:
+		w.Logger.Warn("quarantine record not written", "kind", command.Kind(), "vm", vm, "error", err.Error())
+	case result.Void != nil:
+		w.Logger.Info("quarantine record is void", "kind", command.Kind(), "vm", vm, "error", result.Void.Error())
+	default:
+		w.Logger.Info("quarantine changed", "kind", command.Kind(), "vm", vm)
+	}
+}
--- a/statemachine/budget_property_test.go
+++ b/statemachine/budget_property_test.go
@@ -86,11 +86,15 @@
 	}
 }
 
-// rare writes what happens seldom: a takeover, a VM replaced, a wave paused
-// or resumed.
+// rare writes what happens seldom: a takeover, a VM replaced, put into
+// quarantine or released, a wave paused or resumed.
 func (s *schedule) rare(planner string, vm *VM, lease *Lease) {
 	wave, _ := s.views[planner].Waves.Get("w")
-	switch s.draw(4) {
+	switch s.draw(6) {
+	case 4:
+		s.write(planner, &VMQuarantine{VM: vm.ID, Pool: vm.Pool, Expected: vm.Version, Cause: QuarantineFailsEverything})
+	case 5:
+		s.write("op", &VMRelease{VM: vm.ID, Expected: vm.Version})
 	case 0:
 		s.write(planner, &LeaseAcquire{Name: MaintenanceLease, Expected: lease.Epoch})
 	case 1:
--- a/statemachine/job.go
+++ b/statemachine/job.go
@@ -10,10 +10,13 @@
 	// MaxJobBody bounds the body of a job, in bytes.
 	MaxJobBody = 256 << 10
 	// MaxFailedTargets is the number of distinct targets on which an idempotent
-	// job may fail before it is ended.
+	// job may fail before it is ended, if its owner gives no verdict.
 	MaxFailedTargets = 3
-	// MaxJobFailures bounds the failures that targets report, distinct or not.
+	// MaxJobFailures bounds the failures that targets report, distinct or not,
+	// if the job's owner gives no verdict.
 	MaxJobFailures = 10
+	// MaxOpenFailures bounds the failures that may be the targets' fault.
+	MaxOpenFailures = 30
 )
 
 // JobState is the state of a job.
@@ -73,6 +76,8 @@
 	CancelAsked bool   `json:"cancel_asked,omitempty"`
 	Answer      []byte `json:"answer,omitempty"`
 	Message     string `json:"message,omitempty"`
+	// Reason tells what a job that failed has failed by.
+	Reason JobReason `json:"reason,omitempty"`
 }
 
 // JobTarget is the slot lease that a start is bound to.
@@ -105,17 +110,44 @@
 }
 
 // failed moves the job on after a failure that its target reported.
-func (j *Job) failed(message string) {
+func (j *Job) failed(message string, verdict JobVerdict) {
 	if !slices.Contains(j.FailedOn, j.Start.Target) {
 		j.FailedOn = append(slices.Clone(j.FailedOn), j.Start.Target)
 	}
 	j.Failures++
-	again := len(j.FailedOn) < MaxFailedTargets && j.Failures < MaxJobFailures
-	if j.Idempotent && again && !j.CancelAsked {
+	if j.Idempotent && j.mayTryAgain(verdict) && !j.CancelAsked {
 		j.State = JobQueued
 		return
 	}
 	j.end(JobFailed, message)
+	j.Reason = j.reasonOf(verdict)
+}
+
+// mayTryAgain reports whether the failures so far leave room for a start.
+func (j *Job) mayTryAgain(verdict JobVerdict) bool {
+	switch verdict {
+	case JobVerdictImpossible, JobVerdictAnswerTooLarge:
+		return false
+	case JobVerdictOpen:
+		return j.Failures < MaxOpenFailures
+	default:
+		return len(j.FailedOn) < MaxFailedTargets && j.Failures < MaxJobFailures
+	}
+}
+
+func (j *Job) reasonOf(verdict JobVerdict) JobReason {
+	switch {
+	case verdict == JobVerdictAnswerTooLarge:
+		return JobAnswerTooLarge
+	case !j.Idempotent:
+		return JobNotRetried
+	case verdict == JobVerdictImpossible:
+		return JobImpossible
+	case j.CancelAsked:
+		return ""
+	default:
+		return JobExhausted
+	}
 }
 
 // lost moves the job on after a start whose end cannot be learnt.
--- a/statemachine/jobcommand.go
+++ b/statemachine/jobcommand.go
@@ -114,6 +114,8 @@
 	Answer     []byte        `json:"answer,omitempty"`
 	Checkpoint string        `json:"checkpoint,omitempty"`
 	Message    string        `json:"message,omitempty"`
+	// Verdict goes with a failure.
+	Verdict JobVerdict `json:"verdict,omitempty"`
 }
 
 // Kind implements Command.
@@ -132,7 +134,7 @@
 		job.end(JobDone, "")
 		job.Answer = c.Answer
 	case JobAttemptFailed:
-		job.failed(c.Message)
+		job.failed(c.Message, c.Verdict)
 	case JobAttemptStopped:
 		job.stopped(c.Checkpoint)
 	case JobAttemptReleased:
--- a/statemachine/state.go
+++ b/statemachine/state.go
@@ -25,6 +25,8 @@
 	UnderMaintenance Table[bool] `json:"under_maintenance"`
 	// Lent holds the VMs that a spare pool has lent.
 	Lent Table[bool] `json:"lent"`
+	// Quarantined holds the VMs that are, or once were, in quarantine.
+	Quarantined Table[bool] `json:"quarantined"`
 	// Zones are the availability zones whose budget was set.
 	Zones  Table[*Zone]  `json:"zones"`
 	Leases Table[*Lease] `json:"leases"`
--- a/statemachine/subject.go
+++ b/statemachine/subject.go
@@ -30,6 +30,10 @@
 		return Subject{VM: c.VM}
 	case *VMReturn:
 		return Subject{VM: c.VM}
+	case *VMQuarantine:
+		return Subject{VM: c.VM}
+	case *VMRelease:
+		return Subject{VM: c.VM}
 	case *VMFailed:
 		return Subject{VM: c.VM}
 	case *VMRecovered:
--- a/statemachine/usage.go
+++ b/statemachine/usage.go
@@ -27,6 +27,7 @@
 		s.VMs = s.VMs.Delete(current.ID)
 		s.UnderMaintenance = s.UnderMaintenance.Delete(current.ID)
 		s.Lent = s.Lent.Delete(current.ID)
+		s.Quarantined = s.Quarantined.Delete(current.ID)
 		return
 	}
 	next.Version++
@@ -34,6 +35,7 @@
 	s.VMs = s.VMs.Set(next.ID, next)
 	s.UnderMaintenance = indexed(s.UnderMaintenance, next.ID, next.Maintenance.Step != StepServing)
 	s.Lent = indexed(s.Lent, next.ID, next.Home != "")
+	s.Quarantined = indexed(s.Quarantined, next.ID, next.Quarantine != nil || next.ReleasedMS > 0)
 }
 
 // indexed returns the index with or without the ID.
--- a/statemachine/vm.go
+++ b/statemachine/vm.go
@@ -19,6 +19,15 @@
 	MaintainedBy string `json:"maintained_by,omitempty"`
 	// SkippedBy is the latest wave that has given the VM up at its deadline.
 	SkippedBy string `json:"skipped_by,omitempty"`
+	// Quarantine is set while the VM is kept from new work as one that fails
+	// everything.
+	Quarantine *Quarantine `json:"quarantine,omitempty"`
+	// Quarantines counts the quarantines in a row, without QuarantineMemory in
+	// service between.
+	Quarantines int `json:"quarantines,omitempty"`
+	// ReleasedMS is the writer's wall clock at the latest release from a
+	// quarantine, in Unix milliseconds.
+	ReleasedMS int64 `json:"released_ms,omitempty"`
 	// Home is the pool that has lent the VM, or empty.
 	Home string `json:"home,omitempty"`
 	// AddedAt is the offset at which the VM was registered.
@@ -29,7 +38,7 @@
 
 // Available reports whether the VM may take new work.
 func (v *VM) Available() bool {
-	return v.Maintenance.Step == StepServing && v.Condition == ConditionHealthy
+	return v.Maintenance.Step == StepServing && v.Condition == ConditionHealthy && v.Quarantine == nil
 }
 
 const (
@@ -99,15 +108,17 @@
 
 // fleetCommands are the commands that change which VMs there are and where.
 var fleetCommands = map[Kind]newCommand{
-	KindVMAdd:       func() Command { return &VMAdd{} },
-	KindVMRemove:    func() Command { return &VMRemove{} },
-	KindVMMove:      func() Command { return &VMMove{} },
-	KindVMDrain:     func() Command { return &VMDrain{} },
-	KindVMReboot:    func() Command { return &VMReboot{} },
-	KindVMReturn:    func() Command { return &VMReturn{} },
-	KindVMFailed:    func() Command { return &VMFailed{} },
-	KindVMRecovered: func() Command { return &VMRecovered{} },
-	KindZoneSet:     func() Command { return &ZoneSet{} },
+	KindVMAdd:        func() Command { return &VMAdd{} },
+	KindVMRemove:     func() Command { return &VMRemove{} },
+	KindVMMove:       func() Command { return &VMMove{} },
+	KindVMDrain:      func() Command { return &VMDrain{} },
+	KindVMReboot:     func() Command { return &VMReboot{} },
+	KindVMReturn:     func() Command { return &VMReturn{} },
+	KindVMQuarantine: func() Command { return &VMQuarantine{} },
+	KindVMRelease:    func() Command { return &VMRelease{} },
+	KindVMFailed:     func() Command { return &VMFailed{} },
+	KindVMRecovered:  func() Command { return &VMRecovered{} },
+	KindZoneSet:      func() Command { return &ZoneSet{} },
 }
 
 // ChangesFleet reports whether records of the kind change VMs.
--- /dev/null
+++ b/statemachine/vmquarantine.go
@@ -0,0 +1,85 @@
+package statemachine
+
+const (
+	// KindVMQuarantine is the kind of VMQuarantine.
+	KindVMQuarantine Kind = "vm_quarantine"
+	// KindVMRelease is the kind of VMRelease.
+	KindVMRelease Kind = "vm_release"
+)
+
+// VMQuarantine keeps a VM from new work. It is void unless the VM serves in
+// Pool at the Expected version and the budgets of its pool and zone have room.
+type VMQuarantine struct {
+	VM       string          `json:"vm"`
+	Pool     string          `json:"pool"`
+	Expected uint64          `json:"expected"`
+	Cause    QuarantineCause `json:"cause"`
+	Message  string          `json:"message,omitempty"`
+}
+
+// Kind implements Command.
+func (*VMQuarantine) Kind() Kind { return KindVMQuarantine }
+
+func (c *VMQuarantine) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if vm.Pool != c.Pool {
+		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.Pool)
+	}
+	if !vm.Available() {
+		return voidf(ReasonStep, "VM %s is not in service", c.VM)
+	}
+	if c.Cause != QuarantineFailsEverything && c.Cause != QuarantineByOperator {
+		return voidf(ReasonInvalid, "%q is no cause of a quarantine", c.Cause)
+	}
+	if void := checkBudgets(next, vm); void != nil {
+		return void
+	}
+	next.replaceVM(vm, c.quarantined(vm, ctx.atMS))
+	return nil
+}
+
+// quarantined returns the VM in quarantine.
+func (c *VMQuarantine) quarantined(vm *VM, atMS int64) *VM {
+	out := *vm
+	if atMS-vm.ReleasedMS > QuarantineMemory.Milliseconds() {
+		out.Quarantines = 0
+	}
+	out.Quarantines++
+	out.Quarantine = &Quarantine{Cause: c.Cause, Message: c.Message, SinceMS: atMS}
+	if c.Cause != QuarantineByOperator {
+		out.Quarantine.UntilMS = atMS + quarantineLength(out.Quarantines).Milliseconds()
+	}
+	return &out
+}
+
+// VMRelease ends a quarantine. It is void unless the VM is in quarantine at the
+// Expected version.
+type VMRelease struct {
+	VM       string `json:"vm"`
+	Expected uint64 `json:"expected"`
+	// Repaired says that earlier quarantines do not count any more.
+	Repaired bool `json:"repaired,omitempty"`
+}
+
+// Kind implements Command.
+func (*VMRelease) Kind() Kind { return KindVMRelease }
+
+func (c *VMRelease) apply(next *State, ctx applyContext) *Void {
+	vm, void := vmAt(next, c.VM, c.Expected)
+	if void != nil {
+		return void
+	}
+	if vm.Quarantine == nil {
+		return voidf(ReasonStep, "VM %s is not in quarantine", c.VM)
+	}
+	released := *vm
+	released.Quarantine, released.ReleasedMS = nil, ctx.atMS
+	if c.Repaired {
+		released.Quarantines = 0
+	}
+	next.replaceVM(vm, &released)
+	return nil
+}
