Measure jobs per second, the size of a job and the cost of a verdict

Ruled out: the targets' number (500 cost the same); it was the up to 4,096 jobs that are kept, most of which had succeeded or spoke against no target. Change: an update takes only open jobs with a failure since their target's latest success.

--- /dev/null
+++ b/statemachine/job_bench_test.go
@@ -0,0 +1,77 @@
+package statemachine
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// benchJobBytes is the size of a job's body and of its answer.
+const benchJobBytes = 1024
+
+// BenchmarkJobLife measures the records of one job from its acceptance to its
+// answer, and what the state keeps of it: in memory, and in a snapshot.
+func BenchmarkJobLife(b *testing.B) {
+	for _, kept := range []int{1_000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
+			before := heapInUse()
+			s := New()
+			for i := range kept {
+				s = liveJob(b, s, i)
+			}
+			heap := heapInUse() - before
+			snapshot, err := EncodeSnapshot(s)
+			if err != nil {
+				b.Fatal(err)
+			}
+			n := kept
+			for b.Loop() {
+				liveJob(b, s, n)
+				n++
+			}
+			runtime.KeepAlive(s)
+			b.ReportMetric(float64(heap)/float64(kept), "heap-bytes/job")
+			b.ReportMetric(float64(len(snapshot))/float64(kept), "snapshot-bytes/job")
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// liveJob returns the state after one more job was accepted, started and
+// answered.
+func liveJob(b *testing.B, s *State, i int) *State {
+	id := fmt.Sprintf("job-%036d", i)
+	commands := []Command{
+		&JobAccept{ID: id, Team: "team", Queue: "w.jobs", Pools: []string{"pool-1"}, Idempotent: true, Body: noise(i)},
+		&JobStart{ID: id, Epoch: 1, On: JobTarget{Target: "vm-1", Address: "http://10.0.0.1:8080", Lease: id, Record: "r"}},
+		&JobEnd{ID: id, Epoch: 1, Attempt: 1, End: JobAttemptAnswered, Answer: noise(-i)},
+	}
+	for k, c := range commands {
+		seq := uint64(3*i + k + 1)
+		next, results := s.Apply(s.Next, Batch{Writer: "w", AtMS: int64(seq), Records: []Record{{Seq: seq, Command: c}}})
+		if results[0].Void != nil {
+			b.Fatal(results[0].Void)
+		}
+		s = next
+	}
+	return s
+}
+
+// noise returns bytes that do not compress well.
+func noise(seed int) []byte {
+	out := make([]byte, benchJobBytes)
+	x := uint64(seed)*0x9E3779B97F4A7C15 + 1
+	for i := range out {
+		x ^= x << 13
+		x ^= x >> 7
+		x ^= x << 17
+		out[i] = byte(x)
+	}
+	return out
+}
--- a/verdict/belief.go
+++ b/verdict/belief.go
@@ -57,9 +57,6 @@
 // tellTargets works out for each failure of the job how probable the job's
 // fault is by its other failures.
 func (p Params) tellTargets(j *jobNode) {
-	if j.succeeded {
-		return
-	}
 	odds := p.jobOdds(j)
 	for _, f := range j.failures {
 		f.impossible = probability(odds - p.weight(f.bad))
--- a/verdict/evidence.go
+++ b/verdict/evidence.go
@@ -17,6 +17,8 @@
 	restarted map[string]time.Time
 	// stale is set while the probabilities lag behind the failures.
 	stale bool
+	// pass counts the updates, so that each takes a job once.
+	pass uint64
 }
 
 // New returns evidence of nothing.
@@ -157,20 +159,34 @@
 		return
 	}
 	e.stale = false
-	for _, target := range e.targets {
-		for _, f := range target.failures {
-			f.impossible = e.params.ImpossibleJob
-			if f.job.succeeded {
-				f.impossible = 0
-			}
-		}
-	}
+	open := e.resetJobs()
 	for range rounds {
 		for _, target := range e.targets {
 			e.params.tellJobs(target)
 		}
-		for _, job := range e.order {
+		for _, job := range open {
 			e.params.tellTargets(job)
 		}
 	}
 }
+
+// resetJobs puts the probabilities of the jobs' fault back to the priors and
+// returns the jobs that have not succeeded and speak against a target.
+func (e *Evidence) resetJobs() []*jobNode {
+	var open []*jobNode
+	e.pass++
+	for _, target := range e.targets {
+		for _, f := range target.failures {
+			f.impossible = 0
+			if f.job.succeeded {
+				continue
+			}
+			f.impossible = e.params.ImpossibleJob
+			if f.job.pass != e.pass {
+				f.job.pass = e.pass
+				open = append(open, f.job)
+			}
+		}
+	}
+	return open
+}
--- a/verdict/jobnode.go
+++ b/verdict/jobnode.go
@@ -12,6 +12,8 @@
 	// succeeded is set once the job has run to its end.
 	succeeded bool
 	failures  []*failure
+	// pass is the latest update that took the job into account.
+	pass uint64
 }
 
 func (j *jobNode) on(target *targetNode) *failure {
