Count the tasks under loans in a team's running load

Cause: the lines' order, the parts and the heartbeats took Usage.Running, which counts only the tasks under the entry's own allotment. Tasks that run under loans were missing, so that a team with loans looked further below its share than it was. Ruled out: as the main cause of the distance over processes. Change: Ledger.RunningAll and Usage.UnderLoans; the lines and the heartbeats count both.

--- a/entry/module.go
+++ b/entry/module.go
@@ -169,7 +169,7 @@
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
-		Running:   func(team string) int { return ledger.Usage(team).Running },
+		Running:   ledger.RunningAll,
 		Preempter: preempter,
 	})
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -67,6 +67,9 @@
 type Usage struct {
 	Allotted int
 	Running  int
+	// UnderLoans is the number of tasks that run under loans from other
+	// entries. Running does not count them.
+	UnderLoans int
 	// Lent is the part of Allotted that other entries use.
 	Lent int
 	// Borrowed is what other entries lend to this one.
@@ -85,10 +88,20 @@
 	}
 	return Usage{
 		Allotted: int(a.allotted.Load()), Running: int(a.running.Load()), Lent: int(a.lent.Load()),
-		Borrowed: a.borrowed(), Demand: a.demand.Load(), Refused: a.refused.Load(),
+		UnderLoans: a.underLoans(), Borrowed: a.borrowed(), Demand: a.demand.Load(), Refused: a.refused.Load(),
 	}
 }
 
+// RunningAll returns the number of the team's tasks that this entry runs, be it
+// under its own allotment or under loans.
+func (l *Ledger) RunningAll(team string) int {
+	a := l.account(team)
+	if a == nil {
+		return 0
+	}
+	return int(a.running.Load()) + a.underLoans()
+}
+
 // Teams returns the lines of all teams.
 func (l *Ledger) Teams() map[string]Usage {
 	out := make(map[string]Usage)
--- a/quota/ledgerloans.go
+++ b/quota/ledgerloans.go
@@ -82,3 +82,12 @@
 	}
 	return sum
 }
+
+// underLoans is the number of tasks that run under loans.
+func (a *account) underLoans() int {
+	sum := 0
+	for _, loan := range *a.loans.Load() {
+		sum += int(loan.running.Load())
+	}
+	return sum
+}
