Measure the distance from share by the workers' clock and in steps of 100 ms

Cause: the load's report booked a task's slot time back from when its answer was read by the load, in whole seconds. Under 12,600 requests/s the reading is late by up to 0.4 s, so that a second showed 111 slots in use of 84; and a team whose burst began at 12.7 s was owed its slots from 12.0 s on. Both count as distance that the entries did not cause. Ruled out: leaving out the first seconds (the run still counts from its first request on), and another definition of what is owed (it is the same). Change: the stand-in's answer says when the task held its slot; slot time is booked to that, in steps of 100 ms; windows stay 10 s of the run. TestDistance_ComparesUsedWithOwed goes through the same functions as a run; its figures are as before.

--- a/load/load_test.go
+++ b/load/load_test.go
@@ -39,14 +39,18 @@
 	for i, used := range []time.Duration{2 * time.Second, 6 * time.Second} {
 		team := newTeam([]string{"a", "b"}[i], 1, 8)
 		for second := range 10 {
-			team.sent(time.Duration(second)*time.Second, 0)
-			team.offered[second] = 8 * time.Second
-			team.used[second] = used
+			at := time.Duration(second) * time.Second
+			for range 8 {
+				team.sent(at, time.Second)
+			}
+			for range used / time.Second {
+				team.ended(ending{outcome: answered, started: at, held: time.Second})
+			}
 		}
 		r.teams = append(r.teams, team)
 	}
 	report := r.report()
-	require.Equal(t, 10, report.FullSeconds)
+	require.Equal(t, 10.0, report.FullSeconds)
 	require.InDelta(t, 0.5, report.MeanDistance, 1e-9)
 	require.InDelta(t, 0.5, report.WorstDistance, 1e-9)
 }
--- a/load/report.go
+++ b/load/report.go
@@ -10,9 +10,9 @@
 	"github.com/anvilcourse/anvilcourse/shares"
 )
 
-// windowSeconds is the length of a window in which the distance from share is
-// measured.
-const windowSeconds = 10
+// windowSteps is the length of a window in which the distance from share is
+// measured, 10 s.
+const windowSteps = 10 * stepsPerSecond
 
 // Report is what a load measured.
 type Report struct {
@@ -22,12 +22,12 @@
 	// Goodput is the number of answers in time a second.
 	Goodput float64 `json:"goodput_per_second"`
 	// MeanDistance and WorstDistance are those from the owed slot time over
-	// teams and windows of 10 s, as a part of the team's share, over the seconds
-	// in which the offered load fills the capacity. They are 0 without one.
+	// teams and windows of 10 s, as a part of the team's share, over the steps
+	// of 100 ms in which the offered load fills the capacity. They are 0 without one.
 	MeanDistance  float64 `json:"mean_distance"`
 	WorstDistance float64 `json:"worst_distance"`
-	// FullSeconds is the number of those seconds.
-	FullSeconds int `json:"full_seconds"`
+	// FullSeconds is the time of those steps in seconds.
+	FullSeconds float64 `json:"full_seconds"`
 }
 
 // TeamReport is one team's part. Latencies are those of answers.
@@ -61,7 +61,7 @@
 		out.Teams = append(out.Teams, line)
 	}
 	out.Goodput = float64(total) / out.Seconds
-	r.distance(out, int(r.cfg.Duration/time.Second))
+	r.distance(out, int(r.cfg.Duration/step))
 	return out
 }
 
@@ -73,52 +73,54 @@
 	}
 	out.Sent = out.Answered + out.NotRun + out.Failed + out.Unknown
 	for second := range seconds {
-		out.Used = append(out.Used, t.used[second].Seconds())
+		out.Used = append(out.Used, t.used.second(second))
 	}
 	return out
 }
 
 // distance measures how far the used slot time is from the owed one.
-func (r *runner) distance(out *Report, seconds int) {
+func (r *runner) distance(out *Report, steps int) {
+	full := 0
 	used, owed := make([]float64, len(r.teams)), make([]float64, len(r.teams))
-	full, count := 0, 0.0
-	flush := func() {
-		for i := range r.teams {
-			if full > 0 {
-				d := math.Abs(used[i]-owed[i]) / (out.Teams[i].Share * float64(r.cfg.Capacity*full))
-				out.MeanDistance += d
-				out.WorstDistance = max(out.WorstDistance, d)
-				count++
+	count := 0.0
+	for first := 0; first < steps; first += windowSteps {
+		clear(used)
+		clear(owed)
+		inWindow := 0
+		for index := first; index < min(steps, first+windowSteps); index++ {
+			owedNow, ok := r.owed(index)
+			if !ok {
+				continue
 			}
-			used[i], owed[i] = 0, 0
-		}
-		out.FullSeconds += full
-		full = 0
-	}
-	for second := range seconds {
-		if owedNow, ok := r.owed(second); ok {
-			full++
+			inWindow++
 			for i, t := range r.teams {
-				used[i] += t.used[second].Seconds()
+				used[i] += t.used.slots(index)
 				owed[i] += owedNow[i]
 			}
 		}
-		if second%windowSeconds == windowSeconds-1 {
-			flush()
+		full += inWindow
+		if inWindow == 0 {
+			continue
+		}
+		for i := range r.teams {
+			d := math.Abs(used[i]-owed[i]) / (out.Teams[i].Share * float64(r.cfg.Capacity*inWindow))
+			out.MeanDistance += d
+			out.WorstDistance = max(out.WorstDistance, d)
+			count++
 		}
 	}
-	flush()
+	out.FullSeconds = float64(full) / float64(stepsPerSecond)
 	out.MeanDistance /= max(1, count)
 }
 
-// owed returns the slots that the teams are owed in a second, and whether the
+// owed returns the slots that the teams are owed in a step, and whether the
 // offered load fills the capacity.
-func (r *runner) owed(second int) ([]float64, bool) {
+func (r *runner) owed(index int) ([]float64, bool) {
 	claims := make([]shares.Claim, len(r.teams))
 	offered := 0.0
 	for i, t := range r.teams {
-		demand := t.offered[second].Seconds()
-		claims[i] = shares.Claim{Weight: t.weight, Demand: max(demand, t.used[second].Seconds()), Limit: t.limit}
+		demand := t.offered.slots(index)
+		claims[i] = shares.Claim{Weight: t.weight, Demand: max(demand, t.used.slots(index)), Limit: t.limit}
 		offered += min(demand, t.limit)
 	}
 	return shares.Compute(float64(r.cfg.Capacity), claims), offered >= float64(r.cfg.Capacity)
@@ -135,7 +137,7 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "\n%.1f s, %.0f answers/s; distance from share in %d s when full: mean %.1f %%, worst %.1f %%\n",
+	_, err := fmt.Fprintf(w, "\n%.1f s, %.0f answers/s; distance from share in %.1f s when full: mean %.1f %%, worst %.1f %%\n",
 		r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
 	return err
 }
--- a/load/run.go
+++ b/load/run.go
@@ -145,8 +145,12 @@
 	defer cancel()
 	reply, err := api.NewClient(entry, t.key, r.cfg.HTTP).Submit(ctx, queue, body, r.cfg.Timeout, key)
 	took := time.Since(sent)
-	wrong := err == nil && !belongs(body, reply)
-	t.ended(outcomeOf(err), time.Since(r.start), took, work, wrong)
+	answer, whole := answerOf(body, reply)
+	t.ended(ending{
+		outcome: outcomeOf(err), took: took, wrong: err == nil && !whole,
+		started: time.UnixMicro(answer.StartedUS).Sub(r.start.Round(0)),
+		held:    time.Duration(answer.EndedUS-answer.StartedUS) * time.Microsecond,
+	})
 }
 
 // callMargin is how long a caller waits for the refusal after its patience.
@@ -163,11 +167,12 @@
 	return unknown
 }
 
-// belongs reports whether the answer is whole and is that of the request.
-func belongs(body []byte, reply api.Reply) bool {
+// answerOf returns the worker's answer, and whether it is whole and is that of
+// the request.
+func answerOf(body []byte, reply api.Reply) (standin.TaskAnswer, bool) {
 	var answer standin.TaskAnswer
 	if err := json.Unmarshal(reply.Body, &answer); err != nil {
-		return false
+		return answer, false
 	}
-	return answer.Digest == standin.Digest(body)
+	return answer, answer.Digest == standin.Digest(body)
 }
--- a/load/team.go
+++ b/load/team.go
@@ -20,8 +20,8 @@
 	outcomes map[string]int
 	wrong    int
 	latency  *hdrhistogram.Histogram
-	// offered and used are slot time by second of the run.
-	offered, used map[int]time.Duration
+	// offered and used are slot time over the run.
+	offered, used slotTime
 }
 
 const maxLatency = time.Hour
@@ -30,7 +30,7 @@
 	return &team{
 		name: name, weight: weight, limit: limit, outcomes: make(map[string]int),
 		latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
-		offered: make(map[int]time.Duration), used: make(map[int]time.Duration),
+		offered: make(slotTime), used: make(slotTime),
 	}
 }
 
@@ -38,32 +38,33 @@
 func (t *team) sent(at, work time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spread(t.offered, at, work)
+	t.offered.add(at, work)
+}
+
+// ending is the end of one request.
+type ending struct {
+	outcome string
+	took    time.Duration
+	wrong   bool
+	// started is when the worker started the task, from the start of the run.
+	started time.Duration
+	// held is how long the task held its slot.
+	held time.Duration
 }
 
 // ended counts the end of a request. Only an answered one has used its slot
 // time for certain.
-func (t *team) ended(outcome string, at, took, work time.Duration, wrong bool) {
+func (t *team) ended(e ending) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outcomes[outcome]++
-	if outcome != answered {
+	t.outcomes[e.outcome]++
+	if e.outcome != answered {
 		return
 	}
-	if wrong {
+	_ = t.latency.RecordValue(e.took.Microseconds())
+	if e.wrong {
 		t.wrong++
+		return
 	}
-	_ = t.latency.RecordValue(took.Microseconds())
-	spread(t.used, max(0, at-work), work)
-}
-
-// spread adds the time from a point on to the seconds that it lies in.
-func spread(seconds map[int]time.Duration, from, length time.Duration) {
-	for length > 0 {
-		second := int(from / time.Second)
-		part := min(length, time.Duration(second+1)*time.Second-from)
-		seconds[second] += part
-		from += part
-		length -= part
-	}
+	t.used.add(max(0, e.started), e.held)
 }
--- a/standin/vmhandlers.go
+++ b/standin/vmhandlers.go
@@ -108,7 +108,7 @@
 		case <-t.done.Done():
 		}
 	}
-	out := answer(v.info.ID, t.status.ID, body, t.work)
+	out := answer(v.info.ID, t, time.Now(), body)
 	v.mu.Lock()
 	faults := v.faults
 	if faults.LoseReplies > 0 {
--- a/standin/work.go
+++ b/standin/work.go
@@ -33,10 +33,14 @@
 // TaskAnswer is the answer of a task of the stand-in. Digest lets a caller
 // check that the answer belongs to its own request.
 type TaskAnswer struct {
-	Task    string `json:"task"`
-	VM      string `json:"vm"`
-	Digest  string `json:"digest"`
-	Padding string `json:"padding,omitempty"`
+	Task   string `json:"task"`
+	VM     string `json:"vm"`
+	Digest string `json:"digest"`
+	// StartedUS and EndedUS bound the time in which the task held its slot, by
+	// the VM's clock in Unix microseconds.
+	StartedUS int64  `json:"started_us"`
+	EndedUS   int64  `json:"ended_us"`
+	Padding   string `json:"padding,omitempty"`
 }
 
 // Digest returns the digest of a request body that a TaskAnswer carries.
@@ -44,8 +48,11 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64(body))
 }
 
-func answer(vm, task string, body []byte, work Work) []byte {
-	padding := strings.Repeat("x", max(0, work.AnswerBytes))
-	out, _ := json.Marshal(TaskAnswer{Task: task, VM: vm, Digest: Digest(body), Padding: padding})
+func answer(vm string, t *task, ended time.Time, body []byte) []byte {
+	padding := strings.Repeat("x", max(0, t.work.AnswerBytes))
+	out, _ := json.Marshal(TaskAnswer{
+		Task: t.status.ID, VM: vm, Digest: Digest(body),
+		StartedUS: t.start.UnixMicro(), EndedUS: ended.UnixMicro(), Padding: padding,
+	})
 	return out
 }
