Tell waiting loads to the nearest whole slot

Cause: heartbeats rounded a team's waiting load up. The smoothed part of refused requests never reaches 0, so that every entry told one waiting request of each team that had ever been refused. The others' targets for teams in a lull were too high and their portions too low: the parts of four entries added up to 77 to 79 of 84 slots while all was asked for (trial with a print at each exchange). Entries beyond their part give slots back, the others take them as slots beyond their own part, and a slot lies idle on each such way; 40 % of the ends of tasks gave the slot back. Change: rounded to the nearest. The model gets what it lacked: told loads in whole slots, 2 ms of a slot around each task and 8 ms until another entry finds a slot that was given back. With loads rounded up the model fails as the processes do; TestModel_SharesWhenFull now asserts that too.

--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -17,6 +18,7 @@
 func fleetModel(p policy, load float64, rotating bool) *model {
 	return newModel(model{
 		policy: p, capacity: 336, entries: 8, teams: apittTeams, load: load, rotating: rotating, meanRun: 100 * time.Millisecond,
+		tell: math.Round, turnover: modelTurnover, transfer: modelTransfer,
 	}, modelSeed)
 }
 
--- a/admission/model_check_test.go
+++ b/admission/model_check_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -24,12 +25,15 @@
 func TestModel_SharesWhenFull(t *testing.T) {
 	cases := []struct {
 		policy policy
+		tell   func(float64) float64
 		near   bool
-	}{{firstCome, false}, {exchanged, true}}
+	}{{firstCome, math.Round, false}, {exchanged, math.Ceil, false}, {exchanged, math.Round, true}}
 	for _, c := range cases {
 		m := smallModel(c.policy, 3, true)
+		m.tell = c.tell
 		m.run(5*time.Second, 30*time.Second)
-		mean, _ := m.distance()
+		mean, worst := m.distance()
+		t.Logf("%s: mean distance %.3f, worst %.3f", policyNames[c.policy], mean, worst)
 		require.Equal(t, c.near, mean < 0.05, "%s: mean distance %.3f", policyNames[c.policy], mean)
 	}
 }
--- a/admission/model_distance_test.go
+++ b/admission/model_distance_test.go
@@ -15,7 +15,7 @@
 	offered := 0.0
 	for i, t := range m.teams {
 		for _, n := range m.nodes {
-			used[i] += float64(n.running[t.Team])
+			used[i] += float64(n.running[t.Team] - n.idle[t.Team])
 		}
 		demand := m.rate(i, at) * m.meanRun.Seconds()
 		offered += demand
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	modelInterval  = 100 * time.Millisecond
 	modelHeartbeat = 250 * time.Millisecond
 	modelPatience  = 2 * time.Second
+	modelTurnover  = 2 * time.Millisecond
+	modelTransfer  = 8 * time.Millisecond
 )
 
 // model is a fleet of equal slots and the entries that share it, in steps of
@@ -41,14 +44,22 @@
 	rotating bool
 	// skewed sends half of each team's requests through one entry.
 	skewed bool
+	// tell rounds a waiting load for the heartbeat.
+	tell func(waiting float64) float64
+	// turnover is the time that a task holds its slot before and after it runs.
+	turnover time.Duration
+	// transfer is the time until another entry finds a slot that is given back.
+	transfer time.Duration
 	// meanRun is the mean run time. Single run times differ ten-fold.
 	meanRun time.Duration
 
-	rng     *rand.Rand
-	now     time.Time
-	nodes   []*node
-	free    int
-	ends    map[int64][]end
+	rng   *rand.Rand
+	now   time.Time
+	nodes []*node
+	free  int
+	ends  map[int64][]end
+	// found counts the slots that are found free at a time.
+	found   map[int64]int
 	jobs    map[*Waiter]time.Duration
 	results results
 	windows []window10
@@ -58,16 +69,20 @@
 type node struct {
 	line    *Line
 	running map[string]int
-	held    int
-	loads   []Load
-	sent    []Load
-	queue   []*Waiter
+	// idle counts the tasks of running that hold a slot and do not run.
+	idle  map[string]int
+	held  int
+	loads []Load
+	sent  []Load
+	queue []*Waiter
 }
 
 type end struct {
 	node *node
 	team string
 	took time.Duration
+	// ran is set for the end of the run itself, before the turnover.
+	ran bool
 }
 
 // results counts what became of the requests.
@@ -83,9 +98,10 @@
 	m.now = time.Unix(1e9, 0)
 	m.free = m.capacity
 	m.ends = make(map[int64][]end)
+	m.found = make(map[int64]int)
 	m.jobs = make(map[*Waiter]time.Duration)
 	for range m.entries {
-		n := &node{running: make(map[string]int)}
+		n := &node{running: make(map[string]int), idle: make(map[string]int)}
 		n.line = NewLine(Config{
 			MaxWaiting: DefaultMaxWaiting, MaxWait: DefaultMaxWait, Safety: DefaultSafety,
 			Running: func(team string) int { return n.running[team] },
@@ -98,6 +114,15 @@
 	return &m
 }
 
+// told returns the loads as a heartbeat tells them.
+func (m *model) told(loads []Load) []Load {
+	out := slices.Clone(loads)
+	for i := range out {
+		out[i].Waiting = m.tell(out[i].Waiting)
+	}
+	return out
+}
+
 // run lets the model run and counts results after the warm-up.
 func (m *model) run(warmUp, length time.Duration) {
 	for at := time.Duration(0); at < warmUp+length; at += modelTick {
@@ -115,9 +140,11 @@
 		m.finish(e)
 	}
 	delete(m.ends, m.now.UnixMilli())
+	m.free += m.found[m.now.UnixMilli()]
+	delete(m.found, m.now.UnixMilli())
 	if at%modelHeartbeat == 0 {
 		for _, n := range m.nodes {
-			n.sent = n.loads
+			n.sent = m.told(n.loads)
 		}
 	}
 	if at%modelInterval == 0 {
@@ -220,44 +247,6 @@
 	return float64(running) < limit
 }
 
-// start runs a request on a free slot.
-func (m *model) start(n *node, team string, took time.Duration, deadline time.Time) {
-	m.free--
-	n.held++
-	n.running[team]++
-	at := m.now.Add(max(modelTick, took))
-	m.ends[at.UnixMilli()] = append(m.ends[at.UnixMilli()], end{node: n, team: team, took: took})
-	if at.After(deadline) {
-		m.results.wasted++
-	} else {
-		m.results.inTime++
-	}
-}
-
-func (m *model) finish(e end) {
-	m.free++
-	e.node.held--
-	e.node.running[e.team]--
-	e.node.line.RunTimes(m.now, e.team).Observe(m.now, e.took)
-	m.pump(e.node)
-}
-
-// pump gives free slots to the waiters of an entry, as far as it may.
-func (m *model) pump(n *node) {
-	if m.policy == firstCome {
-		m.pumpFirstCome(n)
-		return
-	}
-	for m.free > 0 && n.line.MayTake(m.now, n.held) {
-		w := n.line.Next(m.now, func(w *Waiter) bool { return m.underLimit(w.Team) })
-		if w == nil {
-			return
-		}
-		m.start(n, w.Team, m.jobs[w], w.Deadline)
-		delete(m.jobs, w)
-	}
-}
-
 func (m *model) pumpFirstCome(n *node) {
 	for len(n.queue) > 0 && m.free > 0 {
 		w := n.queue[0]
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -39,7 +39,7 @@
 	waiting := d.board.waiting()
 	for team, usage := range d.ledger.Teams() {
 		out.Teams = append(out.Teams, &peerpb.TeamLoad{
-			Team: team, Running: int64(usage.Running + usage.UnderLoans), Waiting: int64(math.Ceil(waiting[team])), Spare: int64(usage.Spare()),
+			Team: team, Running: int64(usage.Running + usage.UnderLoans), Waiting: int64(math.Round(waiting[team])), Spare: int64(usage.Spare()),
 		})
 	}
 	return out
