Tell in heartbeats only what the asker does not hold

Cause: of the 245 bytes of an exchange between idle entries (16 entries, 6 teams; 29.43 kB/s to 15 peers) most repeat what the asker already has: both incarnations, zone, each team's load and the reachable set. They grow with each peer and team: 138.5 kB/s at 4 entries and 350 teams. Digests by zone are weighed in docs/design-membership.md and not built. Change: teams, reachable set and zone are a view with a version per incarnation. The question names what is held; the answer tells what has changed since, or all of it at the start, after a gap, a restart, a change of the set of teams, or doubt. Applied offset, age, log_readable and leaving stay in every answer, and beats in their interval of 250 ms.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -12,9 +12,8 @@
 	"github.com/anvilcourse/anvilcourse/quota"
 )
 
-// describer makes the own heartbeat.
+// describer tells what the own heartbeats say.
 type describer struct {
-	id     identity
 	stream *logstream.Stream
 	ledger *quota.Ledger
 	board  *loadBoard
@@ -24,18 +23,19 @@
 	leaving atomic.Bool
 }
 
-func (d *describer) describe() *peerpb.Heartbeat {
+// describe sets what every heartbeat tells.
+func (d *describer) describe(out *peerpb.Heartbeat) {
 	// The age is taken before the offset, which may only be later.
 	age := d.stream.Age()
-	out := &peerpb.Heartbeat{
-		Incarnation:  d.id.incarnation,
-		Applied:      d.stream.State().Next,
-		ControlAgeMs: ageMS(age),
-		LogReadable:  d.stream.Readable() && age <= readableFor,
+	out.Applied = d.stream.State().Next
+	out.ControlAgeMs = ageMS(age)
+	out.LogReadable = d.stream.Readable() && age <= readableFor
+	out.Leaving = d.leaving.Load()
+}
 
-		Leaving:          d.leaving.Load(),
-		AvailabilityZone: d.zone,
-	}
+// view returns the own zone and the teams' load.
+func (d *describer) view() membership.View {
+	out := membership.View{AvailabilityZone: d.zone}
 	waiting := d.board.waiting()
 	for team, usage := range d.ledger.Teams() {
 		out.Teams = append(out.Teams, &peerpb.TeamLoad{
@@ -62,10 +62,11 @@
 // newHeartbeatHandler answers heartbeats with the own one.
 func newHeartbeatHandler(m *membership.Membership) peerRoute {
 	return func(_ context.Context, req *peerpb.Request) *peerpb.Response {
-		if req.GetHeartbeat() == nil {
+		question := req.GetHeartbeat()
+		if question == nil {
 			return nil
 		}
-		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: m.Heartbeat()}}
+		return &peerpb.Response{Body: &peerpb.Response_Heartbeat{Heartbeat: m.Answer(question)}}
 	}
 }
 
--- a/entry/module.go
+++ b/entry/module.go
@@ -147,14 +147,14 @@
 	return dispatch.NewLimbo(workers, clock, gate.Release)
 }
 
-func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
+func newDescriber(s settings.Entry, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
 	return membership.New(membership.Config{
 		Self: id.incarnation, SelfAddress: s.Peers, Seeds: s.Seeds, Caller: client, Clock: clock,
-		State: stream.State, Describe: d.describe,
+		State: stream.State, View: d.view, Describe: d.describe,
 	})
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -38,8 +38,11 @@
 	Clock  clockwork.Clock
 	// State returns the control state.
 	State func() *statemachine.State
-	// Describe returns the own heartbeat.
-	Describe func() *peerpb.Heartbeat
+	// View returns the own zone and the teams' load.
+	View func() View
+	// Describe sets what every heartbeat tells: applied, control_age_ms,
+	// log_readable and leaving.
+	Describe func(out *peerpb.Heartbeat)
 }
 
 // Membership exchanges heartbeats with the other entries.
@@ -47,11 +50,12 @@
 	cfg     Config
 	mu      sync.Mutex
 	members atomic.Pointer[map[string]Member]
+	own     ownView
 }
 
 // New returns a membership that knows no member yet. Run starts it.
 func New(cfg Config) *Membership {
-	m := &Membership{cfg: cfg}
+	m := &Membership{cfg: cfg, own: ownView{history: NewViewHistory(cfg.Self)}}
 	m.members.Store(&map[string]Member{})
 	return m
 }
@@ -82,9 +86,18 @@
 	return out
 }
 
-// Heartbeat returns the own heartbeat with the members that this entry reaches.
-func (m *Membership) Heartbeat() *peerpb.Heartbeat {
-	out := m.cfg.Describe()
+// Answer answers another entry's question with the own heartbeat.
+func (m *Membership) Answer(question *peerpb.Heartbeat) *peerpb.Heartbeat {
+	// The view comes first, so that what an answer of a higher version says of
+	// the rest was true later.
+	out := m.own.answer(m.cfg.Clock.Now(), question, m.view)
+	m.cfg.Describe(out)
+	return out
+}
+
+// view returns the own view with the members that this entry reaches.
+func (m *Membership) view() View {
+	out := m.cfg.View()
 	for _, member := range m.Reachable() {
 		out.Reachable = append(out.Reachable, HashOf(member.Incarnation))
 	}
@@ -102,8 +115,9 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	held := m.held()
 	for _, address := range m.addresses() {
-		wg.Go(func() { _ = m.beat(ctx, address) })
+		wg.Go(func() { m.beat(ctx, address, held[address]) })
 	}
 	wg.Wait()
 	m.forget()
@@ -129,20 +143,46 @@
 	return out
 }
 
-func (m *Membership) beat(ctx context.Context, address string) error {
+// held returns the latest answers of the reachable members by address. After a
+// longer gap the whole view is asked for.
+func (m *Membership) held() map[string]*peerpb.Heartbeat {
+	latest := make(map[string]Member)
+	for _, member := range m.Reachable() {
+		if known, ok := latest[member.Address]; !ok || member.SentAt.After(known.SentAt) {
+			latest[member.Address] = member
+		}
+	}
+	out := make(map[string]*peerpb.Heartbeat, len(latest))
+	for address, member := range latest {
+		out[address] = member.Last
+	}
+	return out
+}
+
+// beat asks the entry at the address, of which base is held. If the answer does
+// not fit it asks for the whole view.
+func (m *Membership) beat(ctx context.Context, address string, base *peerpb.Heartbeat) {
+	if err := m.ask(ctx, address, base); isDoubtful(err) {
+		_ = m.ask(ctx, address, nil)
+	}
+}
+
+func (m *Membership) ask(ctx context.Context, address string, base *peerpb.Heartbeat) error {
 	sent := m.cfg.Clock.Now()
 	// The caller learns from the answer, whose age its own clock bounds; the
-	// request only says who asks.
-	asker := &peerpb.Heartbeat{Incarnation: m.cfg.Self}
-	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: asker}}
+	// request only names what the caller holds.
+	req := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: Question(base)}}
 	resp, err := m.cfg.Caller.Call(ctx, address, req)
 	if err != nil {
 		return err
 	}
-	heartbeat := resp.GetHeartbeat()
-	if heartbeat == nil {
+	if resp.GetHeartbeat() == nil {
 		return errors.New("the answer is no heartbeat")
 	}
+	heartbeat, err := Reconstruct(base, resp.GetHeartbeat())
+	if err != nil {
+		return err
+	}
 	m.store(Member{Incarnation: heartbeat.GetIncarnation(), Address: address, SentAt: sent, Last: heartbeat})
 	return nil
 }
@@ -150,8 +190,8 @@
 func (m *Membership) store(member Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known, ok := (*m.members.Load())[member.Incarnation]; ok && known.SentAt.After(member.SentAt) {
-		return
+	if known, ok := (*m.members.Load())[member.Incarnation]; ok {
+		member = Latest(known, member)
 	}
 	next := make(map[string]Member, len(*m.members.Load())+1)
 	for k, v := range *m.members.Load() {
