Space the calls to a log that fails

Cause: after a failed call each stream called again every 50 ms, and appends that were tried again took no turn in the process's part of the rate. At the end of an outage all entries would call at once, and the reserve for changes of configuration did not hold. Ruled out: a longer fixed pause; it delays the first retry of a single failure. Change: pauses double from 50 to 400 ms, half of each drawn at random, and start anew after a success; an append that is tried again waits for its turn. TestPropose_RetriesTakeTurns fails without the turn.

--- /dev/null
+++ b/logstream/backoff_test.go
@@ -0,0 +1,45 @@
+package logstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+)
+
+// TestBackoff_Bounds checks the pauses of failures in a row.
+func TestBackoff_Bounds(t *testing.T) {
+	limits := Limits{RetryDelay: 50, MaxRetryDelay: 400}
+	var b backoff
+	for _, bound := range []time.Duration{50, 100, 200, 400, 400} {
+		pause := b.next(limits)
+		require.LessOrEqual(t, pause, bound)
+		require.GreaterOrEqual(t, pause, bound/2)
+	}
+	b.reset()
+	require.LessOrEqual(t, b.next(limits), limits.RetryDelay)
+	require.LessOrEqual(t, b.next(Limits{RetryDelay: 7}), time.Duration(7))
+}
+
+// TestPropose_RetriesTakeTurns checks that an append that is tried again waits
+// for the process's part of the log's rate.
+func TestPropose_RetriesTakeTurns(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	log := fakelog.New(clock)
+	log.Set(func(f *fakelog.Faults) { f.Down = true })
+	pacer := NewPacer(clock, 1)
+	h := startHarness(t, log, "w", func(c *Config) { c.Pacer = pacer })
+	a := h.propose(pool("p", 0))
+	h.eventually(func() bool { return h.stream.attempts.Load() == 1 })
+	// The next turn is a second away: no retry comes before its proposer goes.
+	time.Sleep(20 * h.stream.cfg.Limits.RetryDelay)
+	sent := h.stream.attempts.Load()
+	a.cancel()
+	a.wait(t)
+	require.Equal(t, platform.Refused, outcome(a.err))
+	require.Equal(t, int64(1), int64(sent))
+}
--- a/logstream/config.go
+++ b/logstream/config.go
@@ -47,8 +47,11 @@
 	ReadTimeout time.Duration
 	// ReadLimit is the number of payloads in one read.
 	ReadLimit int
-	// RetryDelay is the pause after a failed call to the log.
+	// RetryDelay is the least pause after a failed call to the log.
 	RetryDelay time.Duration
+	// MaxRetryDelay is the longest pause after failed calls in a row, if it is
+	// longer than RetryDelay.
+	MaxRetryDelay time.Duration
 	// CallTimeout bounds one append.
 	CallTimeout time.Duration
 }
@@ -64,6 +67,7 @@
 		ReadTimeout:     time.Second,
 		ReadLimit:       512,
 		RetryDelay:      50 * time.Millisecond,
+		MaxRetryDelay:   400 * time.Millisecond,
 		CallTimeout:     2 * time.Second,
 	}
 }
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -13,16 +13,19 @@
 	if err := s.restore(ctx); err != nil {
 		s.cfg.Logger.Info("starting without a snapshot", "stream", s.cfg.Name, "reason", err.Error())
 	}
+	var failed backoff
 	for ctx.Err() == nil && s.Fault() == nil {
 		err := s.readOnce(ctx)
 		s.readable.Store(err == nil)
 		if platform.CodeOf(err) == platform.CodeTrimmed {
 			s.restoreTrimmed(ctx)
 		}
-		if err != nil {
-			s.cfg.Logger.Debug("read failed", "stream", s.cfg.Name, "error", err.Error())
-			s.pause(ctx)
+		if err == nil {
+			failed.reset()
+			continue
 		}
+		s.cfg.Logger.Debug("read failed", "stream", s.cfg.Name, "error", err.Error())
+		s.backOff(ctx, &failed)
 	}
 }
 
--- a/logstream/harness_test.go
+++ b/logstream/harness_test.go
@@ -47,6 +47,7 @@
 	limits.MaxBatchAge = time.Millisecond
 	limits.ReadWait = 5 * time.Millisecond
 	limits.RetryDelay = time.Millisecond
+	limits.MaxRetryDelay = time.Millisecond
 	return limits
 }
 
--- a/logstream/pace.go
+++ b/logstream/pace.go
@@ -12,10 +12,7 @@
 // meanwhile join it while it has room; one with priority ends the wait if the
 // reserve allows.
 func (s *Stream) pace(ctx context.Context, batch []*proposal) []*proposal {
-	if s.cfg.Pacer == nil {
-		return batch
-	}
-	wait := s.cfg.Pacer.Take(slices.ContainsFunc(batch, s.hasPriority))
+	wait := s.turn(batch)
 	if wait <= 0 {
 		return batch
 	}
@@ -24,6 +21,14 @@
 	return s.gather(ctx, batch, turn.Chan())
 }
 
+// turn takes the right to append the batch and returns how long to wait for it.
+func (s *Stream) turn(batch []*proposal) time.Duration {
+	if s.cfg.Pacer == nil {
+		return 0
+	}
+	return s.cfg.Pacer.Take(slices.ContainsFunc(batch, s.hasPriority))
+}
+
 // gather adds proposals to the batch until its turn has come.
 func (s *Stream) gather(ctx context.Context, batch []*proposal, turn <-chan time.Time) []*proposal {
 	bytes := batchBytes(batch)
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -13,6 +13,8 @@
 type writer struct {
 	*Stream
 	seq uint64
+	// failed spaces the appends after one that failed.
+	failed backoff
 }
 
 // write appends the proposals in batches, one append at a time, so that the
@@ -122,7 +124,7 @@
 			return
 		}
 		w.takeBack(batch)
-		w.pause(ctx)
+		w.backOffWrites(ctx, &w.failed, batch)
 	}
 	finishAll(batch, proposeError(platform.Refused, platform.CodeUnavailable, "the stream has ended"))
 }
@@ -143,7 +145,7 @@
 // repeat appends a batch that may stand in the log until it is written, read
 // back or wanted no more.
 func (w *writer) repeat(ctx context.Context, batch []*proposal, payload []byte) {
-	for w.pause(ctx); slices.ContainsFunc(batch, (*proposal).wanted); w.pause(ctx) {
+	for w.backOffWrites(ctx, &w.failed, batch); slices.ContainsFunc(batch, (*proposal).wanted); w.backOffWrites(ctx, &w.failed, batch) {
 		if ctx.Err() != nil || w.Fault() != nil || w.append(ctx, payload) == "" {
 			return
 		}
@@ -165,11 +167,19 @@
 		if w.append(ctx, payload) == "" {
 			return
 		}
-		w.pause(ctx)
+		w.backOffWrites(ctx, &w.failed, nil)
 	}
 }
 
 // append sends one append and returns its outcome, or "" on success.
+func (w *writer) append(ctx context.Context, payload []byte) platform.Outcome {
+	outcome := w.Stream.append(ctx, payload)
+	if outcome == "" {
+		w.failed.reset()
+	}
+	return outcome
+}
+
 func (s *Stream) append(ctx context.Context, payload []byte) platform.Outcome {
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Limits.CallTimeout)
 	defer cancel()
@@ -190,12 +200,8 @@
 	return statemachine.EncodeBatch(out)
 }
 
-func (s *Stream) pause(ctx context.Context) {
-	select {
-	case <-s.cfg.Clock.After(s.cfg.Limits.RetryDelay):
-	case <-ctx.Done():
-	}
-}
+// pause waits for the least pause between two looks.
+func (s *Stream) pause(ctx context.Context) { s.sleep(ctx, s.cfg.Limits.RetryDelay) }
 
 func finishAll(batch []*proposal, err error) {
 	for _, p := range batch {
