Bind a restart call to the VM's record of tasks

Cause: a restart call that was held up by a pause until the same VM drained again, with tasks, was fenced by nothing and cut them. Ruled out: the epoch of the maintenance lease in the call, since the VM would have to learn of epochs and the same holder may be paused and go on; a time in the call, since clocks of the VM and the caller differ. Change: the call names the position of the VM's record of tasks, its name and the number of tasks it has held, as it was when the VM was seen empty. A VM that has started a task since refuses it. Slot leases carry the same position already. The random schedules of the budgets lend spare VMs too. A platform that ignores the position behaves as before.

--- a/maintenance/executor/executor_test.go
+++ b/maintenance/executor/executor_test.go
@@ -27,19 +27,37 @@
 	sick     bool
 	reboots  int
 	cut      int
+	// ended counts the tasks that are no longer in tasks.
+	ended uint64
+	// holdReboot keeps the next call back, for late to carry it out.
+	holdReboot bool
+	late       func() error
 }
 
 func (v *fakeVM) Drain(context.Context, string) error  { v.draining = true; return nil }
 func (v *fakeVM) Return(context.Context, string) error { v.draining = false; return nil }
 
-func (v *fakeVM) Reboot(context.Context, string) error {
+func (v *fakeVM) Reboot(_ context.Context, _ string, at platform.Position) error {
+	if v.holdReboot {
+		v.holdReboot = false
+		v.late = func() error { return v.reboot(at) }
+		return &platform.Error{Op: "pool.reboot", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+	}
+	return v.reboot(at)
+}
+
+func (v *fakeVM) reboot(at platform.Position) error {
+	list, _ := v.ListTasks(context.Background(), "")
+	if at != list.Position() {
+		return &platform.Error{Op: "pool.reboot", Outcome: platform.Refused, Code: platform.CodeInvalid}
+	}
 	v.reboots++
 	v.cut += len(v.tasks)
 	return nil
 }
 
 func (v *fakeVM) ListTasks(context.Context, string) (platform.TaskList, error) {
-	var list platform.TaskList
+	list := platform.TaskList{Record: "record", Forgotten: v.ended}
 	for id, state := range v.tasks {
 		list.Tasks = append(list.Tasks, platform.TaskStatus{ID: id, State: state})
 	}
@@ -209,3 +227,24 @@
 	require.Equal(t, "w", b.vm().MaintainedBy)
 	require.Zero(t, b.cut)
 }
+
+// TestExecutor_HeldUpReboot lets a restart call arrive only after the VM has
+// been restarted by the next call, has served and drains again with a task.
+func TestExecutor_HeldUpReboot(t *testing.T) {
+	b := newBench(t)
+	b.holdReboot = true
+	for range int(deadline / interval) {
+		if b.vm().MaintainedBy == "w" {
+			break
+		}
+		b.rounds(interval)
+	}
+	require.Equal(t, "w", b.vm().MaintainedBy)
+	require.Equal(t, 1, b.reboots)
+
+	b.tasks["order"] = platform.TaskRunning
+	b.draining = true
+	require.Equal(t, platform.Refused, platform.OutcomeOf(b.late()))
+	require.Equal(t, 1, b.reboots)
+	require.Zero(t, b.cut)
+}
--- a/maintenance/executor/observe.go
+++ b/maintenance/executor/observe.go
@@ -74,7 +74,7 @@
 		m.seen.DrainedAt = e.cfg.Clock.Now()
 	}
 	asked := e.cfg.Clock.Now()
-	running, err := e.running(ctx, vm)
+	running, _, err := e.running(ctx, vm)
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 	if err := e.call(ctx, vm, e.cfg.Pools.Drain); err != nil {
 		return err
 	}
-	running, err := e.running(ctx, vm)
+	running, at, err := e.running(ctx, vm)
 	if err != nil {
 		return err
 	}
@@ -118,14 +118,17 @@
 	if _, ok := e.cfg.Lease.Epoch(); !ok {
 		return errors.New("the maintenance lease has run out")
 	}
-	return e.call(ctx, vm, e.cfg.Pools.Reboot)
+	return e.call(ctx, vm, func(ctx context.Context, address string) error {
+		return e.cfg.Pools.Reboot(ctx, address, at)
+	})
 }
 
-// running lists the tasks that run on the VM.
-func (e *Executor) running(ctx context.Context, vm *statemachine.VM) ([]maintenance.RunningTask, error) {
-	var out []maintenance.RunningTask
-	err := e.call(ctx, vm, func(ctx context.Context, address string) error {
+// running lists the tasks that run on the VM, and returns where its record of
+// tasks stands.
+func (e *Executor) running(ctx context.Context, vm *statemachine.VM) (out []maintenance.RunningTask, at platform.Position, err error) {
+	err = e.call(ctx, vm, func(ctx context.Context, address string) error {
 		list, err := e.cfg.Workers.ListTasks(ctx, address)
+		at = list.Position()
 		for _, task := range list.Tasks {
 			if task.State != platform.TaskRunning {
 				continue
@@ -136,7 +139,7 @@
 		}
 		return err
 	})
-	return out, err
+	return out, at, err
 }
 
 // probe confirms that the VM grants a slot, and gives it back.
--- a/standin/vm.go
+++ b/standin/vm.go
@@ -171,6 +171,12 @@
 func (v *vm) reboot(now time.Time) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.endAll(now)
+}
+
+// endAll ends every task and every slot lease and returns how many tasks ran.
+// v.mu is held.
+func (v *vm) endAll(now time.Time) int {
 	ended := 0
 	for _, t := range v.tasks {
 		if t.status.State == platform.TaskRunning {
@@ -198,15 +204,17 @@
 	v.recorder.draining(v.info.Pool, -1)
 }
 
-// restart reboots the VM. Only a VM that drains is restarted.
-func (v *vm) restart(now time.Time) bool {
+// restart reboots the VM. Only a VM that drains and has started no task since
+// the position is restarted.
+func (v *vm) restart(at platform.Position, now time.Time) bool {
 	v.mu.Lock()
-	draining := v.draining
-	v.mu.Unlock()
-	if draining {
-		v.reboot(now)
+	defer v.mu.Unlock()
+	position := platform.Position{Record: v.record, Started: v.started}
+	if !v.draining || at != position {
+		return false
 	}
-	return draining
+	v.endAll(now)
+	return true
 }
 
 func (v *vm) setFaults(faults VMFaults, now time.Time) {
--- a/standin/vmhandlers.go
+++ b/standin/vmhandlers.go
@@ -190,9 +190,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func handleReboot(w http.ResponseWriter, _ *http.Request, v *vm) {
-	if !v.restart(time.Now()) {
-		writeError(w, http.StatusConflict, platform.CodeInvalid, "the VM does not drain")
+func handleReboot(w http.ResponseWriter, r *http.Request, v *vm) {
+	var at platform.Position
+	if !readJSON(w, r, &at) {
+		return
+	}
+	if !v.restart(at, time.Now()) {
+		writeError(w, http.StatusConflict, platform.CodeInvalid, "the VM does not drain, or has started tasks since")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/statemachine/budget_property_test.go
+++ b/statemachine/budget_property_test.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// rare writes what happens seldom: a takeover, a VM replaced, a wave paused
-// or resumed.
+// rare writes what happens seldom: a takeover, a VM replaced, a spare one
+// lent, a wave paused or resumed.
 func (s *schedule) rare(planner string, vm *VM, lease *Lease) {
 	wave, _ := s.views[planner].Waves.Get("w")
-	switch s.draw(4) {
+	switch s.draw(5) {
 	case 0:
 		s.write(planner, &LeaseAcquire{Name: MaintenanceLease, Expected: lease.Epoch})
 	case 1:
@@ -98,6 +98,8 @@
 	case 2:
 		s.grown++
 		s.write("watch", &VMAdd{VM: VM{ID: fmt.Sprintf("n%d", s.grown), Pool: vm.Pool, AvailabilityZone: vm.AvailabilityZone}})
+	case 3:
+		s.write(planner, &VMLend{VM: vm.ID, From: vm.Pool, To: []string{"a", "b"}[s.draw(2)], Expected: vm.Version, Epoch: lease.Epoch})
 	default:
 		s.write("op", &WaveSet{Wave: "w", Expected: wave.Version, State: []WaveState{WaveRunning, WavePaused}[s.draw(2)]})
 	}
