--- a/entry/demandwatch.go
+++ b/entry/demandwatch.go
@@ -94,16 +94,16 @@
 // loads adds up the own loads and those that the reachable entries last told.
 func (w *demandWatch) loads() map[string]sizing.Load {
 	out := make(map[string]sizing.Load)
-	addLoads(out, w.describer.describe())
+	addLoads(out, w.describer.view().Teams)
 	for _, member := range w.membership.Reachable() {
-		addLoads(out, member.Last)
+		addLoads(out, member.Last.GetTeams())
 	}
 	return out
 }
 
-// addLoads adds what one entry tells of its teams.
-func addLoads(to map[string]sizing.Load, told *peerpb.Heartbeat) {
-	for _, t := range told.GetTeams() {
+// addLoads adds what one entry tells.
+func addLoads(to map[string]sizing.Load, told []*peerpb.TeamLoad) {
+	for _, t := range told {
 		load := sizing.Load{Running: float64(t.GetRunning()), Waiting: float64(t.GetWaiting())}
 		to[t.GetTeam()] = to[t.GetTeam()].Plus(load)
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -38,6 +38,7 @@
 		profileModule,
 		ordersModule,
 		jobsModule,
+		quarantineModule,
 		sharesModule,
 		limitsModule,
 		maintenanceModule,
@@ -147,14 +148,14 @@
 	return dispatch.NewLimbo(workers, clock, gate.Release)
 }
 
-func newDescriber(s settings.Entry, id identity, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
-	return &describer{id: id, stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
+func newDescriber(s settings.Entry, stream *logstream.Stream, ledger *quota.Ledger, board *loadBoard) *describer {
+	return &describer{stream: stream, ledger: ledger, board: board, zone: s.AvailabilityZone}
 }
 
 func newMembership(s settings.Entry, id identity, client *peer.Client, clock clockwork.Clock, stream *logstream.Stream, d *describer) *membership.Membership {
 	return membership.New(membership.Config{
 		Self: id.incarnation, SelfAddress: s.Peers, Seeds: s.Seeds, Caller: client, Clock: clock,
-		State: stream.State, Describe: d.describe,
+		State: stream.State, View: d.view, Describe: d.describe,
 	})
 }
 
@@ -169,7 +170,7 @@
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
-		Running:   func(team string) int { return ledger.Usage(team).Running },
+		Running:   ledger.RunningAll,
 		Preempter: preempter,
 	})
 }
--- a/sizing/size.go
+++ b/sizing/size.go
@@ -10,8 +10,8 @@
 	Serving int
 	// Slots counts the slots of all VMs of the pool.
 	Slots int
-	// HealthySlots counts those of the VMs that have not failed, under
-	// maintenance or not.
+	// HealthySlots counts those of the VMs that have neither failed nor are in
+	// quarantine, under maintenance or not.
 	HealthySlots int
 	// Spare tells whether the pool lends its VMs to others.
 	Spare bool
@@ -35,7 +35,7 @@
 	for _, vm := range s.VMs.All() {
 		size := out[vm.Pool]
 		size.Slots += vm.Slots
-		if vm.Condition == statemachine.ConditionHealthy {
+		if vm.Condition == statemachine.ConditionHealthy && vm.Quarantine == nil {
 			size.HealthySlots += vm.Slots
 		}
 		out[vm.Pool] = size
--- a/statemachine/budget_property_test.go
+++ b/statemachine/budget_property_test.go
@@ -86,11 +86,15 @@
 	}
 }
 
-// rare writes what happens seldom: a takeover, a VM replaced, a spare one
-// lent, a wave paused or resumed.
+// rare writes what happens seldom: a takeover, a VM replaced, lent, put into
+// quarantine or released, a wave paused or resumed.
 func (s *schedule) rare(planner string, vm *VM, lease *Lease) {
 	wave, _ := s.views[planner].Waves.Get("w")
-	switch s.draw(5) {
+	switch s.draw(7) {
+	case 4:
+		s.write(planner, &VMQuarantine{VM: vm.ID, Pool: vm.Pool, Expected: vm.Version, Cause: QuarantineFailsEverything})
+	case 5:
+		s.write("op", &VMRelease{VM: vm.ID, Expected: vm.Version})
 	case 0:
 		s.write(planner, &LeaseAcquire{Name: MaintenanceLease, Expected: lease.Epoch})
 	case 1:
@@ -98,7 +102,7 @@
 	case 2:
 		s.grown++
 		s.write("watch", &VMAdd{VM: VM{ID: fmt.Sprintf("n%d", s.grown), Pool: vm.Pool, AvailabilityZone: vm.AvailabilityZone}})
-	case 3:
+	case 6:
 		s.write(planner, &VMLend{VM: vm.ID, From: vm.Pool, To: []string{"a", "b"}[s.draw(2)], Expected: vm.Version, Epoch: lease.Epoch})
 	default:
 		s.write("op", &WaveSet{Wave: "w", Expected: wave.Version, State: []WaveState{WaveRunning, WavePaused}[s.draw(2)]})
