Make the streams of orders and of jobs in one place

Cause: module_jobs.go and module_orders.go each built the same configuration of the divided streams out of seven injected values. Ruled out: one module for both; their runners have nothing in common. Change: the log's module provides one function that makes such a set of streams; the modules name theirs. Before and after: two constructors of seven and eight parameters; one of seven, and two of two and three. No behavior changes; the tests of orders and jobs over processes pass. Conclusion: a limit of these streams is set in one line.

--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -4,13 +4,11 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/job"
-	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/quarantine"
@@ -37,12 +35,10 @@
 	),
 )
 
-func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger, judge *quarantine.Judge) jobShards {
-	return jobShards{&shardSet{
-		prefix: jobsStream, count: s.JobStreams, control: stream,
-		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s), observe: judge.Observe,
-	}}
+func newJobShards(s settings.Entry, divide newShards, judge *quarantine.Judge) jobShards {
+	shards := divide(jobsStream, s.JobStreams)
+	shards.observe = judge.Observe
+	return jobShards{shards}
 }
 
 func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter, judge *quarantine.Judge) *job.Runner {
--- a/entry/module_log.go
+++ b/entry/module_log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
@@ -24,6 +25,7 @@
 		newPacer,
 		newSnapshots,
 		newSnapshotter,
+		newShardFactory,
 		newRelay,
 		fx.Annotate(newLogTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newRelayHandler, fx.ResultTags(`group:"peers"`)),
@@ -46,6 +48,21 @@
 	return logstream.SnapshotPolicy{Records: snapshotRecords, MaxAge: s.LogRetention.Duration() / snapshotsPerRetention}
 }
 
+// newShards makes the streams of one kind of divided work, by the common part of
+// their names and the number that is proposed if none is fixed yet.
+type newShards func(prefix string, count int) *shardSet
+
+func newShardFactory(
+	s settings.Entry, id identity, control *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger,
+) newShards {
+	config := logstream.Config{
+		Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer,
+	}
+	return func(prefix string, count int) *shardSet {
+		return &shardSet{prefix: prefix, count: count, control: control, config: config, policy: snapshotPolicy(s)}
+	}
+}
+
 func newLogTasks(snapshotter *logstream.Snapshotter, r *relay) []task {
 	return []task{
 		{name: "snapshots", run: snapshotter.Run},
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -5,12 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
-	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -34,12 +32,8 @@
 	),
 )
 
-func newOrderShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) orderShards {
-	return orderShards{&shardSet{
-		prefix: ordersStream, count: s.OrderStreams, control: stream,
-		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s),
-	}}
+func newOrderShards(s settings.Entry, divide newShards) orderShards {
+	return orderShards{divide(ordersStream, s.OrderStreams)}
 }
 
 func newOrders(id identity, shards orderShards, workers platform.Workers, clock clockwork.Clock, m *membership.Membership) *dispatch.Orders {
