--- a/entry/module.go
+++ b/entry/module.go
@@ -38,6 +38,7 @@
 		profileModule,
 		ordersModule,
 		jobsModule,
+		quarantineModule,
 		sharesModule,
 		limitsModule,
 		maintenanceModule,
@@ -169,7 +170,7 @@
 	return dispatch.New(dispatch.Config{
 		Incarnation: id.incarnation, Control: c, Slots: placer, Allotment: gate, Workers: workers,
 		Limbo: limbo, Orders: orders, Clock: clock, Ring: ring, DefaultTimeout: s.DefaultTimeout.Duration(),
-		Running:   func(team string) int { return ledger.Usage(team).Running },
+		Running:   ledger.RunningAll,
 		Preempter: preempter,
 	})
 }
--- a/load/report.go
+++ b/load/report.go
@@ -10,27 +10,36 @@
 	"github.com/anvilcourse/anvilcourse/shares"
 )
 
-// windowSeconds is the length of a window in which the distance from share is
-// measured.
-const windowSeconds = 10
+// windowSteps is the length of a window in which the distance from share is
+// measured, 10 s.
+const windowSteps = 10 * stepsPerSecond
 
 // Report is what a load measured.
 type Report struct {
 	Teams []TeamReport `json:"teams"`
+	// Classes holds the classes of which anything was sent.
+	Classes []ClassReport `json:"classes"`
+	// Promises tells what held, as seen from outside.
+	Promises []Promise `json:"promises"`
+	// Interrupted is set if the run was ended before its time.
+	Interrupted bool `json:"interrupted"`
+	// Open is the number of accepted jobs whose end was not seen.
+	Open int `json:"open_jobs"`
 	// Seconds is the time until the last answer.
 	Seconds float64 `json:"seconds"`
 	// Goodput is the number of answers in time a second.
 	Goodput float64 `json:"goodput_per_second"`
 	// MeanDistance and WorstDistance are those from the owed slot time over
-	// teams and windows of 10 s, as a part of the team's share, over the seconds
-	// in which the offered load fills the capacity. They are 0 without one.
+	// teams and windows of 10 s, as a part of the team's share, over the steps
+	// of 100 ms in which the offered load fills the capacity. They are 0 without one.
 	MeanDistance  float64 `json:"mean_distance"`
 	WorstDistance float64 `json:"worst_distance"`
-	// FullSeconds is the number of those seconds.
-	FullSeconds int `json:"full_seconds"`
+	// FullSeconds is the time of those steps in seconds.
+	FullSeconds float64 `json:"full_seconds"`
 }
 
-// TeamReport is one team's part. Latencies are those of answers.
+// TeamReport is one team's part of the requests and orders. Latencies are
+// those of answers. Used covers jobs as well.
 type TeamReport struct {
 	Team     string  `json:"team"`
 	Share    float64 `json:"share"`
@@ -61,64 +70,80 @@
 		out.Teams = append(out.Teams, line)
 	}
 	out.Goodput = float64(total) / out.Seconds
-	r.distance(out, int(r.cfg.Duration/time.Second))
+	r.reportClasses(out)
+	r.distance(out, int(r.cfg.Duration/step))
 	return out
 }
 
+func (r *runner) reportClasses(out *Report) {
+	for _, class := range classes {
+		tally, ok := r.classes[class]
+		if !ok {
+			continue
+		}
+		if line := tally.report(class); line.Sent > 0 {
+			out.Classes = append(out.Classes, line)
+			out.Open += line.Outcomes[openJob]
+		}
+	}
+}
+
 func (t *team) report(seconds int) TeamReport {
 	ms := func(quantile float64) float64 { return float64(t.latency.ValueAtQuantile(quantile)) / 1e3 }
 	out := TeamReport{
-		Team: t.name, Answered: t.outcomes[answered], NotRun: t.outcomes["not_run"], Failed: t.outcomes["failed"],
+		Team: t.name, Answered: t.outcomes[answered], NotRun: t.outcomes[notRun], Failed: t.outcomes[failed],
 		Unknown: t.outcomes[unknown], Wrong: t.wrong, P50MS: ms(50), P99MS: ms(99),
 	}
 	out.Sent = out.Answered + out.NotRun + out.Failed + out.Unknown
 	for second := range seconds {
-		out.Used = append(out.Used, t.used[second].Seconds())
+		out.Used = append(out.Used, t.used.second(second))
 	}
 	return out
 }
 
 // distance measures how far the used slot time is from the owed one.
-func (r *runner) distance(out *Report, seconds int) {
+func (r *runner) distance(out *Report, steps int) {
+	full := 0
 	used, owed := make([]float64, len(r.teams)), make([]float64, len(r.teams))
-	full, count := 0, 0.0
-	flush := func() {
-		for i := range r.teams {
-			if full > 0 {
-				d := math.Abs(used[i]-owed[i]) / (out.Teams[i].Share * float64(r.cfg.Capacity*full))
-				out.MeanDistance += d
-				out.WorstDistance = max(out.WorstDistance, d)
-				count++
+	count := 0.0
+	for first := 0; first < steps; first += windowSteps {
+		clear(used)
+		clear(owed)
+		inWindow := 0
+		for index := first; index < min(steps, first+windowSteps); index++ {
+			owedNow, ok := r.owed(index)
+			if !ok {
+				continue
 			}
-			used[i], owed[i] = 0, 0
-		}
-		out.FullSeconds += full
-		full = 0
-	}
-	for second := range seconds {
-		if owedNow, ok := r.owed(second); ok {
-			full++
+			inWindow++
 			for i, t := range r.teams {
-				used[i] += t.used[second].Seconds()
+				used[i] += t.used.slots(index)
 				owed[i] += owedNow[i]
 			}
 		}
-		if second%windowSeconds == windowSeconds-1 {
-			flush()
+		full += inWindow
+		if inWindow == 0 {
+			continue
+		}
+		for i := range r.teams {
+			d := math.Abs(used[i]-owed[i]) / (out.Teams[i].Share * float64(r.cfg.Capacity*inWindow))
+			out.MeanDistance += d
+			out.WorstDistance = max(out.WorstDistance, d)
+			count++
 		}
 	}
-	flush()
+	out.FullSeconds = float64(full) / float64(stepsPerSecond)
 	out.MeanDistance /= max(1, count)
 }
 
-// owed returns the slots that the teams are owed in a second, and whether the
+// owed returns the slots that the teams are owed in a step, and whether the
 // offered load fills the capacity.
-func (r *runner) owed(second int) ([]float64, bool) {
+func (r *runner) owed(index int) ([]float64, bool) {
 	claims := make([]shares.Claim, len(r.teams))
 	offered := 0.0
 	for i, t := range r.teams {
-		demand := t.offered[second].Seconds()
-		claims[i] = shares.Claim{Weight: t.weight, Demand: max(demand, t.used[second].Seconds()), Limit: t.limit}
+		demand := t.offered.slots(index)
+		claims[i] = shares.Claim{Weight: t.weight, Demand: max(demand, t.used.slots(index)), Limit: t.limit}
 		offered += min(demand, t.limit)
 	}
 	return shares.Compute(float64(r.cfg.Capacity), claims), offered >= float64(r.cfg.Capacity)
@@ -135,11 +160,28 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "\n%.1f s, %.0f answers/s; distance from share in %d s when full: mean %.1f %%, worst %.1f %%\n",
-		r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
+	fmt.Fprintln(w)
+	if err := r.printClasses(w); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if err := r.printPromises(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "\n%s\n", r.summary())
 	return err
 }
 
+// summary is the last line of the report.
+func (r *Report) summary() string {
+	end := ""
+	if r.Interrupted {
+		end = "interrupted after "
+	}
+	return fmt.Sprintf("%s%.1f s, %.0f answers/s; distance from share in %.1f s when full: mean %.1f %%, worst %.1f %%",
+		end, r.Seconds, r.Goodput, r.FullSeconds, 100*r.MeanDistance, 100*r.WorstDistance)
+}
+
 // Wrong returns the number of answers that did not belong to their request.
 func (r *Report) Wrong() int {
 	wrong := 0
--- a/load/team.go
+++ b/load/team.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // team collects what became of one team's requests.
@@ -12,16 +14,17 @@
 	name   string
 	weight float64
 	limit  float64
-	urgent string
-	order  string
-	key    string
+	// urgent, order, job and jobOnce are queues, or "" for none.
+	urgent, order, job, jobOnce string
+	// key is the key that its callers show.
+	key string
 
 	mu       sync.Mutex
 	outcomes map[string]int
 	wrong    int
 	latency  *hdrhistogram.Histogram
-	// offered and used are slot time by second of the run.
-	offered, used map[int]time.Duration
+	// offered and used are slot time over the run.
+	offered, used slotTime
 }
 
 const maxLatency = time.Hour
@@ -29,41 +32,69 @@
 func newTeam(name string, weight, limit float64) *team {
 	return &team{
 		name: name, weight: weight, limit: limit, outcomes: make(map[string]int),
-		latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
-		offered: make(map[int]time.Duration), used: make(map[int]time.Duration),
+		latency: newLatency(),
+		offered: make(slotTime), used: make(slotTime),
+	}
+}
+
+// findQueues finds the team's queues in the template of its workspace.
+func (t *team) findQueues(template statemachine.Template, workspace string) {
+	find := func(class statemachine.Class, once func(statemachine.Queue) bool) string {
+		return queueOf(template, workspace, func(q statemachine.Queue) bool { return q.Class == class && once(q) })
 	}
+	either := func(statemachine.Queue) bool { return true }
+	again := func(q statemachine.Queue) bool { return !q.RunsAtMostOnce() }
+	t.urgent = find(statemachine.ClassUrgent, either)
+	t.order = find(statemachine.ClassOrder, either)
+	t.job = find(statemachine.ClassJob, again)
+	t.jobOnce = find(statemachine.ClassJob, statemachine.Queue.RunsAtMostOnce)
 }
 
 // sent counts the offered slot time of a request.
 func (t *team) sent(at, work time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spread(t.offered, at, work)
+	t.offered.add(at, work)
+}
+
+// ending is the end of one request.
+type ending struct {
+	outcome string
+	took    time.Duration
+	wrong   bool
+	// started is when the worker started the task, from the start of the run.
+	started time.Duration
+	// held is how long the task held its slot.
+	held time.Duration
 }
 
 // ended counts the end of a request. Only an answered one has used its slot
 // time for certain.
-func (t *team) ended(outcome string, at, took, work time.Duration, wrong bool) {
+func (t *team) ended(e ending) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outcomes[outcome]++
-	if outcome != answered {
+	t.outcomes[e.outcome]++
+	if e.outcome != answered {
 		return
 	}
-	if wrong {
+	_ = t.latency.RecordValue(e.took.Microseconds())
+	if e.wrong {
 		t.wrong++
+		return
 	}
-	_ = t.latency.RecordValue(took.Microseconds())
-	spread(t.used, max(0, at-work), work)
+	t.used.add(max(0, e.started), e.held)
 }
 
-// spread adds the time from a point on to the seconds that it lies in.
-func spread(seconds map[int]time.Duration, from, length time.Duration) {
-	for length > 0 {
-		second := int(from / time.Second)
-		part := min(length, time.Duration(second+1)*time.Second-from)
-		seconds[second] += part
-		from += part
-		length -= part
-	}
+// usedBy counts the slot time of a job that has ended by then.
+func (t *team) usedBy(at, work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.used.add(max(0, at-work), work)
+}
+
+// countWrong counts an answer that did not belong to its request.
+func (t *team) countWrong() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrong++
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -86,6 +86,12 @@
 	return out
 }
 
+// Claims returns what the reachable members of the state said. The state is
+// read before the call.
+func (m *Membership) Claims(state *statemachine.State) []Claim {
+	return Claims(state, m.Reachable(), m.cfg.Clock.Now())
+}
+
 // Answer answers another entry's question with the own heartbeat.
 func (m *Membership) Answer(question *peerpb.Heartbeat) *peerpb.Heartbeat {
 	// The view comes first, so that what an answer of a higher version says of
