Watch a load's jobs through another entry when one does not answer

Cause: load watched each job through one entry to its end. A run with an entry killed reported 6 of 9 jobs as still running, for both users, though a recording of the same log holds the end of each: the killed entry was asked again and again, and a cancellation sent to it was lost.

Ruled out: jobs that the survivors did not take over (the log has two job_take records and eight ends answered for eight starts).

Change: a call that fails moves the watcher on to the next entry, and a cancellation counts as sent once an entry has answered it.

Before and after: TestRun_WatchesJobsPastADeadEntry failed with 13 jobs open and passes now; go test -race ./load passes.

Conclusion: the promise of jobs is judged by what any entry knows.

--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -41,6 +41,8 @@
 	bodies map[string][]byte
 	cancel map[string]bool
 	keys   int
+	// dead is the address of another entry that is gone, if any.
+	dead string
 }
 
 func startFake(t *testing.T, fault entryFault) (*fakeEntry, *httptest.Server) {
@@ -64,7 +66,11 @@
 	switch {
 	case path == "/v1/status":
 		self := statemachine.Entry{Incarnation: "e", Callers: r.Host}
-		f.write(w, api.Status{Incarnation: "e", Entries: []api.EntryStatus{{Entry: self}}})
+		out := api.Status{Incarnation: "e", Entries: []api.EntryStatus{{Entry: self}}}
+		if f.dead != "" {
+			out.Entries = append(out.Entries, api.EntryStatus{Entry: statemachine.Entry{Incarnation: "d", Callers: f.dead}, Reachable: true})
+		}
+		f.write(w, out)
 	case path == "/v1/keys":
 		f.keys++
 		var req api.KeyGrantRequest
--- a/load/jobs.go
+++ b/load/jobs.go
@@ -36,9 +36,10 @@
 	// since the start of the load.
 	cancel   bool
 	cancelAt time.Duration
-	// other is the entry through which the job is watched.
-	other string
-	sent  time.Time
+	// via is the index of the entry through which the job is watched. A call
+	// that fails moves it on to the next.
+	via  int
+	sent time.Time
 }
 
 // sendJob returns what submits a team's next job and watches it to its end.
@@ -54,7 +55,7 @@
 		j.cancel = rng.Float64() < r.cfg.Cancel
 		j.cancelAt = r.cancelTime(time.Since(r.start) + time.Duration(rng.Float64()*float64(j.work)))
 		entry := r.entry(rng)
-		j.other = r.entry(rng)
+		j.via = rng.IntN(len(r.entries))
 		r.calls.Go(func() { r.runJob(ctx, j, entry) })
 	}
 }
@@ -120,7 +121,6 @@
 func (r *runner) watch(ctx context.Context, j *job, seen api.Job) api.Job {
 	ctx, cancel := context.WithDeadline(ctx, j.sent.Add(r.cfg.JobWait))
 	defer cancel()
-	client := r.client(j.other, j)
 	asked := !j.cancel
 	for pause := firstPoll; ; pause = min(maxPoll, pause*3/2) {
 		if !asked {
@@ -132,13 +132,13 @@
 		case <-time.After(pause):
 		}
 		if !asked && time.Since(r.start) >= j.cancelAt {
-			asked = true
-			r.classes[j.class].cancel()
-			_ = client.CancelJob(ctx, seen.ID)
+			asked = r.cancel(ctx, j, seen.ID)
 			pause = firstPoll
 		}
-		if now, err := client.GetJob(ctx, seen.ID); err == nil {
+		if now, err := r.watcher(j).GetJob(ctx, seen.ID); err == nil {
 			seen = now
+		} else {
+			j.via++
 		}
 		if seen.State.Ended() {
 			return seen
@@ -147,6 +147,23 @@
 	}
 }
 
+// watcher is a client of the entry through which the job is watched now.
+func (r *runner) watcher(j *job) *api.Client {
+	return r.client(r.entries[j.via%len(r.entries)], j)
+}
+
+// cancel cancels the job and reports whether an entry has answered, be it that
+// the job has ended.
+func (r *runner) cancel(ctx context.Context, j *job, id string) bool {
+	err := r.watcher(j).CancelJob(ctx, id)
+	if outcomeOf(err) == unknown {
+		j.via++
+		return false
+	}
+	r.classes[j.class].cancel()
+	return true
+}
+
 // judgeJob holds the end of an accepted job against what was promised.
 func (r *runner) judgeJob(ctx context.Context, j *job, seen api.Job, outcome string) {
 	told := unknown
--- a/load/promise_test.go
+++ b/load/promise_test.go
@@ -132,3 +132,16 @@
 	require.Equal(t, 5*time.Second, r.cancelTime(5*time.Second))
 	require.Equal(t, 10*time.Second, r.cancelTime(5*time.Second+1))
 }
+
+// TestRun_WatchesJobsPastADeadEntry checks that a job is watched and cancelled
+// through the entries that answer.
+func TestRun_WatchesJobsPastADeadEntry(t *testing.T) {
+	fake, server := startFake(t, "")
+	fake.dead = "127.0.0.1:1"
+	cfg := fakeConfig(t, fake, server)
+	cfg.JobWait, cfg.Cancel = 5*time.Second, 0.5
+	report, err := Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Zero(t, report.Open)
+	require.Zero(t, report.Broken())
+}
