Record runs as they go on, and replay orders, jobs, waves and refusals

Ruled out: a copy of the decisions in the player (it calls dispatch.JudgeOrder, job.Judge, maintenance.Decide and admission.Line, the entries' own); decisions written to the entries' logs (what they decide from is in the log and the VMs' records, which a recorder can ask for without touching the entries).

FuzzRead found that a trace could ask for 10^9 observations and hang the replay; such a step is refused now.

Conclusion: whole answers (late, crossed, cut) are judged on the connection and have no trace.

--- a/command/replay.go
+++ b/command/replay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
@@ -18,7 +19,8 @@
 	*output
 	platform string
 	streams  string
-	name     string
+	header   replay.Header
+	during   time.Duration
 }
 
 func (*replayCommand) Name() string     { return "replay" }
@@ -27,18 +29,26 @@
 	return `replay TRACE...
   Replay traces into the decisions and name each step that ends otherwise than
   stated.
-replay -record URL [-streams S,S] [-name TEXT]
+replay -record URL [-for T] [-streams S,S] [-name TEXT] [-user TEXT] [-promise TEXT]
   Read streams of the log at the platform's base URL and print them as a trace.
+  With -for, go on for that time or until a signal, and record also what the
+  VMs' records prove of open orders and jobs and what is to be done for waves.
 `
 }
 
 func (c *replayCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.platform, "record", "", "base `URL` of the platform whose log to record")
 	f.StringVar(&c.streams, "streams", replay.ControlStream, "streams to record, separated by commas")
-	f.StringVar(&c.name, "name", "", "name of the recorded trace")
+	f.DurationVar(&c.during, "for", 0, "time to record a run for as it goes on, up to 24h; 0 reads what the log holds")
+	f.StringVar(&c.header.Trace, "name", "", "name of the recorded trace")
+	f.StringVar(&c.header.User, "user", "", "user whose work is recorded")
+	f.StringVar(&c.header.Promise, "promise", "", "invariant that the trace shows")
 }
 
 func (c *replayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.during < 0 || c.during > maxWatchFor {
+		return c.usage("-for is %s; it must be from 0 to %s", c.during, maxWatchFor)
+	}
 	if c.platform != "" {
 		return c.record(ctx)
 	}
@@ -55,8 +65,7 @@
 }
 
 func (c *replayCommand) record(ctx context.Context) subcommands.ExitStatus {
-	log := platform.NewHTTPLog(c.platform, platform.NewHTTPClient())
-	trace, err := replay.Record(ctx, log, replay.Header{Trace: c.name}, strings.Split(c.streams, ","))
+	trace, err := c.readTrace(ctx)
 	if err != nil {
 		return c.fail(err)
 	}
@@ -66,6 +75,21 @@
 	return subcommands.ExitSuccess
 }
 
+func (c *replayCommand) readTrace(ctx context.Context) (replay.Trace, error) {
+	client := platform.NewHTTPClient()
+	log := platform.NewHTTPLog(c.platform, client)
+	streams := strings.Split(c.streams, ",")
+	if c.during == 0 {
+		return replay.Record(ctx, log, c.header, streams)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.during)
+	defer cancel()
+	recorder := &replay.Recorder{
+		Log: log, VMs: platform.NewHTTPVMs(c.platform, client), Workers: platform.NewHTTPWorkers(client), Streams: streams,
+	}
+	return recorder.Record(ctx, c.header)
+}
+
 func (c *replayCommand) play(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
--- /dev/null
+++ b/replay/judgement.go
@@ -0,0 +1,79 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/job"
+	"github.com/anvilcourse/anvilcourse/platform"
+)
+
+const (
+	// Open is the outcome of a judgement while nothing is proved.
+	Open = "open"
+	// Missing is the outcome of a judgement of what its stream does not hold.
+	Missing = "missing"
+)
+
+// OrderJudgement asks what a VM's record proves of an open claim.
+type OrderJudgement struct {
+	Stream string `json:"stream"`
+	// Order is the order's ID.
+	Order string `json:"order"`
+	// List is the VM's record. Lines of other tasks may be left out.
+	List platform.TaskList `json:"list"`
+	// OpenForMS is the time for which the claim was known to be open, in
+	// milliseconds.
+	OpenForMS int64 `json:"open_for_ms"`
+	// Outcome is the end that is proved, Open or Missing.
+	Outcome string `json:"outcome"`
+}
+
+// JobJudgement asks what a VM's record proves of a job's claimed start.
+type JobJudgement struct {
+	Stream string `json:"stream"`
+	// Job is the job's ID.
+	Job string `json:"job"`
+	// List is the VM's record. Lines of other tasks may be left out.
+	List platform.TaskList `json:"list"`
+	// Silent is set if the VM did not answer.
+	Silent bool `json:"silent,omitempty"`
+	// OpenForMS is the time for which the start was known to be open, and
+	// SilentForMS that since the VM last answered, in milliseconds.
+	OpenForMS   int64 `json:"open_for_ms"`
+	SilentForMS int64 `json:"silent_for_ms,omitempty"`
+	// Outcome is the end that is proved, Open or Missing.
+	Outcome string `json:"outcome"`
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (p *Player) judgeOrder(j OrderJudgement) string {
+	order, ok := p.State(j.Stream).Orders.Get(j.Order)
+	if !ok {
+		return Missing
+	}
+	settle := dispatch.JudgeOrder(order, j.List, milliseconds(j.OpenForMS))
+	if settle == nil {
+		return Open
+	}
+	return string(settle.End)
+}
+
+func (p *Player) judgeJob(j JobJudgement) string {
+	found, ok := p.State(j.Stream).Jobs.Get(j.Job)
+	if !ok {
+		return Missing
+	}
+	var err error
+	if j.Silent {
+		err = &platform.Error{Op: "worker.list", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+	}
+	end := job.Judge(found, j.List, err, milliseconds(j.OpenForMS), milliseconds(j.SilentForMS))
+	if end == nil {
+		return Open
+	}
+	return string(end.End)
+}
--- a/replay/player.go
+++ b/replay/player.go
@@ -27,6 +27,8 @@
 // Player replays steps. The zero Player is not usable; see NewPlayer.
 type Player struct {
 	states map[string]*statemachine.State
+	// line is where the trace's requests wait, once one of its events came.
+	line *playedLine
 }
 
 // NewPlayer returns a player at the beginning of every stream.
@@ -58,10 +60,20 @@
 
 // Step replays one step and returns its stated and its actual outcomes.
 func (p *Player) Step(step Step) (stated, got []string) {
-	if step.Request != nil {
+	switch {
+	case step.Request != nil:
 		return []string{step.Request.Outcome}, []string{p.request(*step.Request)}
+	case step.Order != nil:
+		return []string{step.Order.Outcome}, []string{p.judgeOrder(*step.Order)}
+	case step.Job != nil:
+		return []string{step.Job.Outcome}, []string{p.judgeJob(*step.Job)}
+	case step.Plan != nil:
+		return step.Plan.Outcomes, p.plan(*step.Plan)
+	case step.Line != nil:
+		return step.Line.Outcomes, p.lineEvent(*step.Line)
+	default:
+		return step.Append.Outcomes, p.append(*step.Append)
 	}
-	return step.Append.Outcomes, p.append(*step.Append)
 }
 
 func (p *Player) request(r Request) string {
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -11,6 +11,9 @@
 // maxLineBytes bounds one line of a trace.
 const maxLineBytes = 16 << 20
 
+// maxRan bounds the requests of one LineRan.
+const maxRan = 100_000
+
 // Trace is a recorded run. Its file has the header on the first line and one
 // step on each further line, all in JSON.
 type Trace struct {
@@ -29,8 +32,23 @@
 
 // Step is one line of a trace. Exactly one member is set.
 type Step struct {
-	Append  *Append  `json:"append,omitempty"`
-	Request *Request `json:"request,omitempty"`
+	Append  *Append         `json:"append,omitempty"`
+	Request *Request        `json:"request,omitempty"`
+	Order   *OrderJudgement `json:"order,omitempty"`
+	Job     *JobJudgement   `json:"job,omitempty"`
+	Plan    *Planning       `json:"plan,omitempty"`
+	Line    *LineEvent      `json:"line,omitempty"`
+}
+
+// members returns the number of members that are set.
+func (s Step) members() int {
+	count := 0
+	for _, set := range []bool{s.Append != nil, s.Request != nil, s.Order != nil, s.Job != nil, s.Plan != nil, s.Line != nil} {
+		if set {
+			count++
+		}
+	}
+	return count
 }
 
 // Append is a payload of a stream with the stated outcome of each record.
@@ -91,8 +109,11 @@
 	if err := json.Unmarshal(raw, &step); err != nil {
 		return err
 	}
-	if (step.Append == nil) == (step.Request == nil) {
-		return errors.New("a step holds either an append or a request")
+	if step.members() != 1 {
+		return errors.New("a step holds one of append, request, order, job, plan and line")
+	}
+	if step.Line != nil && step.Line.Ran != nil && step.Line.Ran.Count > maxRan {
+		return errors.Newf("a step tells of %d requests, and may tell of %d", step.Line.Ran.Count, maxRan)
 	}
 	t.Steps = append(t.Steps, step)
 	return nil
