--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -1,8 +1,13 @@
 package entry
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 
+	"github.com/gin-gonic/gin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,3 +26,30 @@
 		require.LessOrEqual(t, timeout, maxTimeout)
 	})
 }
+
+// FuzzCallerHeaders checks that no header of a caller or operator makes the
+// entry crash, admit a key that was not shown or take a version that is none.
+func FuzzCallerHeaders(f *testing.F) {
+	for _, seed := range []string{"", "Bearer ", "Bearer ak_1", "bearer ak_1", "Basic eDp5", `"3"`, "18446744073709551616", "-1", "*", "W/\"3\"", "\x00"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		recorder := httptest.NewRecorder()
+		g, _ := gin.CreateTestContext(recorder)
+		g.Request = httptest.NewRequest(http.MethodPost, "/", nil)
+		g.Request.Header["Authorization"] = []string{text}
+		g.Request.Header["If-Match"] = []string{text}
+		if key := bearer(g); key != "" {
+			require.Equal(t, text, "Bearer "+key)
+		}
+		version, ok := expectedVersion(g)
+		if !ok {
+			require.Equal(t, http.StatusBadRequest, recorder.Code)
+			require.Contains(t, recorder.Body.String(), `"not_run"`)
+			return
+		}
+		if version != 0 {
+			require.Equal(t, strconv.FormatUint(version, 10), strings.TrimLeft(strings.Trim(text, `"`), "0"))
+		}
+	})
+}
--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -34,13 +34,14 @@
 		fx.Annotate(newJobStopStep, fx.ResultTags(`group:"stop_steps"`)),
 		fx.Annotate(newJobRoutes, fx.ResultTags(`group:"caller_routes"`)),
 	),
+	fx.Invoke(publishJobs),
 )
 
 func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) jobShards {
 	return jobShards{&shardSet{
 		prefix: jobsStream, count: s.JobStreams, control: stream,
 		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s),
+		policy: snapshotPolicy(s), counters: newWorkCounters(),
 	}}
 }
 
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -32,13 +32,14 @@
 		fx.Annotate(newOrderTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newOrderStopStep, fx.ResultTags(`group:"stop_steps"`)),
 	),
+	fx.Invoke(publishOrders),
 )
 
 func newOrderShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) orderShards {
 	return orderShards{&shardSet{
 		prefix: ordersStream, count: s.OrderStreams, control: stream,
 		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s),
+		policy: snapshotPolicy(s), counters: newWorkCounters(),
 	}}
 }
 
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -23,7 +23,9 @@
 	control *logstream.Stream
 	config  logstream.Config
 	policy  logstream.SnapshotPolicy
-	shards  atomic.Pointer[logstream.Shards]
+	// counters count the records of all streams.
+	counters *workCounters
+	shards   atomic.Pointer[logstream.Shards]
 }
 
 // get returns the streams, or nil while their number is not known.
@@ -54,6 +56,9 @@
 		if count, ok := s.control.State().StreamCounts.Get(s.prefix); ok {
 			shards := logstream.NewShards(s.prefix, count, s.config)
 			shards.KeepSnapshots(s.policy, func() bool { return isFirst(s.control.State(), s.config.Writer) })
+			for _, stream := range shards.All() {
+				stream.Observe(s.counters.observe)
+			}
 			s.shards.Store(shards)
 			shards.Run(ctx)
 			return
--- /dev/null
+++ b/entry/workcounters_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
+)
+
+// TestWorkCounters_CountRecords applies records of orders and jobs, void ones
+// among them, and checks the counters.
+func TestWorkCounters_CountRecords(t *testing.T) {
+	counters := newWorkCounters()
+	state := statemachine.New()
+	var seq uint64
+	write := func(commands ...statemachine.Command) {
+		for _, command := range commands {
+			seq++
+			batch := statemachine.Batch{Writer: "e", AtMS: 1000, Records: []statemachine.Record{{Seq: seq, Command: command}}}
+			next, results := state.Apply(state.Next, batch)
+			state = next
+			counters.observe(state, results)
+		}
+	}
+	claim := &statemachine.Claim{Key: "k", KeyMS: 1000, Team: "porto"}
+	order := statemachine.OrderID("porto", "k")
+	settle := &statemachine.ClaimSettle{Order: order, Attempt: 1, End: statemachine.OrderAnswered}
+	write(claim, claim, settle, settle)
+	end := func(id string, attempt int, end statemachine.JobAttemptEnd) statemachine.Command {
+		return &statemachine.JobEnd{ID: id, Epoch: 1, Attempt: attempt, End: end}
+	}
+	write(
+		&statemachine.JobAccept{ID: "a", Team: "porto", Idempotent: true}, &statemachine.JobStart{ID: "a", Epoch: 1},
+		end("a", 1, statemachine.JobAttemptLost), &statemachine.JobStart{ID: "a", Epoch: 1}, end("a", 2, statemachine.JobAttemptAnswered),
+		&statemachine.JobAccept{ID: "b", Team: "porto"}, &statemachine.JobCancel{ID: "b", Team: "porto"}, &statemachine.JobCancel{ID: "b", Team: "porto"},
+		&statemachine.JobAccept{ID: "c", Team: "porto"}, &statemachine.JobStart{ID: "c", Epoch: 1}, &statemachine.JobCancel{ID: "c", Team: "porto"},
+		end("c", 1, statemachine.JobAttemptStopped),
+	)
+	require.JSONEq(t, `{"claimed":1,"repeated":1,"answered":1,"accepted":3,"started":3,"done":1,"cancelled":2}`, counters.vars.String())
+}
--- a/settings/reference_test.go
+++ b/settings/reference_test.go
@@ -40,3 +40,34 @@
 		require.NotEmpty(t, out.OperatorKeyHashes)
 	})
 }
+
+// FuzzDecodeStandin is FuzzDecode for the stand-in.
+func FuzzDecodeStandin(f *testing.F) {
+	for _, seed := range []string{`{}`, `{"listen":"x"}`, `{"availability_zones":["a"],"pools":[{"name":"p","vms":1}]}`, `{"pools":[{}]}`, `{"slots":-1}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		out := DefaultStandin()
+		if Decode(raw, &out) == nil {
+			require.NoError(t, Check(out))
+			require.NotEmpty(t, out.Pools)
+			require.Positive(t, out.Slots)
+		}
+	})
+}
+
+// FuzzDecodeCatalog checks that what is accepted as a catalog has something to
+// publish.
+func FuzzDecodeCatalog(f *testing.F) {
+	for _, seed := range []string{`{}`, `{"pools":[{"name":"p"}],"workspaces":[{"name":"w"}]}`, `{"template":{"queues":[{"class":"x"}]}}`, `{"pools":null}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var out Catalog
+		if Decode(raw, &out) == nil {
+			require.NoError(t, Check(out))
+			require.NotEmpty(t, out.Pools)
+			require.NotEmpty(t, out.Workspaces)
+		}
+	})
+}
