--- a/command/key.go
+++ b/command/key.go
@@ -19,7 +19,7 @@
 func (*keyCommand) Name() string     { return "key" }
 func (*keyCommand) Synopsis() string { return "grant, withdraw or list callers' keys" }
 func (*keyCommand) Usage() string {
-	return "key grant [-label TEXT] WORKSPACE | withdraw HASH | list\n  Flags come before the verb. A key is shown only when it is granted.\n"
+	return "key [-label TEXT] grant WORKSPACE | withdraw HASH | list\n  Flags come before the verb. A key is shown only when it is granted.\n"
 }
 
 func (c *keyCommand) SetFlags(f *flag.FlagSet) {
--- a/command/run.go
+++ b/command/run.go
@@ -50,9 +50,14 @@
 	c.Register(&timelineCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 }
 
+// report prints an error that does not end the command.
+func (o *output) report(err error) {
+	fmt.Fprintln(o.stderr, "anvilcourse: "+err.Error())
+}
+
 // fail prints the error and returns the failure code.
 func (o *output) fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(o.stderr, "anvilcourse: "+err.Error())
+	o.report(err)
 	return subcommands.ExitFailure
 }
 
--- a/command/status.go
+++ b/command/status.go
@@ -47,21 +47,16 @@
 	return c.done(c.print(status))
 }
 
-// watchSystem shows one overview after the other. The first must succeed;
-// later an entry that does not answer for a while is waited for.
+// watchSystem shows one overview after the other.
 func (c *statusCommand) watchSystem(ctx context.Context) subcommands.ExitStatus {
 	if err := c.watch.check(); err != nil {
 		return c.usage("%s", err.Error())
 	}
 	var last *overview
-	return c.done(c.watch.run(ctx, func(ctx context.Context) error {
+	return c.done(c.watch.run(ctx, c.report, func(ctx context.Context) error {
 		next, err := c.look(ctx, last)
 		if err != nil {
-			if last == nil {
-				return err
-			}
-			fmt.Fprintln(c.stderr, "anvilcourse: "+err.Error())
-			return nil
+			return err
 		}
 		last = next
 		return c.show(next)
--- a/command/template.go
+++ b/command/template.go
@@ -20,7 +20,7 @@
 func (*templateCommand) Name() string     { return "template" }
 func (*templateCommand) Synopsis() string { return "publish, amend or show templates" }
 func (*templateCommand) Usage() string {
-	return "template publish FILE | amend -version N FILE | show [NAME]\n  Flags come before the verb.\n"
+	return "template publish FILE | -version N amend FILE | show [NAME]\n  Flags come before the verb.\n"
 }
 
 func (c *templateCommand) SetFlags(f *flag.FlagSet) {
@@ -62,19 +62,16 @@
 }
 
 func (c *templateCommand) show(ctx context.Context, name string) subcommands.ExitStatus {
-	var list []statemachine.Template
-	if err := c.client().Get(ctx, "/v1/templates", &list); err != nil {
+	list, err := shown[statemachine.Template](ctx, c.client(), "/v1/templates", name)
+	if err != nil {
 		return c.fail(err)
 	}
 	if c.json {
-		return c.done(c.printJSON(list))
+		return c.done(printShown(&c.operatorCommand, name, list))
 	}
 	table := c.table()
 	fmt.Fprintln(table, "TEMPLATE\tVERSION\tQUEUE\tCLASS\tIDEMPOTENT\tTIMEOUT")
 	for _, t := range list {
-		if name != "" && t.Name != name {
-			continue
-		}
 		for _, q := range t.Queues {
 			fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%t\t%d ms\n", t.Name, t.Version, q.Name, q.Class, !q.RunsAtMostOnce(), q.TimeoutMS)
 		}
--- a/command/timeline.go
+++ b/command/timeline.go
@@ -70,9 +70,8 @@
 	var rings [][]timeline.Event
 	for _, entry := range status.Entries {
 		answer, err := c.clientAt("http://"+entry.Operators).Timeline(ctx, c.filter)
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			fmt.Fprintf(c.stderr, "entry %s does not answer: %v\n", entry.Incarnation, err)
-			continue
 		}
 		rings = append(rings, answer.Events)
 	}
@@ -84,21 +83,15 @@
 	if err := c.watch.check(); err != nil {
 		return c.usage("%s", err.Error())
 	}
+	if !c.json {
+		fmt.Fprintf(c.stdout, followFormat, "TIME", "ENTRY", "OFFSET", "EVENT", "TEAM", "VM", "WAVE", "REQUEST", "DETAIL")
+	}
 	var seen timeline.Cursor
-	begun := false
-	return c.done(c.watch.run(ctx, func(ctx context.Context) error {
+	return c.done(c.watch.run(ctx, c.report, func(ctx context.Context) error {
 		events, err := c.events(ctx)
-		if err != nil && begun {
-			fmt.Fprintln(c.stderr, "anvilcourse: "+err.Error())
-			return nil
-		}
 		if err != nil {
 			return err
 		}
-		if !begun && !c.json {
-			fmt.Fprintf(c.stdout, followFormat, "TIME", "ENTRY", "OFFSET", "EVENT", "TEAM", "VM", "WAVE", "REQUEST", "DETAIL")
-		}
-		begun = true
 		return c.showEvents(seen.Next(events))
 	}))
 }
--- a/command/vm.go
+++ b/command/vm.go
@@ -21,7 +21,7 @@
 func (*vmCommand) Name() string     { return "vm" }
 func (*vmCommand) Synopsis() string { return "list VMs or move one to another pool" }
 func (*vmCommand) Usage() string {
-	return "vm list | move -from POOL -to POOL -version N VM\n  Flags come before the verb.\n"
+	return "vm list | -from POOL -to POOL -version N move VM\n  Flags come before the verb.\n"
 }
 
 func (c *vmCommand) SetFlags(f *flag.FlagSet) {
--- a/command/watch.go
+++ b/command/watch.go
@@ -41,16 +41,21 @@
 }
 
 // run looks again and again until the time is over or the context ends, which
-// is how a signal ends it. Look returns an error only if it is of no use to go
-// on.
-func (w *watch) run(ctx context.Context, look func(context.Context) error) error {
+// is how a signal ends it. The first look must succeed. The error of a later one
+// is reported, and the next look may succeed again.
+func (w *watch) run(ctx context.Context, report func(error), look func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, w.limit)
 	defer cancel()
 	ticker := time.NewTicker(w.every)
 	defer ticker.Stop()
-	for {
-		if err := look(ctx); err != nil && ctx.Err() == nil {
+	for first := true; ; first = false {
+		err := look(ctx)
+		switch {
+		case err == nil || ctx.Err() != nil:
+		case first:
 			return err
+		default:
+			report(err)
 		}
 		select {
 		case <-ctx.Done():
--- a/command/wave.go
+++ b/command/wave.go
@@ -30,7 +30,7 @@
 func (*waveCommand) Name() string     { return "wave" }
 func (*waveCommand) Synopsis() string { return "start, steer and watch maintenance waves" }
 func (*waveCommand) Usage() string {
-	return "wave status | start -pools A,B [-deadline T] [-parallel N] [-max-failures N] ID | pause ID | resume ID | abort ID\n" +
+	return "wave status | -pools A,B [-deadline T] [-parallel N] [-max-failures N] start ID | pause ID | resume ID | abort ID\n" +
 		"  Flags come before the verb.\n"
 }
 
--- a/command/workspace.go
+++ b/command/workspace.go
@@ -21,7 +21,7 @@
 func (*workspaceCommand) Name() string     { return "workspace" }
 func (*workspaceCommand) Synopsis() string { return "set or show workspaces" }
 func (*workspaceCommand) Usage() string {
-	return "workspace set [-version N] FILE | show\n  Flags come before the verb. Without -version the workspace is created.\n"
+	return "workspace [-version N] set FILE | show [NAME]\n  Flags come before the verb. Without -version the workspace is created.\n"
 }
 
 func (c *workspaceCommand) SetFlags(f *flag.FlagSet) {
@@ -34,9 +34,9 @@
 	case f.Arg(0) == "set" && f.Arg(1) != "":
 		return c.set(ctx, f.Arg(1))
 	case f.Arg(0) == "show":
-		return c.show(ctx)
+		return c.show(ctx, f.Arg(1))
 	default:
-		return c.usage("workspace takes set FILE or show")
+		return c.usage("workspace takes set FILE or show [NAME]")
 	}
 }
 
@@ -56,13 +56,13 @@
 	return c.accepted(accepted)
 }
 
-func (c *workspaceCommand) show(ctx context.Context) subcommands.ExitStatus {
-	var list []statemachine.Workspace
-	if err := c.client().Get(ctx, "/v1/workspaces", &list); err != nil {
+func (c *workspaceCommand) show(ctx context.Context, name string) subcommands.ExitStatus {
+	list, err := shown[statemachine.Workspace](ctx, c.client(), "/v1/workspaces", name)
+	if err != nil {
 		return c.fail(err)
 	}
 	if c.json {
-		return c.done(c.printJSON(list))
+		return c.done(printShown(&c.operatorCommand, name, list))
 	}
 	table := c.table()
 	fmt.Fprintln(table, "WORKSPACE\tVERSION\tTEMPLATE\tTEAM\tSHARE\tLIMIT\tOPEN QUEUES")
