--- a/entry/shards.go
+++ b/entry/shards.go
@@ -25,7 +25,9 @@
 	policy  logstream.SnapshotPolicy
 	// counters count the records of all streams.
 	counters *workCounters
-	shards   atomic.Pointer[logstream.Shards]
+	// observe is told of each payload of every stream, if set.
+	observe logstream.Observer
+	shards  atomic.Pointer[logstream.Shards]
 }
 
 // get returns the streams, or nil while their number is not known.
@@ -56,9 +58,7 @@
 		if count, ok := s.control.State().StreamCounts.Get(s.prefix); ok {
 			shards := logstream.NewShards(s.prefix, count, s.config)
 			shards.KeepSnapshots(s.policy, func() bool { return isFirst(s.control.State(), s.config.Writer) })
-			for _, stream := range shards.All() {
-				stream.Observe(s.counters.observe)
-			}
+			s.watch(shards)
 			s.shards.Store(shards)
 			shards.Run(ctx)
 			return
@@ -71,6 +71,16 @@
 	}
 }
 
+// watch registers the observers of all streams.
+func (s *shardSet) watch(shards *logstream.Shards) {
+	for _, stream := range shards.All() {
+		stream.Observe(s.counters.observe)
+		if s.observe != nil {
+			stream.Observe(s.observe)
+		}
+	}
+}
+
 // propose writes the number of the settings. An earlier record makes it void.
 // It waits until the end of the control stream has been read.
 func (s *shardSet) propose(ctx context.Context) {
--- a/load/jobs.go
+++ b/load/jobs.go
@@ -174,7 +174,7 @@
 	r.fates.told(j.task(), j.once(), told)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if seen.State == doneJob && !belongs(j.body, seen.Answer) {
+	if _, whole := answerOf(j.body, seen.Answer); seen.State == doneJob && !whole {
 		r.wrongJobs++
 	}
 	fault := j.fault(seen)
--- a/load/requests.go
+++ b/load/requests.go
@@ -59,28 +59,34 @@
 	sent := time.Now()
 	req.team.sent(sent.Sub(r.start), req.work)
 	r.classes[req.class].begin()
-	outcome, wrong := r.call(ctx, req, entry)
-	took := time.Since(sent)
-	req.team.ended(outcome, time.Since(r.start), took, req.work, wrong)
-	r.classes[req.class].end(outcome, took, outcome == answered)
+	end := r.call(ctx, req, entry)
+	req.team.ended(end)
+	r.classes[req.class].end(end.outcome, end.took, end.outcome == answered)
 }
 
 // repeat sends an order again. Its end counts for the promises alone.
 func (r *runner) repeat(ctx context.Context, req *request, entry string) {
-	if _, wrong := r.call(ctx, req, entry); wrong {
+	if end := r.call(ctx, req, entry); end.wrong {
 		req.team.countWrong()
 	}
 }
 
-// call sends the request through the entry. Wrong tells that its answer is
-// not its own.
-func (r *runner) call(ctx context.Context, req *request, entry string) (outcome string, wrong bool) {
+// call sends the request through the entry and returns its end.
+func (r *runner) call(ctx context.Context, req *request, entry string) ending {
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout+callMargin)
 	defer cancel()
 	reply, err := api.NewClient(entry, req.team.key, r.cfg.HTTP).Submit(ctx, req.queue, req.body, r.cfg.Timeout, req.key)
-	outcome = outcomeOf(err)
-	r.fates.told(req.task(reply, err), req.class == ClassOrder, outcome)
-	return outcome, err == nil && !belongs(req.body, reply.Body)
+	out := ending{outcome: outcomeOf(err), took: time.Since(sent)}
+	r.fates.told(req.task(reply, err), req.class == ClassOrder, out.outcome)
+	if err != nil {
+		return out
+	}
+	answer, whole := answerOf(req.body, reply.Body)
+	out.wrong = !whole
+	out.started = time.UnixMicro(answer.StartedUS).Sub(r.start.Round(0))
+	out.held = time.Duration(answer.EndedUS-answer.StartedUS) * time.Microsecond
+	return out
 }
 
 // task returns the ID of the request's task, or "" if it got none.
@@ -108,11 +114,12 @@
 	return unknown
 }
 
-// belongs reports whether the answer is whole and is that of the request.
-func belongs(body, answer []byte) bool {
+// answerOf returns the worker's answer, and whether it is whole and is that of
+// the request.
+func answerOf(body, answer []byte) (standin.TaskAnswer, bool) {
 	var read standin.TaskAnswer
 	if err := json.Unmarshal(answer, &read); err != nil {
-		return false
+		return read, false
 	}
-	return read.Digest == standin.Digest(body)
+	return read, read.Digest == standin.Digest(body)
 }
--- a/replay/judgement.go
+++ b/replay/judgement.go
@@ -71,7 +71,7 @@
 	if j.Silent {
 		err = &platform.Error{Op: "worker.list", Outcome: platform.Unknown, Code: platform.CodeTimeout}
 	}
-	end := job.Judge(found, j.List, err, milliseconds(j.OpenForMS), milliseconds(j.SilentForMS))
+	end := job.JudgeStart(found, j.List, err, milliseconds(j.OpenForMS), milliseconds(j.SilentForMS))
 	if end == nil {
 		return Open
 	}
