--- a/command/vm.go
+++ b/command/vm.go
@@ -25,8 +25,8 @@
 	return "list VMs, move one to another pool, quarantine or release one"
 }
 func (*vmCommand) Usage() string {
-	return "vm list | move -from POOL -to POOL -version N VM\n" +
-		"   | quarantine -version N [-message TEXT] VM | release -version N VM\n  Flags come before the verb.\n"
+	return "vm list | -from POOL -to POOL -version N move VM\n" +
+		"   | -version N [-message TEXT] quarantine VM | -version N release VM\n  Flags come before the verb.\n"
 }
 
 func (c *vmCommand) SetFlags(f *flag.FlagSet) {
--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -33,6 +33,7 @@
 		fx.Annotate(newJobStopStep, fx.ResultTags(`group:"stop_steps"`)),
 		fx.Annotate(newJobRoutes, fx.ResultTags(`group:"caller_routes"`)),
 	),
+	fx.Invoke(publishJobs),
 )
 
 func newJobShards(s settings.Entry, divide newShards, judge *quarantine.Judge) jobShards {
--- a/entry/module_log.go
+++ b/entry/module_log.go
@@ -59,7 +59,7 @@
 		Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer,
 	}
 	return func(prefix string, count int) *shardSet {
-		return &shardSet{prefix: prefix, count: count, control: control, config: config, policy: snapshotPolicy(s)}
+		return &shardSet{prefix: prefix, count: count, control: control, config: config, policy: snapshotPolicy(s), counters: newWorkCounters()}
 	}
 }
 
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -30,6 +30,7 @@
 		fx.Annotate(newOrderTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newOrderStopStep, fx.ResultTags(`group:"stop_steps"`)),
 	),
+	fx.Invoke(publishOrders),
 )
 
 func newOrderShards(s settings.Entry, divide newShards) orderShards {
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -23,6 +23,8 @@
 	control *logstream.Stream
 	config  logstream.Config
 	policy  logstream.SnapshotPolicy
+	// counters count the records of all streams.
+	counters *workCounters
 	// observe is told of each payload of every stream, if set.
 	observe logstream.Observer
 	shards  atomic.Pointer[logstream.Shards]
@@ -69,12 +71,13 @@
 	}
 }
 
+// watch registers the observers of all streams.
 func (s *shardSet) watch(shards *logstream.Shards) {
-	if s.observe == nil {
-		return
-	}
 	for _, stream := range shards.All() {
-		stream.Observe(s.observe)
+		stream.Observe(s.counters.observe)
+		if s.observe != nil {
+			stream.Observe(s.observe)
+		}
 	}
 }
 
