Return what a loan does not use when another entry lacks it

Cause: when demand moves from one entry to another, the units stayed with the entry that had borrowed them until they had been idle for 500 ms as a whole loan, or, with one task running, until the lender refused to extend it, up to 2 s. An entry that told nothing to spare was not asked, so nobody heard of the lack. Ruled out: the size of a loan (it asks for twice the requests that wait) and the time of the transfer itself (57 ms measured before). Change: a request that a lender can't meet in full makes it return, at its next round of 50 ms, the parts of its own loans that are unused, if it has lacked nothing for 200 ms. Entries that tell no spare are asked too, after the others, and again after 100 ms. A loan is lowered before the lender is told, and only ever falls, so that a lost, late or doubled return gives nothing out twice. The rotation benchmark measures 0.8 times the limit besides 0.54. Changed test: TestModel_NaiveVariantsBreakIt may look at ten times as many schedules until the first broken one. The test still fails if a variant is not broken.

--- a/cmd/anvilcourse/limits_bench_test.go
+++ b/cmd/anvilcourse/limits_bench_test.go
@@ -17,15 +17,16 @@
 	// rotationWork is the run time of a task, so that the limit allows 480 a
 	// second.
 	rotationWork = 50 * time.Millisecond
-	// rotationMean is the mean demand at an entry, per second. At five times
-	// the mean at one and a twentieth at the others, demand is 0.54 times what
-	// the limit allows.
-	rotationMean    = 50
-	rotationHot     = 5.0
-	rotationCold    = 0.05
-	rotationPeriod  = 3 * time.Second
-	rotationPeriods = 4
-	rotationTimeout = 500 * time.Millisecond
+	// rotationMean and rotationHighMean are mean demands at an entry, per second.
+	// At five times the mean at one and a twentieth at the others, demand is 0.54
+	// and 0.80 times what the limit allows.
+	rotationMean     = 50
+	rotationHighMean = 74.5
+	rotationHot      = 5.0
+	rotationCold     = 0.05
+	rotationPeriod   = 3 * time.Second
+	rotationPeriods  = 4
+	rotationTimeout  = 500 * time.Millisecond
 )
 
 // outcomes counts how requests ended.
@@ -59,8 +60,9 @@
 	}
 }
 
-// rotate lets the demand go round the entries.
-func (l *limited) rotate() *outcomes {
+// rotate lets the demand go round the entries. Mean is that at an entry, per
+// second.
+func (l *limited) rotate(mean float64) *outcomes {
 	out := &outcomes{}
 	for period := range rotationPeriods {
 		var wg sync.WaitGroup
@@ -69,7 +71,7 @@
 			if entry == period%len(l.Entries) {
 				factor = rotationHot
 			}
-			wg.Go(func() { l.offer(entry, factor*rotationMean, rotationPeriod, out) })
+			wg.Go(func() { l.offer(entry, factor*mean, rotationPeriod, out) })
 		}
 		wg.Wait()
 	}
@@ -81,13 +83,19 @@
 func BenchmarkLimits_Rotation(b *testing.B) {
 	for _, mode := range []struct {
 		name    string
+		mean    float64
 		noLoans bool
-	}{{"even parts", true}, {"loans", false}} {
+	}{
+		{"even parts", rotationMean, true},
+		{"loans", rotationMean, false},
+		{"even parts at 0.8", rotationHighMean, true},
+		{"loans at 0.8", rotationHighMean, false},
+	} {
 		b.Run(mode.name, func(b *testing.B) {
 			for range b.N {
 				l := startAmended(b, rotationLimit, rotationEntries, func(s *settings.Entry) { s.NoLoans = mode.noLoans })
 				b.ResetTimer()
-				out := l.rotate()
+				out := l.rotate(mode.mean)
 				total := out.answered.Load() + out.refused.Load()
 				b.ReportMetric(float64(total), "requests")
 				b.ReportMetric(100*float64(out.refused.Load())/float64(total), "%refused")
--- a/quota/borrowed.go
+++ b/quota/borrowed.go
@@ -17,6 +17,8 @@
 	ends atomic.Pointer[time.Time]
 	// usedAt is when the loan was last seen in use.
 	usedAt time.Time
+	// told is the amount that the lender knows of.
+	told int
 	// reported is what the lender knows to run under the closed loan, or -1.
 	reported int
 }
@@ -46,3 +48,17 @@
 	b.amount.Store(0)
 	return int(b.running.Load())
 }
+
+// unused reports whether the loan has units under which nothing runs.
+func (b *borrowed) unused() bool {
+	return b.running.Load() < b.amount.Load()
+}
+
+// shrink lowers the loan to what runs under it and returns an amount that will
+// never be passed again. A concurrent acquire sees the lowered loan or is seen
+// here.
+func (b *borrowed) shrink() int {
+	kept := min(b.amount.Load(), b.running.Load())
+	b.amount.Store(kept)
+	return int(max(kept, b.running.Load()))
+}
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -21,7 +22,10 @@
 	// refused in one interval.
 	refusalsPerRequest = 10
 	// askedFor keeps further requests away from a lender that was just asked.
-	askedFor = 200 * time.Millisecond
+	askedFor = 100 * time.Millisecond
+	// recallFor is how long a request that could not be met makes this entry
+	// return what it has borrowed and does not use.
+	recallFor = 200 * time.Millisecond
 	// lendersPerRound bounds the lenders that one round asks for a team.
 	lendersPerRound = 3
 	// extendBefore is the time before its end at which a used loan is extended.
@@ -44,12 +48,14 @@
 
 	sequence uint64
 	refused  map[string]int64
-	asked    map[string]time.Time
+	// lacked is when the entry last refused work, by team.
+	lacked map[string]time.Time
+	asked  map[string]time.Time
 }
 
 // NewBorrower returns the borrower of the entry incarnation.
 func NewBorrower(self string, ledger *Ledger, peers Peers, caller Caller, clock clockwork.Clock) *Borrower {
-	return &Borrower{self: self, ledger: ledger, peers: peers, caller: caller, clock: clock, refused: make(map[string]int64), asked: make(map[string]time.Time)}
+	return &Borrower{self: self, ledger: ledger, peers: peers, caller: caller, clock: clock, refused: make(map[string]int64), lacked: make(map[string]time.Time), asked: make(map[string]time.Time)}
 }
 
 // Run borrows and returns until the context ends.
@@ -86,11 +92,14 @@
 	if refused <= 0 {
 		return 0
 	}
+	b.lacked[team] = b.clock.Now()
 	return 1 + 2*int(refused)/refusalsPerRequest
 }
 
 // choose returns the lenders to ask: those in the same availability zone
-// first, then those with most to spare.
+// first, then those with most to spare. One that has nothing to spare, as far
+// as its latest heartbeat tells, is asked too: the request makes it return what
+// it has borrowed and does not use.
 func (b *Borrower) choose(team string, want int) []Peer {
 	if want == 0 {
 		return nil
@@ -99,7 +108,7 @@
 	maps.DeleteFunc(b.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= askedFor })
 	lenders := slices.DeleteFunc(b.peers.Lenders(team), func(p Peer) bool {
 		_, asked := b.asked[p.Incarnation+loanSeparator+team]
-		return p.Spare <= 0 || asked
+		return asked
 	})
 	slices.SortFunc(lenders, comparePeers)
 	lenders = lenders[:min(len(lenders), lendersPerRound)]
@@ -110,6 +119,9 @@
 }
 
 func comparePeers(a, b Peer) int {
+	if (a.Spare > 0) != (b.Spare > 0) {
+		return cmp.Compare(b.Spare, a.Spare)
+	}
 	if a.SameZone != b.SameZone {
 		if a.SameZone {
 			return -1
@@ -128,17 +140,25 @@
 // ends LoanTTL after the request was sent, before the lender counts its end.
 func (b *Borrower) borrow(ctx context.Context, id, team string, lender Peer, want int) {
 	sent := b.clock.Now()
-	granted := b.request(ctx, id, team, lender, min(want, max(1, lender.Spare)))
+	granted := b.request(ctx, id, team, lender, amountOf(want, lender))
 	if granted <= 0 {
 		return
 	}
-	loan := &borrowed{id: id, team: team, lender: lender, holder: loanHolder(lender.Incarnation, id), usedAt: sent, reported: -1}
+	loan := &borrowed{id: id, team: team, lender: lender, holder: loanHolder(lender.Incarnation, id), usedAt: sent, told: granted, reported: -1}
 	loan.amount.Store(int64(granted))
 	ends := sent.Add(LoanTTL)
 	loan.ends.Store(&ends)
 	b.ledger.addLoan(loan)
 }
 
+// amountOf is the amount to ask the lender for.
+func amountOf(want int, lender Peer) int {
+	if lender.Spare <= 0 {
+		return want
+	}
+	return min(want, lender.Spare)
+}
+
 // request sends one loan request and returns the granted amount.
 func (b *Borrower) request(ctx context.Context, id, team string, lender Peer, amount int) int {
 	resp, err := b.caller.Call(ctx, lender.Address, &peerpb.Request{Body: &peerpb.Request_Loan{Loan: &peerpb.LoanRequest{
@@ -167,6 +187,8 @@
 			return nil
 		}
 		return b.giveBack
+	case b.recalled(loan, now):
+		return b.shrink
 	case loan.ended(now.Add(extendBefore)):
 		return b.extend
 	default:
@@ -174,6 +196,37 @@
 	}
 }
 
+// recalled reports whether the loan has units that another entry lacks and this
+// one does not, or whether the lender does not know of a lowered loan yet.
+func (b *Borrower) recalled(loan *borrowed, now time.Time) bool {
+	if int(loan.amount.Load()) < loan.told {
+		return true
+	}
+	since := now.Add(-recallFor)
+	return loan.unused() && b.ledger.askedSince(loan.team, since) && b.lacked[loan.team].Before(since)
+}
+
+// shrink returns the part of the loan under which nothing runs.
+func (b *Borrower) shrink(ctx context.Context, loan *borrowed) {
+	remaining := loan.shrink()
+	if remaining == 0 {
+		b.giveBack(ctx, loan)
+		return
+	}
+	if b.returnTo(ctx, loan, remaining) {
+		loan.told = remaining
+	}
+}
+
+// returnTo tells the lender what it gets back no more, and reports whether it
+// has answered.
+func (b *Borrower) returnTo(ctx context.Context, loan *borrowed, remaining int) bool {
+	resp, err := b.caller.Call(ctx, loan.lender.Address, &peerpb.Request{Body: &peerpb.Request_LoanReturn{LoanReturn: &peerpb.LoanReturn{
+		Id: loan.id, Team: loan.team, Remaining: int64(remaining),
+	}}})
+	return err == nil && resp.GetLoan().GetId() == loan.id
+}
+
 // extend asks the lender to move the end of the loan.
 func (b *Borrower) extend(ctx context.Context, loan *borrowed) {
 	sent := b.clock.Now()
@@ -188,10 +241,7 @@
 // giveBack tells the lender what still runs under a loan that is closed.
 func (b *Borrower) giveBack(ctx context.Context, loan *borrowed) {
 	remaining := loan.close()
-	resp, err := b.caller.Call(ctx, loan.lender.Address, &peerpb.Request{Body: &peerpb.Request_LoanReturn{LoanReturn: &peerpb.LoanReturn{
-		Id: loan.id, Team: loan.team, Remaining: int64(remaining),
-	}}})
-	answered := err == nil && resp.GetLoan().GetId() == loan.id
+	answered := b.returnTo(ctx, loan, remaining)
 	if answered {
 		loan.reported = remaining
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,6 +23,9 @@
 	demand atomic.Int64
 	// refused counts the attempts that found neither allotment nor loan.
 	refused atomic.Int64
+	// askedUS is when another entry last asked for more than this one could
+	// lend, in Unix microseconds.
+	askedUS atomic.Int64
 	// loans are the loans from other entries.
 	loans atomic.Pointer[[]*borrowed]
 }
--- a/quota/ledgerloans.go
+++ b/quota/ledgerloans.go
@@ -91,3 +91,17 @@
 	}
 	return sum
 }
+
+// noteAsked records that another entry asked for more of the team's limit than
+// this one could lend.
+func (l *Ledger) noteAsked(team string, now time.Time) {
+	if a := l.account(team); a != nil {
+		a.askedUS.Store(now.UnixMicro())
+	}
+}
+
+// askedSince reports whether another entry has asked in vain since the time.
+func (l *Ledger) askedSince(team string, since time.Time) bool {
+	a := l.account(team)
+	return a != nil && a.askedUS.Load() >= since.UnixMicro()
+}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -69,7 +69,11 @@
 		return l.extend(loan, team)
 	}
 	usage := l.ledger.Usage(team)
+	asked := amount
 	amount = min(amount, usage.Spare()-usage.Allotted/lendReserve)
+	if amount < asked {
+		l.ledger.noteAsked(team, l.clock.Now())
+	}
 	if amount <= 0 || !l.ledger.Lend(team, amount) {
 		return 0
 	}
--- a/quota/modelrun_test.go
+++ b/quota/modelrun_test.go
@@ -253,6 +253,7 @@
 // TestModel_NaiveVariantsBreakIt checks that the model finds the fault of each
 // variant with one mechanism switched off.
 func TestModel_NaiveVariantsBreakIt(t *testing.T) {
+	searchLonger(t)
 	for name, v := range map[string]variant{
 		"no wait before clearing": clearsWithoutWaiting,
 		"lender does not lower":   lendsWithoutLowering,
