Let an operator state that a removed entry is gone

Cause: if more than half of the entries end at once, the rest can't rule out that these work on together, cut off, and never return their parts of the limits. Ruled out: a time after which silent entries are cleared (a cut lasts as long as it lasts); a command that clears at once (a task that was left behind would run beside new ones). Change: a record EntryGone with the operator's name and reason, taken only of a removed entry; POST /v1/entries/NAME/gone, refused with 409 while the entry answers heartbeats; GET /v1/entries; the command member. The statement takes the place of the majority rule only: the clearing still waits for leases, loans and the VMs' records, counted from the statement, and starts anew if the entry answers. A false statement breaks the limit only if the entries so named find a majority without the log; that is argued, not tested.

--- a/command/run.go
+++ b/command/run.go
@@ -44,6 +44,7 @@
 	c.Register(&keyCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&poolCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&vmCommand{operatorCommand: operatorCommand{output: out}}, "operating")
+	c.Register(&memberCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&waveCommand{operatorCommand: operatorCommand{output: out}}, "operating")
 	c.Register(&loadCommand{operatorCommand: operatorCommand{output: out}}, "trying out")
 	c.Register(&statusCommand{operatorCommand: operatorCommand{output: out}}, "operating")
--- a/entry/module_limits.go
+++ b/entry/module_limits.go
@@ -37,6 +37,7 @@
 		newExpulsion,
 		fx.Annotate(newLimitsTasks, fx.ResultTags(`group:"tasks,flatten"`)),
 		fx.Annotate(newLoanHandler, fx.ResultTags(`group:"peers"`)),
+		fx.Annotate(newMemberRoutes, fx.ResultTags(`group:"operator_routes"`)),
 		fx.Annotate(newLeavingStep, fx.ResultTags(`group:"stop_steps"`)),
 	),
 )
--- a/entry/recordevents.go
+++ b/entry/recordevents.go
@@ -53,6 +53,9 @@
 		Request: subject.Request,
 		Detail:  subject.Entry,
 	}
+	if gone, ok := result.Command.(*statemachine.EntryGone); ok {
+		event.Detail += " is gone, says " + gone.By + ": " + gone.Reason
+	}
 	if result.Void != nil {
 		event.Detail = "void, " + result.Void.Error()
 	}
--- a/quota/clearer.go
+++ b/quota/clearer.go
@@ -30,14 +30,22 @@
 	removed  map[string]*clearing
 }
 
-// clearing is what is known of one removed entry. All of it stays true.
+// clearing is what is known of one removed entry. All of it stays true, unless
+// it rests on an operator's word and the entry answers after that.
 type clearing struct {
 	applied map[string]bool
-	// excluded is when the entry was first known to find no majority.
+	// excluded is when the entry was first known to find no majority, or to be
+	// gone by an operator's word.
 	excluded time.Time
 	vms      map[string]VMEvidence
 }
 
+// restart forgets what was counted from the exclusion.
+func (c *clearing) restart() {
+	c.excluded = time.Time{}
+	clear(c.vms)
+}
+
 // NewClearer returns the clearer of the entry incarnation.
 func NewClearer(self string, proposer Proposer, peers Peers, surveyor *Surveyor, bounds Bounds, clock clockwork.Clock, logger hclog.Logger) *Clearer {
 	return &Clearer{
@@ -78,6 +86,9 @@
 	c.note(known, entry)
 	facts := c.facts(state, known, entry)
 	if c.bounds.Stage(facts) == ClearWaitsForMajority {
+		if facts.Gone {
+			known.restart()
+		}
 		return
 	}
 	if known.excluded.IsZero() {
@@ -106,8 +117,11 @@
 }
 
 func (c *Clearer) facts(state *statemachine.State, known *clearing, entry *statemachine.Entry) ClearFacts {
+	_, answers := c.peers.Applied()[entry.Incarnation]
 	out := ClearFacts{
 		Electorate:  entry.Electorate,
+		Gone:        entry.Gone != nil,
+		Answers:     answers,
 		Unconfirmed: Unconfirmed(state, entry, func(incarnation string) bool { return known.applied[incarnation] }),
 	}
 	if !known.excluded.IsZero() {
--- a/quota/clearing.go
+++ b/quota/clearing.go
@@ -64,16 +64,29 @@
 	// Unconfirmed counts the entries, the removed one included, that joined
 	// before the removal and are not known to have applied it.
 	Unconfirmed int
+	// Gone tells whether an operator has stated that the entry runs no more.
+	Gone bool
+	// Answers tells whether the entry still answers heartbeats.
+	Answers bool
 	// Waited is the time since the removed entry was first known to find no
-	// majority, by the slower of the wall and the monotonic clock.
+	// majority or to be gone, by the slower of the wall and the monotonic clock.
 	Waited time.Duration
 	// VMs holds the evidence of every VM.
 	VMs []VMEvidence
 }
 
+// mayWorkOn reports whether the entry may still find a majority. The word of an
+// operator counts only while the entry is silent.
+func (f ClearFacts) mayWorkOn() bool {
+	if f.Gone && !f.Answers {
+		return false
+	}
+	return f.Electorate.CanHaveMajority(f.Unconfirmed)
+}
+
 // Stage decides what the clearing waits for.
 func (b Bounds) Stage(f ClearFacts) ClearStage {
-	if f.Electorate.CanHaveMajority(f.Unconfirmed) {
+	if f.mayWorkOn() {
 		return ClearWaitsForMajority
 	}
 	if f.Waited < b.ListAfter() {
--- a/statemachine/entry.go
+++ b/statemachine/entry.go
@@ -32,6 +32,8 @@
 	JoinedAt uint64 `json:"joined_at"`
 	// RemovedAt is the offset of the removal of a removed entry.
 	RemovedAt uint64 `json:"removed_at,omitempty"`
+	// Gone is an operator's word that a removed entry runs no more, or nil.
+	Gone *GoneStatement `json:"gone,omitempty"`
 	// Acknowledged is the membership version that the entry has last said it
 	// had applied.
 	Acknowledged uint64 `json:"acknowledged"`
@@ -90,6 +92,7 @@
 	entry.State = EntryJoined
 	entry.JoinedAt = ctx.offset
 	entry.RemovedAt = 0
+	entry.Gone = nil
 	entry.acknowledge(next.MembershipVersion, next.Entries.Len()+1)
 	next.Entries = next.Entries.Set(entry.Incarnation, &entry)
 	return nil
@@ -141,4 +144,5 @@
 	KindEntryAck:    func() Command { return &EntryAck{} },
 	KindEntryRemove: func() Command { return &EntryRemove{} },
 	KindEntryClear:  func() Command { return &EntryClear{} },
+	KindEntryGone:   func() Command { return &EntryGone{} },
 }
--- /dev/null
+++ b/statemachine/gone_test.go
@@ -0,0 +1,40 @@
+package statemachine
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEntryGone_Records checks who may be stated to be gone, and that the
+// statement names its author and gives nothing back.
+func TestEntryGone_Records(t *testing.T) {
+	h := newHistory(10)
+	require.Nil(t, h.join("a"))
+	require.Nil(t, h.join("b"))
+	require.Nil(t, h.write("b", &AllotmentAdjust{Team: limitTeam, Delta: 6}))
+	gone := &EntryGone{Incarnation: "b", By: "ana", Reason: "VM deleted"}
+	require.Equal(t, ReasonStep, h.write("a", gone).Reason)
+	require.Nil(t, h.write("a", &EntryRemove{Incarnation: "b"}))
+	cases := []struct {
+		writer  string
+		command EntryGone
+		want    Reason
+	}{
+		{"stranger", *gone, ReasonWriter},
+		{"b", *gone, ReasonWriter},
+		{"a", EntryGone{Incarnation: "b", By: "ana"}, ReasonInvalid},
+		{"a", EntryGone{Incarnation: "b", Reason: "VM deleted"}, ReasonInvalid},
+		{"a", EntryGone{Incarnation: "b", By: "ana", Reason: strings.Repeat("x", maxGoneText+1)}, ReasonInvalid},
+		{"a", EntryGone{Incarnation: "c", By: "ana", Reason: "VM deleted"}, ReasonNotFound},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, h.write(c.writer, &c.command).Reason)
+	}
+	require.Nil(t, h.write("a", gone))
+	require.Equal(t, ReasonExists, h.write("a", gone).Reason)
+	entry, _ := h.state.Entries.Get("b")
+	require.Equal(t, &GoneStatement{By: "ana", Reason: "VM deleted", At: h.state.Next - 2}, entry.Gone)
+	require.Equal(t, 6, h.total())
+}
--- a/statemachine/subject.go
+++ b/statemachine/subject.go
@@ -44,6 +44,8 @@
 		return Subject{Entry: c.Incarnation}
 	case *EntryRemove:
 		return Subject{Entry: c.Incarnation}
+	case *EntryGone:
+		return Subject{Entry: c.Incarnation}
 	case *EntryClear:
 		return Subject{Entry: c.Incarnation}
 	case *Claim:
