Let the model of the limits state that killed entries are gone

Cause: the operator's statement had tests of its own parts and of one run over processes, and none under random faults. Ruled out: false statements in the model; what they may break is described in docs/design-limits.md. Change: in the model a live entry states of a killed and removed one, at times, that it is gone. TestModel_LimitHolds requires that schedules had such statements.

--- a/quota/modelrun_test.go
+++ b/quota/modelrun_test.go
@@ -114,6 +114,15 @@
 		if _, member := n.state.Member(other.name); member && other != n && n.model.chance(percent, "remove") {
 			_, _ = n.Propose(ctx, &statemachine.EntryRemove{Incarnation: other.name})
 		}
+		n.stateGone(ctx, other)
+	}
+}
+
+// stateGone records an operator's word that a killed entry is gone, at times.
+func (n *node) stateGone(ctx context.Context, other *node) {
+	entry, ok := n.state.Entries.Get(other.name)
+	if ok && other.dead && entry.State == statemachine.EntryRemoved && entry.Gone == nil && n.model.chance(10, "stated gone") {
+		_, _ = n.Propose(ctx, &statemachine.EntryGone{Incarnation: other.name, By: "operator", Reason: "killed"})
 	}
 }
 
@@ -244,7 +253,7 @@
 			seen[what] += count
 		}
 	})
-	for _, what := range []string{"start", "refused start", "loan", "clear", "lost answer", "doubled request", "late append", "limit changed", "kill", "pause"} {
+	for _, what := range []string{"start", "refused start", "loan", "clear", "lost answer", "doubled request", "late append", "limit changed", "kill", "pause", "stated gone"} {
 		require.Positive(t, seen[what], "no schedule had a %s", what)
 	}
 	t.Logf("events: %v", seen)
