Measure time by both clocks in one package

Ruled out: leaving them private; leases, allotments and freshness must mean the same by "passed" and "not older than". Change: package bothclocks with Since, Most and Least. TestSinceBoth of quota moved there with its checks, and one for Most. Before and after: no behavior changes; the tests of bothclocks, membership, lease and logstream pass, and those of quota's clearing and lending. Conclusion: one place says why two clocks are read.

--- /dev/null
+++ b/bothclocks/bothclocks.go
@@ -0,0 +1,24 @@
+// Package bothclocks measures time by the wall clock and the monotonic clock at
+// once. The monotonic clock stops while a VM is suspended, and the wall clock may
+// be set; neither alone bounds how much time has passed.
+package bothclocks
+
+import "time"
+
+// Since returns the time from then to now by the wall clock and by the monotonic
+// clock. Round strips the monotonic reading.
+func Since(now, then time.Time) (wall, monotonic time.Duration) {
+	return now.Round(0).Sub(then.Round(0)), now.Sub(then)
+}
+
+// Most returns the larger of the two times: for what must not be older than a
+// bound by any clock.
+func Most(now, then time.Time) time.Duration {
+	return max(Since(now, then))
+}
+
+// Least returns the smaller of the two times: for what must be over by both
+// clocks.
+func Least(now, then time.Time) time.Duration {
+	return min(Since(now, then))
+}
--- /dev/null
+++ b/bothclocks/bothclocks_test.go
@@ -0,0 +1,19 @@
+package bothclocks_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/bothclocks"
+)
+
+// TestLeast_JumpedWallClock checks that a jump of the wall clock lengthens no
+// wait.
+func TestLeast_JumpedWallClock(t *testing.T) {
+	then := time.Now()
+	require.Equal(t, 3*time.Second, bothclocks.Least(then.Add(3*time.Second), then))
+	require.Equal(t, time.Second, bothclocks.Least(then.Add(3*time.Second), then.Round(0).Add(2*time.Second)))
+	require.Equal(t, 3*time.Second, bothclocks.Most(then.Add(3*time.Second), then))
+}
--- a/lease/reading.go
+++ b/lease/reading.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 )
 
 // Reading is the time since a fixed moment, by two clocks. The monotonic clock
@@ -41,6 +43,6 @@
 
 // Read implements Timer. Round strips the monotonic reading.
 func (t *clockTimer) Read() Reading {
-	now := t.clock.Now()
-	return Reading{Wall: now.Round(0).Sub(t.start.Round(0)), Monotonic: now.Sub(t.start)}
+	wall, monotonic := bothclocks.Since(t.clock.Now(), t.start)
+	return Reading{Wall: wall, Monotonic: monotonic}
 }
--- a/logstream/freshness.go
+++ b/logstream/freshness.go
@@ -1,6 +1,10 @@
 package logstream
 
-import "time"
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/bothclocks"
+)
 
 // never is the age of a state that is not known to have been current.
 const never = time.Duration(1<<63 - 1)
@@ -39,11 +43,5 @@
 	if f == nil || s.Fault() != nil {
 		return never, never
 	}
-	now := s.cfg.Clock.Now()
-	return now.Round(0).Sub(f.asOf.Round(0)), now.Sub(f.asOf)
-}
-
-// elapsed is the larger of the wall and the monotonic difference.
-func elapsed(now, then time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+	return bothclocks.Since(s.cfg.Clock.Now(), f.asOf)
 }
--- a/logstream/snapshotter.go
+++ b/logstream/snapshotter.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 	"github.com/anvilcourse/anvilcourse/periodic"
 )
 
@@ -68,5 +69,5 @@
 	if s.lastAt.IsZero() || next-s.lastNext >= s.policy.Records {
 		return true
 	}
-	return elapsed(now, s.lastAt) >= s.policy.MaxAge
+	return bothclocks.Most(now, s.lastAt) >= s.policy.MaxAge
 }
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 )
 
 const (
@@ -42,7 +44,7 @@
 
 // Observe takes a round into account and returns the unreachable members.
 func (d *Detector) Observe(r Round) []string {
-	if elapsed(r.At, d.last) > maxRoundGap {
+	if bothclocks.Most(r.At, d.last) > maxRoundGap {
 		clear(d.missing)
 	}
 	d.last = r.At
@@ -58,7 +60,7 @@
 			d.missing[member] = r.At
 			continue
 		}
-		if waited(r.At, since) >= RemoveAfter-ReachableFor && r.confirms(member) {
+		if bothclocks.Least(r.At, since) >= RemoveAfter-ReachableFor && r.confirms(member) {
 			out = append(out, member)
 		}
 	}
@@ -91,9 +93,3 @@
 func HashOf(incarnation string) uint32 {
 	return uint32(xxhash.Sum64String(incarnation))
 }
-
-// waited is the smaller of the wall and the monotonic difference, for periods
-// that must have passed by any clock.
-func waited(now, then time.Time) time.Duration {
-	return min(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
--- a/membership/member.go
+++ b/membership/member.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 )
 
@@ -26,5 +27,5 @@
 	if told < 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(told)*time.Millisecond + elapsed(now, m.SentAt)
+	return time.Duration(told)*time.Millisecond + bothclocks.Most(now, m.SentAt)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
@@ -79,7 +80,7 @@
 	now := m.cfg.Clock.Now()
 	var out []Member
 	for _, member := range *m.members.Load() {
-		if elapsed(now, member.SentAt) <= ReachableFor {
+		if bothclocks.Most(now, member.SentAt) <= ReachableFor {
 			out = append(out, member)
 		}
 	}
@@ -110,12 +111,6 @@
 	return out
 }
 
-// elapsed is the larger of the wall and the monotonic difference, because the
-// monotonic clock stops while a VM is suspended.
-func elapsed(now, then time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
-
 // Beat sends one heartbeat to each address at once and waits for the answers.
 func (m *Membership) Beat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -214,7 +209,7 @@
 	defer m.mu.Unlock()
 	next := make(map[string]Member)
 	for k, v := range *m.members.Load() {
-		if elapsed(now, v.SentAt) <= 10*ReachableFor {
+		if bothclocks.Most(now, v.SentAt) <= 10*ReachableFor {
 			next[k] = v
 		}
 	}
--- a/quota/clearer.go
+++ b/quota/clearer.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 	"github.com/anvilcourse/anvilcourse/periodic"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
@@ -125,7 +126,7 @@
 		Unconfirmed: Unconfirmed(state, entry, func(incarnation string) bool { return known.applied[incarnation] }),
 	}
 	if !known.excluded.IsZero() {
-		out.Waited = sinceBoth(c.clock.Now(), known.excluded)
+		out.Waited = bothclocks.Least(c.clock.Now(), known.excluded)
 	}
 	for _, evidence := range known.vms {
 		out.VMs = append(out.VMs, evidence)
@@ -166,7 +167,7 @@
 		}
 	}
 	for _, f := range findings {
-		known.vms[f.VM] = VMEvidence{AskedAfter: sinceBoth(f.Asked, known.excluded), Running: f.heldBy(entry.Incarnation)}
+		known.vms[f.VM] = VMEvidence{AskedAfter: bothclocks.Least(f.Asked, known.excluded), Running: f.heldBy(entry.Incarnation)}
 	}
 	return true
 }
--- a/quota/clearing.go
+++ b/quota/clearing.go
@@ -113,12 +113,6 @@
 	return count
 }
 
-// sinceBoth is the smaller of the wall and the monotonic difference, for
-// periods that must have passed by any clock.
-func sinceBoth(now, then time.Time) time.Duration {
-	return min(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
-
 // LoanListAfter is the time after the end of a loan from which a VM's record
 // shows all starts under it.
 func (b Bounds) LoanListAfter() time.Duration {
--- a/quota/clearing_test.go
+++ b/quota/clearing_test.go
@@ -64,10 +64,3 @@
 	require.Equal(t, 2, Unconfirmed(log.state, removed, known("a")))
 	require.Equal(t, 1, Unconfirmed(log.state, removed, known("a", "b", "c", "d")))
 }
-
-// TestSinceBoth checks that a jump of the wall clock lengthens no wait.
-func TestSinceBoth(t *testing.T) {
-	then := time.Now()
-	require.Equal(t, 3*time.Second, sinceBoth(then.Add(3*time.Second), then))
-	require.Equal(t, time.Second, sinceBoth(then.Add(3*time.Second), then.Round(0).Add(2*time.Second)))
-}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/bothclocks"
 	"github.com/anvilcourse/anvilcourse/periodic"
 )
 
@@ -164,7 +165,7 @@
 			continue
 		}
 		loan.note(ids, findings, loanHolder(l.self, id))
-		if l.bounds.LoanOver(sinceBoth(l.clock.Now(), loan.ends), loan.evidence()) {
+		if l.bounds.LoanOver(bothclocks.Least(l.clock.Now(), loan.ends), loan.evidence()) {
 			l.logger.Warn("loan lapsed without a return", "loan", id, "team", loan.team, "amount", loan.amount)
 			l.reduce(id, 0)
 		}
@@ -176,7 +177,7 @@
 	defer l.mu.Unlock()
 	out := make(map[string]bool)
 	for id, loan := range l.loans {
-		if sinceBoth(l.clock.Now(), loan.ends) >= l.bounds.LoanListAfter() {
+		if bothclocks.Least(l.clock.Now(), loan.ends) >= l.bounds.LoanListAfter() {
 			out[id] = true
 		}
 	}
@@ -191,7 +192,7 @@
 		}
 	}
 	for _, f := range findings {
-		l.vms[f.VM] = VMEvidence{AskedAfter: sinceBoth(f.Asked, l.ends), Running: f.Holders[holder]}
+		l.vms[f.VM] = VMEvidence{AskedAfter: bothclocks.Least(f.Asked, l.ends), Running: f.Holders[holder]}
 	}
 }
 
