--- a/load/jobs.go
+++ b/load/jobs.go
@@ -20,8 +20,6 @@
 	jobCallTimeout = 10 * time.Second
 	// openJob is the outcome of an accepted job whose end was not seen.
 	openJob = "open"
-
-	doneJob = statemachine.JobDone
 )
 
 // job is one submitted job.
@@ -102,7 +100,7 @@
 		outcome = string(seen.State)
 	}
 	r.judgeJob(ctx, j, seen, outcome)
-	tally.end(outcome, took, seen.State == doneJob)
+	tally.end(outcome, took, seen.State == statemachine.JobDone)
 }
 
 func (r *runner) client(entry string, j *job) *api.Client {
@@ -167,14 +165,14 @@
 // judgeJob holds the end of an accepted job against what was promised.
 func (r *runner) judgeJob(ctx context.Context, j *job, seen api.Job, outcome string) {
 	told := unknown
-	if seen.State == doneJob {
+	if seen.State == statemachine.JobDone {
 		told = answered
 		j.team.usedBy(time.Since(r.start), j.work)
 	}
 	r.fates.told(j.task(), j.once(), told)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, whole := answerOf(j.body, seen.Answer); seen.State == doneJob && !whole {
+	if _, whole := answerOf(j.body, seen.Answer); seen.State == statemachine.JobDone && !whole {
 		r.wrongJobs++
 	}
 	fault := j.fault(seen)
@@ -195,7 +193,7 @@
 	switch {
 	case !seen.State.Ended():
 		return "has not ended within the wait; its state is " + string(seen.State)
-	case seen.State == doneJob:
+	case seen.State == statemachine.JobDone:
 		return ""
 	case seen.State == statemachine.JobCancelled && !j.cancel:
 		return "is cancelled, and nobody cancelled it"
--- a/load/progress.go
+++ b/load/progress.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // Progress is how far a load is.
@@ -59,7 +61,7 @@
 
 func (p *Progress) add(outcome string, count int) {
 	switch outcome {
-	case answered, string(doneJob):
+	case answered, string(statemachine.JobDone):
 		p.Answered += count
 	case notRun:
 		p.NotRun += count
