Count the removed entries that are not cleared yet

Cause: nothing but the log lines told an operator that parts of the limits are out of use. Ruled out: an alarm per team; the parts belong to an entry.

--- a/entry/members.go
+++ b/entry/members.go
@@ -43,6 +43,17 @@
 	m.operators.propose(g, &statemachine.EntryGone{Incarnation: incarnation, By: req.By, Reason: req.Reason})
 }
 
+// removedEntries counts the entries that were removed and not cleared yet.
+func removedEntries(state *statemachine.State) int {
+	count := 0
+	for _, entry := range state.Entries.All() {
+		if entry.State == statemachine.EntryRemoved {
+			count++
+		}
+	}
+	return count
+}
+
 // answeredAt returns when the entry was asked that has answered lately.
 func (m *members) answeredAt(incarnation string) (time.Time, bool) {
 	for _, member := range m.operators.membership.Reachable() {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,6 +29,7 @@
 	m.gauge("inflight", func() any { return d.Inflight() })
 	m.gauge("waiting", func() any { return d.Waiting() })
 	m.gauge("unsettled_starts", func() any { return limbo.Len() })
+	m.gauge("removed_entries", func() any { return removedEntries(c.State()) })
 	m.gauge("teams", func() any { return ledger.Teams() })
 	m.gauge("platform_bytes_in", func() any { return t.platform.In() })
 	m.gauge("platform_bytes_out", func() any { return t.platform.Out() })
