--- a/load/report.go
+++ b/load/report.go
@@ -23,7 +23,8 @@
 	Goodput float64 `json:"goodput_per_second"`
 	// MeanDistance and WorstDistance are those from the owed slot time over
 	// teams and windows of 10 s, as a part of the team's share, over the steps
-	// of 100 ms in which the offered load fills the capacity. They are 0 without one.
+	// of 100 ms in which the offered load fills the capacity, in seconds in which
+	// it does. They are 0 without one.
 	MeanDistance  float64 `json:"mean_distance"`
 	WorstDistance float64 `json:"worst_distance"`
 	// FullSeconds is the time of those steps in seconds.
@@ -89,7 +90,7 @@
 		inWindow := 0
 		for index := first; index < min(steps, first+windowSteps); index++ {
 			owedNow, ok := r.owed(index)
-			if !ok {
+			if !ok || !r.fullSecond(index/stepsPerSecond) {
 				continue
 			}
 			inWindow++
@@ -126,6 +127,17 @@
 	return shares.Compute(float64(r.cfg.Capacity), claims), offered >= float64(r.cfg.Capacity)
 }
 
+// fullSecond reports whether the load offered in the second fills the capacity.
+// Without it, random arrivals that fill a few steps of a steady load below the
+// capacity would count.
+func (r *runner) fullSecond(second int) bool {
+	offered := 0.0
+	for _, t := range r.teams {
+		offered += min(t.offered.second(second), t.limit)
+	}
+	return offered >= float64(r.cfg.Capacity)
+}
+
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
