--- a/cmd/anvilcourse/loans_test.go
+++ b/cmd/anvilcourse/loans_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -34,3 +35,28 @@
 	l.endLoad()
 	require.Equal(t, l.limit, l.Record().MaxRunning[l.team])
 }
+
+// TestLimit_JoinsDuringOutage starts an entry while the log is down. It reads
+// the configuration from the others, holds no part of the limit and serves all
+// the same, under loans. Load at every entry reaches the limit and stays there.
+// Once the log is back the entry gets a part of its own.
+func TestLimit_JoinsDuringOutage(t *testing.T) {
+	l := startLimited(t, 12)
+	l.SetLogFaults(standin.LogFaults{Down: true})
+	late := l.AddEntry()
+	l.run(late, 8, 50*time.Millisecond)
+	l.Wait("the late entry to work under loans", func() bool {
+		status, err := l.Operator(late).Status(context.Background())
+		return err == nil && status.Teams[l.team].Allotted == 0 && status.Teams[l.team].UnderLoans > 0
+	})
+	require.Positive(t, l.running())
+	l.run(0, 14, 50*time.Millisecond)
+	l.Wait("the limit to be reached", func() bool { return l.Record().MaxRunning[l.team] == l.limit })
+	l.SetLogFaults(standin.LogFaults{})
+	l.Wait("the late entry to get a part of its own", func() bool {
+		status, err := l.Operator(late).Status(context.Background())
+		return err == nil && status.Teams[l.team].Allotted > 0
+	})
+	l.endLoad()
+	require.Equal(t, l.limit, l.Record().MaxRunning[l.team])
+}
