--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -4,15 +4,14 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/job"
-	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/quarantine"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -34,19 +33,18 @@
 		fx.Annotate(newJobStopStep, fx.ResultTags(`group:"stop_steps"`)),
 		fx.Annotate(newJobRoutes, fx.ResultTags(`group:"caller_routes"`)),
 	),
+	fx.Invoke(publishJobs),
 )
 
-func newJobShards(s settings.Entry, id identity, stream *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) jobShards {
-	return jobShards{&shardSet{
-		prefix: jobsStream, count: s.JobStreams, control: stream,
-		config: logstream.Config{Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer},
-		policy: snapshotPolicy(s),
-	}}
+func newJobShards(s settings.Entry, divide newShards, judge *quarantine.Judge) jobShards {
+	shards := divide(jobsStream, s.JobStreams)
+	shards.observe = judge.Observe
+	return jobShards{shards}
 }
 
-func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter) *job.Runner {
+func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter, judge *quarantine.Judge) *job.Runner {
 	runner := job.New(job.Config{
-		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock,
+		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock, Judge: judge,
 		Members: func() []string { return reachableMembers(m) },
 	})
 	preempter.runner.Store(runner)
--- a/statemachine/subject.go
+++ b/statemachine/subject.go
@@ -26,10 +26,16 @@
 		return Subject{VM: c.VM, Wave: c.Wave}
 	case *VMMove:
 		return Subject{VM: c.VM}
+	case *VMLend:
+		return Subject{VM: c.VM}
 	case *VMReboot:
 		return Subject{VM: c.VM}
 	case *VMReturn:
 		return Subject{VM: c.VM}
+	case *VMQuarantine:
+		return Subject{VM: c.VM}
+	case *VMRelease:
+		return Subject{VM: c.VM}
 	case *VMFailed:
 		return Subject{VM: c.VM}
 	case *VMRecovered:
