Let jobs that have waited long stand in line with requests

Cause: a job took a slot only while no request waited, so under lasting overload by urgent work none ran: 0 of 24 short jobs in 20 s at 1.5 times the capacity. Ruled out: all jobs in line (urgent work would have no headroom); a wait of 1 s in line, the first try: urgent requests wait up to 1.5 s there and a team's waiters are served in order of arrival, so the job never came to its turn (1 of 24). Change: a job that has waited 5 s for a start waits in line for up to 10 s, one job of each entry at a time; it does not give way for 30 s, and one that never gives way keeps the place to its end. An entry that stops ends such waits. Conclusion: jobs go on under overload at the cost of one slot an entry.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -44,7 +44,7 @@
 // takes no slot while requests wait for one, and reports false at the end of
 // the context.
 func (d *Dispatcher) Place(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool) {
-	l := d.lines.of(&statemachine.Template{Name: "jobs on " + strings.Join(pools, ","), Pools: pools})
+	l := d.jobLine(pools)
 	for ctx.Err() == nil {
 		if held := d.placeJob(ctx, l, admission.Request{Team: team, Avoid: avoid}); held != nil {
 			return held, true
@@ -57,6 +57,23 @@
 	return nil, false
 }
 
+// PlaceInLine is Place for a job that waits in line with the requests, its team
+// being served by its share.
+func (d *Dispatcher) PlaceInLine(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool) {
+	l, now := d.jobLine(pools), d.cfg.Clock.Now()
+	w, refusal := l.Enter(now, admission.Request{Team: team, Deadline: deadlineOf(ctx, now), Avoid: avoid, MayWaitLong: true})
+	if refusal != nil {
+		return nil, false
+	}
+	d.startPump(l)
+	held, _ := d.await(ctx, l, w)
+	return held, held != nil
+}
+
+func (d *Dispatcher) jobLine(pools []string) *line {
+	return d.lines.of(&statemachine.Template{Name: "jobs on " + strings.Join(pools, ","), Pools: pools})
+}
+
 func (d *Dispatcher) placeJob(ctx context.Context, l *line, req admission.Request) *placement.Held {
 	if !l.MayPass(req.Team) {
 		return nil
--- a/job/config.go
+++ b/job/config.go
@@ -19,6 +19,17 @@
 	scanInterval = 100 * time.Millisecond
 	// placeFor bounds one search for a slot, after which other jobs get a turn.
 	placeFor = time.Second
+	// agedAfter is the time in the queue after which a job waits in line with
+	// the requests.
+	agedAfter = 5 * time.Second
+	// inLineFor bounds such a wait. It is longer than that of urgent requests,
+	// since a team's waiters are served in order of arrival.
+	inLineFor = 10 * time.Second
+	// agedAtOnce bounds the jobs of one entry that have come to a slot, or seek
+	// one, in that way.
+	agedAtOnce = 1
+	// protectedFor is the time for which such a job does not give way.
+	protectedFor = 30 * time.Second
 	// recordTimeout bounds the wait for one record.
 	recordTimeout = 2 * time.Second
 	// claimTimeout bounds the wait for the record of a start, whose slot lease
@@ -47,6 +58,8 @@
 	// Place takes a slot lease and a unit of the team's allotment, or reports
 	// false at the end of the context.
 	Place(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool)
+	// PlaceInLine is Place for a job that waits in line with requests.
+	PlaceInLine(ctx context.Context, team string, pools []string, avoid string) (*placement.Held, bool)
 	// GiveBack returns what Place took, unused.
 	GiveBack(team string, held *placement.Held)
 	// Call sends one start and gives back what Place took.
--- a/job/run.go
+++ b/job/run.go
@@ -18,8 +18,14 @@
 	stream *logstream.Watched
 	id     string
 	team   string
+	// once is set for a job that runs at most once.
+	once bool
 	// started is when the start was sent, in Unix microseconds, or 0.
 	started atomic.Int64
+	// queuedAt is since when the job is known to wait for a start.
+	queuedAt time.Time
+	// aged is set once the job seeks a slot in line with the requests.
+	aged atomic.Bool
 	// stop asks for a checkpoint of the start, as a cancellation does.
 	stop atomic.Bool
 }
@@ -60,14 +66,21 @@
 	a.start(ctx, claimed, held)
 }
 
+// place seeks a slot: one that no request waits for, or in line with the
+// requests once the job has waited long.
 func (a *run) place(ctx context.Context, job *statemachine.Job) (*placement.Held, bool) {
-	ctx, cancel := context.WithTimeout(ctx, placeFor)
+	search, length := a.r.cfg.Starter.Place, placeFor
+	if a.r.mayAge(a) {
+		search, length = a.r.cfg.Starter.PlaceInLine, inLineFor
+	}
+	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
+	defer context.AfterFunc(a.r.placing, cancel)()
 	avoid := ""
 	if n := len(job.FailedOn); n > 0 {
 		avoid = job.FailedOn[job.Failures%n]
 	}
-	return a.r.cfg.Starter.Place(ctx, job.Team, job.Pools, avoid)
+	return search(ctx, job.Team, job.Pools, avoid)
 }
 
 // claim records the start and returns the job as it stands with it.
--- a/job/runner.go
+++ b/job/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/periodic"
@@ -15,15 +16,22 @@
 	cfg      Config
 	gates    teamGates
 	stopping atomic.Bool
+	// placing ends once the entry stops and its jobs seek no more slots.
+	placing     context.Context
+	stopPlacing context.CancelFunc
 
 	mu     sync.Mutex
 	active map[string]*run
-	wg     sync.WaitGroup
+	// queuedAt is since when the entry's queued jobs are known to wait.
+	queuedAt map[string]time.Time
+	wg       sync.WaitGroup
 }
 
 // New returns a runner. Run starts it.
 func New(cfg Config) *Runner {
-	return &Runner{cfg: cfg, active: make(map[string]*run)}
+	r := &Runner{cfg: cfg, active: make(map[string]*run)}
+	r.placing, r.stopPlacing = context.WithCancel(context.Background())
+	return r
 }
 
 // Run carries out the entry's jobs and takes over those whose owner is gone,
@@ -49,6 +57,7 @@
 	}
 	members := newElectorate(r.cfg.Incarnation, r.cfg.Members())
 	waiting := newFairQueue(r.activeByTeam())
+	var own []*statemachine.Job
 	for _, stream := range shards.All() {
 		state := stream.State()
 		for id := range state.OpenJobs.All() {
@@ -57,6 +66,7 @@
 				continue
 			}
 			if job.Owner == r.cfg.Incarnation {
+				own = append(own, job)
 				waiting.add(job.Team, openJob{stream: stream, id: id})
 				continue
 			}
@@ -65,6 +75,7 @@
 			}
 		}
 	}
+	r.noteQueued(own)
 	for r.Active() < maxActive {
 		next, ok := waiting.next()
 		if !ok {
@@ -101,7 +112,7 @@
 	if _, ok := r.active[next.id]; ok {
 		return
 	}
-	a := &run{r: r, stream: next.stream, id: next.id, team: current.Team}
+	a := &run{r: r, stream: next.stream, id: next.id, team: current.Team, once: !current.Idempotent, queuedAt: r.queuedAt[next.id]}
 	r.active[next.id] = a
 	r.wg.Go(func() {
 		defer r.finished(next.id)
--- a/job/stop.go
+++ b/job/stop.go
@@ -59,6 +59,9 @@
 	if a.r == nil || a.started.Load() == 0 {
 		return false
 	}
+	if a.protected(a.r.cfg.Clock.Now()) && !a.r.stopping.Load() {
+		return false
+	}
 	job, ok := a.mine()
 	if !ok || !job.Idempotent || job.State != statemachine.JobRunning {
 		return false
@@ -70,6 +73,7 @@
 // none runs under the entry's allotments.
 func (r *Runner) Stop(ctx context.Context) error {
 	r.stopping.Store(true)
+	r.stopPlacing()
 	for r.Active() > 0 {
 		r.Preempt(ctx, nil, maxActive)
 		select {
