Check a planner's record of a VM in one function

Ruled out: one record for both; a loan needs no drain. Change: plannedAt does it for both. Conclusion: the order of these checks stands once.

--- a/statemachine/vmlend.go
+++ b/statemachine/vmlend.go
@@ -23,16 +23,10 @@
 func (*VMLend) Kind() Kind { return KindVMLend }
 
 func (c *VMLend) apply(next *State, ctx applyContext) *Void {
-	vm, void := vmAt(next, c.VM, c.Expected)
+	vm, void := plannedAt(next, ctx.writer, c.VM, c.From, c.Expected, c.Epoch)
 	if void != nil {
 		return void
 	}
-	if void := checkEpoch(next, ctx.writer, c.Epoch); void != nil {
-		return void
-	}
-	if vm.Pool != c.From {
-		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.From)
-	}
 	if !vm.Available() || vm.Home != "" {
 		return voidf(ReasonStep, "VM %s does not serve at home", c.VM)
 	}
--- a/statemachine/vmmove.go
+++ b/statemachine/vmmove.go
@@ -19,16 +19,10 @@
 func (*VMMove) Kind() Kind { return KindVMMove }
 
 func (c *VMMove) apply(next *State, ctx applyContext) *Void {
-	vm, void := vmAt(next, c.VM, c.Expected)
+	vm, void := plannedAt(next, ctx.writer, c.VM, c.From, c.Expected, c.Epoch)
 	if void != nil {
 		return void
 	}
-	if void := checkEpoch(next, ctx.writer, c.Epoch); void != nil {
-		return void
-	}
-	if vm.Pool != c.From {
-		return voidf(ReasonVersion, "VM %s is in pool %s, not %s", c.VM, vm.Pool, c.From)
-	}
 	if vm.Maintenance.Step != StepDraining || vm.Maintenance.MoveTo != c.To || c.To == "" {
 		return voidf(ReasonStep, "VM %s does not drain for pool %s", c.VM, c.To)
 	}
@@ -46,6 +40,22 @@
 	return nil
 }
 
+// plannedAt returns the VM if it is in the pool at the expected version and the
+// writer holds the maintenance lease at the epoch.
+func plannedAt(s *State, writer, id, pool string, expected, epoch uint64) (*VM, *Void) {
+	vm, void := vmAt(s, id, expected)
+	if void != nil {
+		return nil, void
+	}
+	if void := checkEpoch(s, writer, epoch); void != nil {
+		return nil, void
+	}
+	if vm.Pool != pool {
+		return nil, voidf(ReasonVersion, "VM %s is in pool %s, not %s", id, vm.Pool, pool)
+	}
+	return vm, nil
+}
+
 // homeAfter returns the pool that a VM is lent from after a move. A wave lends
 // VMs of spare pools; an operator's move is for good.
 func homeAfter(s *State, vm *VM, to string) string {
