--- a/capacity/slopes_test.go
+++ b/capacity/slopes_test.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 
 	"github.com/jonboulle/clockwork"
@@ -94,11 +94,11 @@
 func BenchmarkVMList(b *testing.B) {
 	for _, n := range vmSizes {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
-			var list []platform.VMInfo
+			var list []provider.VMInfo
 			for _, vm := range fleetState(n).VMs.All() {
-				list = append(list, platform.VMInfo{
+				list = append(list, provider.VMInfo{
 					ID: vm.ID, Address: vm.Address, Pool: vm.Pool, AvailabilityZone: vm.AvailabilityZone,
-					Rack: vm.Rack, Slots: vm.Slots, Connections: 64, State: platform.VMLive,
+					Rack: vm.Rack, Slots: vm.Slots, Connections: 64, State: provider.VMLive,
 				})
 			}
 			raw, err := json.Marshal(list)
@@ -106,7 +106,7 @@
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				var out []platform.VMInfo
+				var out []provider.VMInfo
 				if err := json.Unmarshal(raw, &out); err != nil {
 					b.Fatal(err)
 				}
--- a/cmd/anvilcourse/cost_bench_test.go
+++ b/cmd/anvilcourse/cost_bench_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/examples"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/testbed"
 )
 
@@ -70,9 +70,9 @@
 
 // directCall sends tasks to the workers under leases of its own.
 func directCall(b *testing.B, sys *testbed.System, connections int) oneCall {
-	vms, err := platform.NewHTTPVMs(sys.Platform, sys.HTTP).List(context.Background())
+	vms, err := provider.NewHTTPVMs(sys.Platform, sys.HTTP).List(context.Background())
 	require.NoError(b, err)
-	workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
+	workers := provider.NewHTTPWorkers(provider.NewHTTPClient())
 	type held struct {
 		lease string
 		until time.Time
@@ -82,13 +82,13 @@
 	return func(ctx context.Context, connection int) error {
 		address := vms[connection%len(vms)].Address
 		if now := time.Now(); now.After(leases[connection].until) {
-			lease, err := workers.AcquireSlot(ctx, address, platform.SlotRequest{Holder: "bench", TTL: time.Second})
+			lease, err := workers.AcquireSlot(ctx, address, provider.SlotRequest{Holder: "bench", TTL: time.Second})
 			if err != nil {
 				return err
 			}
 			leases[connection] = held{lease: lease.ID, until: now.Add(lease.TTL / 2)}
 		}
-		_, err := workers.RunTask(ctx, address, platform.Task{
+		_, err := workers.RunTask(ctx, address, provider.Task{
 			ID: "bench-" + strconv.FormatUint(sequence.Add(1), 36), Attempt: 1, Lease: leases[connection].lease,
 			Team: "bench", Holder: "bench", Body: []byte(benchBody),
 		})
--- a/cmd/anvilcourse/limits_test.go
+++ b/cmd/anvilcourse/limits_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/examples"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 	"github.com/anvilcourse/anvilcourse/testbed"
@@ -115,7 +115,7 @@
 		{Seq: 4, Command: &statemachine.EntryLeave{Incarnation: writer}},
 	}})
 	require.NoError(t, err)
-	_, err = platform.NewHTTPLog(l.Platform, http.DefaultClient).Append(context.Background(), "control", [][]byte{payload})
+	_, err = provider.NewHTTPLog(l.Platform, http.DefaultClient).Append(context.Background(), "control", [][]byte{payload})
 	require.NoError(t, err)
 }
 
--- a/command/replay.go
+++ b/command/replay.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/replay"
 )
 
@@ -76,8 +76,8 @@
 }
 
 func (c *replayCommand) readTrace(ctx context.Context) (replay.Trace, error) {
-	client := platform.NewHTTPClient()
-	log := platform.NewHTTPLog(c.platform, client)
+	client := provider.NewHTTPClient()
+	log := provider.NewHTTPLog(c.platform, client)
 	streams := strings.Split(c.streams, ",")
 	if c.during == 0 {
 		return replay.Record(ctx, log, c.header, streams)
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.during)
 	defer cancel()
 	recorder := &replay.Recorder{
-		Log: log, VMs: platform.NewHTTPVMs(c.platform, client), Workers: platform.NewHTTPWorkers(client), Streams: streams,
+		Log: log, VMs: provider.NewHTTPVMs(c.platform, client), Workers: provider.NewHTTPWorkers(client), Streams: streams,
 	}
 	return recorder.Record(ctx, c.header)
 }
--- a/demo/system.go
+++ b/demo/system.go
@@ -12,7 +12,7 @@
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/entry"
 	"github.com/anvilcourse/anvilcourse/freeport"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start the stand-in")
 	}
-	sys := &system{standin: server, http: platform.NewHTTPClient()}
+	sys := &system{standin: server, http: provider.NewHTTPClient()}
 	for i := range entries {
 		if err := sys.startEntry(ctx, i); err != nil {
 			sys.close()
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -1,6 +1,6 @@
 package dispatch
 
-import "github.com/anvilcourse/anvilcourse/platform"
+import "github.com/anvilcourse/anvilcourse/provider"
 
 // AttemptEnd tells how one start ended, as far as the entry knows.
 type AttemptEnd string
@@ -25,11 +25,11 @@
 	if err == nil {
 		return AttemptAnswered
 	}
-	switch platform.OutcomeOf(err) {
-	case platform.Refused:
+	switch provider.OutcomeOf(err) {
+	case provider.Refused:
 		return AttemptRefused
-	case platform.Failed:
-		if platform.CodeOf(err) == platform.CodeTaskStopped {
+	case provider.Failed:
+		if provider.CodeOf(err) == provider.CodeTaskStopped {
 			return AttemptStopped
 		}
 		return AttemptFailed
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -6,7 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -56,13 +56,13 @@
 // that may be repeated, so that a target that does not answer costs a request
 // one attempt and not its caller's whole patience.
 type reportingWorkers struct {
-	platform.Workers
+	provider.Workers
 	clock  clockwork.Clock
 	report reporter
 }
 
-// RunTask implements platform.Workers.
-func (w *reportingWorkers) RunTask(ctx context.Context, address string, task platform.Task) (platform.Answer, error) {
+// RunTask implements provider.Workers.
+func (w *reportingWorkers) RunTask(ctx context.Context, address string, task provider.Task) (provider.Answer, error) {
 	sent := w.clock.Now()
 	usual := time.Duration(0)
 	if a, ok := ctx.Value(attemptsKey{}).(*attempts); ok {
@@ -80,7 +80,7 @@
 		w.report.Report(address, true, float64(took)/float64(usual))
 	case err == nil:
 		w.report.Report(address, true, 0)
-	case platform.OutcomeOf(err) == platform.Unknown, platform.CodeOf(err) == platform.CodeUnreachable:
+	case provider.OutcomeOf(err) == provider.Unknown, provider.CodeOf(err) == provider.CodeUnreachable:
 		w.report.Report(address, false, 0)
 	}
 	return answer, err
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // attempt is one start that was sent, and its end.
@@ -19,7 +19,7 @@
 // call sends one start under the held slot and the unit of the allotment that
 // the caller has taken. It gives the unit back unless the task may still run:
 // then the limbo keeps it.
-func (d *Dispatcher) call(ctx context.Context, held *placement.Held, task platform.Task) attempt {
+func (d *Dispatcher) call(ctx context.Context, held *placement.Held, task provider.Task) attempt {
 	task.Lease, task.Holder = held.Lease, held.Holder
 	answer, err := d.cfg.Workers.RunTask(ctx, held.Target.Address, task)
 	end := endOf(err)
@@ -30,7 +30,7 @@
 	d.cfg.Allotment.Release(task.Team, task.Holder)
 	if end.MayHaveBegun() {
 		d.cfg.Slots.Release(held)
-	} else if platform.CodeOf(err) == platform.CodeDraining {
+	} else if provider.CodeOf(err) == provider.CodeDraining {
 		d.cfg.Slots.MarkLeaving(held)
 	}
 	return attempt{end: end, answer: answer.Body, err: err}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,7 +10,7 @@
 
 	"github.com/anvilcourse/anvilcourse/admission"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 	"github.com/anvilcourse/anvilcourse/timeline"
 )
@@ -42,7 +42,7 @@
 	Control     Control
 	Slots       Slots
 	Allotment   Allotment
-	Workers     platform.Workers
+	Workers     provider.Workers
 	Limbo       *Limbo
 	Orders      *Orders
 	Clock       clockwork.Clock
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 	"github.com/anvilcourse/anvilcourse/timeline"
@@ -69,7 +69,7 @@
 }
 
 // newBench returns a dispatcher on the fleet. What it starts ends with ctx.
-func newBench(ctx context.Context, t testing.TB, incarnation string, fleet *fakeworkers.Fleet, workers platform.Workers, vms int) *bench {
+func newBench(ctx context.Context, t testing.TB, incarnation string, fleet *fakeworkers.Fleet, workers provider.Workers, vms int) *bench {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	control := newFixedControl(t, vms, vmID)
@@ -89,7 +89,7 @@
 // orderedSlots leases a slot of the first VM in order that is not avoided and
 // grants one.
 type orderedSlots struct {
-	workers platform.Workers
+	workers provider.Workers
 	holder  string
 	vms     int
 	ttl     time.Duration
@@ -101,7 +101,7 @@
 		if id == avoid {
 			continue
 		}
-		lease, err := s.workers.AcquireSlot(ctx, id, platform.SlotRequest{Holder: s.holder, TTL: s.ttl})
+		lease, err := s.workers.AcquireSlot(ctx, id, provider.SlotRequest{Holder: s.holder, TTL: s.ttl})
 		if err == nil {
 			target := &placement.Target{ID: id, Address: id, Pool: "pool"}
 			return &placement.Held{Target: target, Lease: lease.ID, Record: lease.Record, Started: lease.Started}, nil
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -7,7 +7,7 @@
 
 	"github.com/anvilcourse/anvilcourse/admission"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -89,7 +89,7 @@
 }
 
 // Call sends one start of a job and gives back what Place took.
-func (d *Dispatcher) Call(ctx context.Context, held *placement.Held, task platform.Task) (AttemptEnd, []byte, error) {
+func (d *Dispatcher) Call(ctx context.Context, held *placement.Held, task provider.Task) (AttemptEnd, []byte, error) {
 	got := d.call(ctx, held, task)
 	return got.end, got.answer, got.err
 }
--- a/dispatch/judgeorder.go
+++ b/dispatch/judgeorder.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // JudgeOrder returns the outcome of an open claim that its VM's record proves,
 // or nil while nothing is proved. OpenFor is the time for which the claim was
 // known to be open when the VM was asked. It is pure.
-func JudgeOrder(order *statemachine.Order, list platform.TaskList, openFor time.Duration) *statemachine.ClaimSettle {
+func JudgeOrder(order *statemachine.Order, list provider.TaskList, openFor time.Duration) *statemachine.ClaimSettle {
 	return judge(order, list, openFor)
 }
--- a/dispatch/limbo.go
+++ b/dispatch/limbo.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/periodic"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -23,7 +23,7 @@
 // Limbo holds the starts whose end is not known. Each keeps its unit of the
 // team's allotment until the VM's own record shows that it does not run.
 type Limbo struct {
-	workers platform.Workers
+	workers provider.Workers
 	clock   clockwork.Clock
 	release func(team, holder string)
 
@@ -44,12 +44,12 @@
 }
 
 // NewLimbo returns an empty limbo. Release is called once per settled start.
-func NewLimbo(workers platform.Workers, clock clockwork.Clock, release func(team, holder string)) *Limbo {
+func NewLimbo(workers provider.Workers, clock clockwork.Clock, release func(team, holder string)) *Limbo {
 	return &Limbo{workers: workers, clock: clock, release: release, tasks: make(map[limboKey]limboTask)}
 }
 
 // Add takes a start whose end is not known.
-func (l *Limbo) Add(task platform.Task, address string) {
+func (l *Limbo) Add(task provider.Task, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := limboKey{id: task.ID, attempt: task.Attempt}
@@ -95,13 +95,13 @@
 	if err != nil {
 		return
 	}
-	states := make(map[limboKey]platform.TaskState, len(list.Tasks))
+	states := make(map[limboKey]provider.TaskState, len(list.Tasks))
 	for _, task := range list.Tasks {
 		states[limboKey{id: task.ID, attempt: task.Attempt}] = task.State
 	}
 	for key, task := range l.at(address) {
 		state, listed := states[key]
-		if state == platform.TaskRunning {
+		if state == provider.TaskRunning {
 			continue
 		}
 		if !listed && asked.Sub(task.since) < settleAfter {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -8,7 +8,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -123,7 +123,7 @@
 		Target: held.Target.ID, Address: held.Target.Address,
 		Lease: held.Lease, Record: held.Record, Started: held.Started,
 	})
-	if err != nil && platform.OutcomeOf(err) == platform.Refused {
+	if err != nil && provider.OutcomeOf(err) == provider.Refused {
 		return 0, notRun(CodeLogUnavailable, "this submission did not run: the log took no claim; what an earlier submission of the key did is not known here: "+err.Error(), logRetryAfter), false
 	}
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // start sends the one start of the claim.
 func (s *submission) start(ctx context.Context, held *placement.Held, number int) (Outcome, bool) {
-	got := s.d.call(ctx, held, platform.Task{
+	got := s.d.call(ctx, held, provider.Task{
 		ID: s.order, Attempt: number, Team: s.grant.Workspace.Team, Body: s.body,
 	})
 	settle := settleOf(s.order, number, got)
--- a/dispatch/order_bench_test.go
+++ b/dispatch/order_bench_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
@@ -27,8 +27,8 @@
 // newBenchEntry returns an entry's dispatcher against the stand-in over HTTP.
 func newBenchEntry(ctx context.Context, b *testing.B, name, url string) *Dispatcher {
 	clock := clockwork.NewRealClock()
-	client := platform.NewHTTPClient()
-	workers := platform.NewHTTPWorkers(client)
+	client := provider.NewHTTPClient()
+	workers := provider.NewHTTPWorkers(client)
 	control := newFixedControl(b, benchVMs, func(i int) string { return fmt.Sprintf("%s/vms/vm-%03d", url, i) })
 	placer := placement.New(name, workers, clock)
 	placer.SetFleet(control.state)
@@ -36,7 +36,7 @@
 	ledger.SetAllotted(testTeam, 1<<20)
 	gate := quota.NewGate(name, ledger, permitted{}, clock)
 	shards := logstream.NewShards("orders", ordersShards, logstream.Config{
-		Writer: name, Log: platform.NewHTTPLog(url, client), Clock: clock, Logger: hclog.NewNullLogger(), Limits: logstream.DefaultLimits(),
+		Writer: name, Log: provider.NewHTTPLog(url, client), Clock: clock, Logger: hclog.NewNullLogger(), Limits: logstream.DefaultLimits(),
 	})
 	orders := NewOrders(OrdersConfig{
 		Incarnation: name, Shards: func() *logstream.Shards { return shards }, Workers: workers, Clock: clock,
@@ -54,9 +54,9 @@
 
 // confirm tells the placer that all VMs are live, as the VM list does.
 func confirm(ctx context.Context, placer *placement.Placer) {
-	var list []platform.VMInfo
+	var list []provider.VMInfo
 	for i := range benchVMs {
-		list = append(list, platform.VMInfo{ID: vmID(i), State: platform.VMLive})
+		list = append(list, provider.VMInfo{ID: vmID(i), State: provider.VMLive})
 	}
 	for ctx.Err() == nil {
 		placer.Observe(list, time.Now())
@@ -85,7 +85,7 @@
 	if held == nil {
 		return refusal
 	}
-	return o.d.call(ctx, held, platform.Task{ID: req.IdempotencyKey, Attempt: 1, Team: testTeam, Body: req.Body}).outcome(held, 1)
+	return o.d.call(ctx, held, provider.Task{ID: req.IdempotencyKey, Attempt: 1, Team: testTeam, Body: req.Body}).outcome(held, 1)
 }
 
 // BenchmarkOrder measures orders with claims in a log of 300 appends/s beside
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -13,8 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
--- a/dispatch/orderfollow.go
+++ b/dispatch/orderfollow.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -66,19 +66,19 @@
 		return out
 	}
 	task, ok := findTask(list, current.Claim, current.Attempt)
-	if !ok || task.State != platform.TaskSucceeded || len(task.Answer) != current.AnswerBytes {
+	if !ok || task.State != provider.TaskSucceeded || len(task.Answer) != current.AnswerBytes {
 		return out
 	}
 	return Outcome{Kind: Answered, VM: current.Target, Attempts: current.Attempt, Answer: task.Answer}
 }
 
 // findTask returns the VM's line for the claim's task.
-func findTask(list platform.TaskList, claim statemachine.Claim, number int) (platform.TaskStatus, bool) {
+func findTask(list provider.TaskList, claim statemachine.Claim, number int) (provider.TaskStatus, bool) {
 	id := statemachine.OrderID(claim.Team, claim.Key)
 	for _, task := range list.Tasks {
 		if task.ID == id && task.Attempt == number {
 			return task, true
 		}
 	}
-	return platform.TaskStatus{}, false
+	return provider.TaskStatus{}, false
 }
--- a/dispatch/ordernaive_test.go
+++ b/dispatch/ordernaive_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -41,7 +41,7 @@
 	if held == nil {
 		return refusal
 	}
-	task := platform.Task{ID: n.order, Attempt: 1, Team: testTeam, Body: n.body}
+	task := provider.Task{ID: n.order, Attempt: 1, Team: testTeam, Body: n.body}
 	got := n.d.call(ctx, held, task)
 	return got.outcome(held, 1)
 }
--- a/dispatch/orderproc_test.go
+++ b/dispatch/orderproc_test.go
@@ -10,9 +10,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -85,12 +85,12 @@
 }
 
 func (p *process) lost(op string) error {
-	return &platform.Error{Op: op, Outcome: platform.Unknown, Code: platform.CodeTimeout, Message: "killed"}
+	return &provider.Error{Op: op, Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: "killed"}
 }
 
 // mortalLog is the log as a process that can be killed sees it.
 type mortalLog struct {
-	platform.Log
+	provider.Log
 	p *process
 }
 
@@ -114,10 +114,10 @@
 	return offset, err
 }
 
-func (l *mortalLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *mortalLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, limit, wait)
 	if l.p.isDead() {
-		return platform.Page{}, l.p.lost("log.read")
+		return provider.Page{}, l.p.lost("log.read")
 	}
 	return page, err
 }
@@ -132,47 +132,47 @@
 
 // mortalWorkers is the fleet as a process that can be killed sees it.
 type mortalWorkers struct {
-	platform.Workers
+	provider.Workers
 	p *process
 }
 
-func (w *mortalWorkers) AcquireSlot(ctx context.Context, address string, req platform.SlotRequest) (platform.SlotLease, error) {
+func (w *mortalWorkers) AcquireSlot(ctx context.Context, address string, req provider.SlotRequest) (provider.SlotLease, error) {
 	w.p.die(beforeSlot)
 	if w.p.isDead() {
-		return platform.SlotLease{}, w.p.lost("worker.acquire")
+		return provider.SlotLease{}, w.p.lost("worker.acquire")
 	}
 	lease, err := w.Workers.AcquireSlot(ctx, address, req)
 	w.p.die(afterSlot)
 	if w.p.isDead() {
-		return platform.SlotLease{}, w.p.lost("worker.acquire")
+		return provider.SlotLease{}, w.p.lost("worker.acquire")
 	}
 	return lease, err
 }
 
-func (w *mortalWorkers) RunTask(ctx context.Context, address string, task platform.Task) (platform.Answer, error) {
+func (w *mortalWorkers) RunTask(ctx context.Context, address string, task provider.Task) (provider.Answer, error) {
 	w.p.die(beforeStart)
 	time.Sleep(w.p.pause)
 	if w.p.isDead() {
-		return platform.Answer{}, w.p.lost("worker.run")
+		return provider.Answer{}, w.p.lost("worker.run")
 	}
 	if w.p.killAt == afterStart {
 		ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
 		defer cancel()
 		_, _ = w.Workers.RunTask(ctx, address, task)
 		w.p.die(afterStart)
-		return platform.Answer{}, w.p.lost("worker.run")
+		return provider.Answer{}, w.p.lost("worker.run")
 	}
 	answer, err := w.Workers.RunTask(ctx, address, task)
 	w.p.die(afterReply)
 	if w.p.isDead() {
-		return platform.Answer{}, w.p.lost("worker.run")
+		return provider.Answer{}, w.p.lost("worker.run")
 	}
 	return answer, err
 }
 
-func (w *mortalWorkers) ListTasks(ctx context.Context, address string) (platform.TaskList, error) {
+func (w *mortalWorkers) ListTasks(ctx context.Context, address string) (provider.TaskList, error) {
 	if w.p.isDead() {
-		return platform.TaskList{}, w.p.lost("worker.list")
+		return provider.TaskList{}, w.p.lost("worker.list")
 	}
 	return w.Workers.ListTasks(ctx, address)
 }
--- a/dispatch/orderresolve.go
+++ b/dispatch/orderresolve.go
@@ -7,7 +7,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/periodic"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -135,7 +135,7 @@
 // VM was asked. A task that the VM does not list cannot begin any more once
 // the lease that the claim is bound to has lapsed, and has not begun if the
 // record then still reaches back to the lease.
-func judge(order *statemachine.Order, list platform.TaskList, openFor time.Duration) *statemachine.ClaimSettle {
+func judge(order *statemachine.Order, list provider.TaskList, openFor time.Duration) *statemachine.ClaimSettle {
 	settle := &statemachine.ClaimSettle{Order: statemachine.OrderID(order.Team, order.Key), Attempt: order.Attempt}
 	task, listed := findTask(list, order.Claim, order.Attempt)
 	if !listed {
@@ -146,12 +146,12 @@
 		return settle
 	}
 	switch task.State {
-	case platform.TaskSucceeded:
+	case provider.TaskSucceeded:
 		return answered(settle, task.Answer)
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		settle.End, settle.Message = statemachine.OrderFailed, "the task failed"
 		return settle
-	case platform.TaskStopped:
+	case provider.TaskStopped:
 		settle.End, settle.Message = statemachine.OrderFailed, "the task was stopped before its end"
 		return settle
 	default:
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -27,7 +27,7 @@
 	// Shards returns the streams of the claims, or nil while their number is
 	// not known.
 	Shards  func() *logstream.Shards
-	Workers platform.Workers
+	Workers provider.Workers
 	Clock   clockwork.Clock
 	// Alive reports whether the entry incarnation is known to run.
 	Alive func(incarnation string) bool
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -26,7 +26,7 @@
 		if held == nil {
 			return outcome.join(refusal)
 		}
-		task := platform.Task{ID: id, Attempt: number, Team: grant.Workspace.Team, Body: req.Body}
+		task := provider.Task{ID: id, Attempt: number, Team: grant.Workspace.Team, Body: req.Body}
 		got := d.call(ctx, held, task)
 		outcome = outcome.join(got.outcome(held, number))
 		if !got.end.retryable() {
--- a/entry/checkpointable.go
+++ b/entry/checkpointable.go
@@ -1,14 +1,14 @@
 package entry
 
 import (
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // checkpointable reports whether the task is the running start of an
 // idempotent job: its owner resumes it elsewhere from the checkpoint. Any
 // other task, and one that this entry does not know, is waited for.
-func (s jobShards) checkpointable(task platform.TaskStatus) bool {
+func (s jobShards) checkpointable(task provider.TaskStatus) bool {
 	shards := s.get()
 	if shards == nil {
 		return false
--- a/entry/demandmove_test.go
+++ b/entry/demandmove_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/membership"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
--- a/entry/fleetwatch.go
+++ b/entry/fleetwatch.go
@@ -11,7 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -26,7 +26,7 @@
 // are live and registers new ones.
 type fleetWatch struct {
 	self   string
-	vms    platform.VMs
+	vms    provider.VMs
 	placer *placement.Placer
 	stream *logstream.Stream
 	clock  clockwork.Clock
@@ -74,13 +74,13 @@
 
 // register proposes the listed VMs that the control state lacks. A record
 // that another entry wrote first makes this one void.
-func (f *fleetWatch) register(ctx context.Context, list []platform.VMInfo) {
+func (f *fleetWatch) register(ctx context.Context, list []provider.VMInfo) {
 	state := f.stream.State()
 	var commands []statemachine.Command
 	for _, info := range list {
 		_, known := state.VMs.Get(info.ID)
 		_, pooled := state.Pools.Get(info.Pool)
-		if !known && pooled && info.State == platform.VMLive {
+		if !known && pooled && info.State == provider.VMLive {
 			commands = append(commands, &statemachine.VMAdd{VM: vmOf(info)})
 		}
 	}
@@ -107,7 +107,7 @@
 	_ = group.Wait()
 }
 
-func vmOf(info platform.VMInfo) statemachine.VM {
+func vmOf(info provider.VMInfo) statemachine.VM {
 	return statemachine.VM{
 		ID: info.ID, Address: info.Address, Pool: info.Pool,
 		AvailabilityZone: info.AvailabilityZone, Rack: info.Rack, Slots: info.Slots,
--- a/entry/fleetwatch_test.go
+++ b/entry/fleetwatch_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -26,9 +26,9 @@
 	stream := logstream.New(logstream.Config{
 		Name: "control", Writer: "e", Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(), Limits: limits,
 	}, state)
-	var list []platform.VMInfo
+	var list []provider.VMInfo
 	for i := range limits.MaxQueued + 500 {
-		list = append(list, platform.VMInfo{ID: fmt.Sprint(i), Pool: "p", State: platform.VMLive})
+		list = append(list, provider.VMInfo{ID: fmt.Sprint(i), Pool: "p", State: provider.VMLive})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -40,7 +40,7 @@
 	change, giveUp := context.WithTimeout(context.Background(), time.Millisecond)
 	defer giveUp()
 	_, err := stream.Propose(change, &statemachine.PoolSet{})
-	require.Equal(t, platform.CodeTimeout, platform.CodeOf(err), "%v", err)
+	require.Equal(t, provider.CodeTimeout, provider.CodeOf(err), "%v", err)
 	cancel()
 	<-done
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -14,7 +14,7 @@
 	"github.com/anvilcourse/anvilcourse/membership"
 	"github.com/anvilcourse/anvilcourse/peer"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -96,19 +96,19 @@
 	}).With("entry", id.incarnation)
 }
 
-func newLog(s settings.Entry, client controlClient) platform.Log {
-	return platform.NewHTTPLog(s.Platform, client.Client)
+func newLog(s settings.Entry, client controlClient) provider.Log {
+	return provider.NewHTTPLog(s.Platform, client.Client)
 }
 
-func newVMs(s settings.Entry, client controlClient) platform.VMs {
-	return platform.NewHTTPVMs(s.Platform, client.Client)
+func newVMs(s settings.Entry, client controlClient) provider.VMs {
+	return provider.NewHTTPVMs(s.Platform, client.Client)
 }
 
-func newWorkers(client workerClient) platform.Workers {
-	return platform.NewHTTPWorkers(client.Client)
+func newWorkers(client workerClient) provider.Workers {
+	return provider.NewHTTPWorkers(client.Client)
 }
 
-func newStream(id identity, log platform.Log, snapshots *logstream.Snapshots, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
+func newStream(id identity, log provider.Log, snapshots *logstream.Snapshots, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger) *logstream.Stream {
 	stream := logstream.New(logstream.Config{
 		Name: controlStream, Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(),
 		Restore: snapshots.Load, Pacer: pacer, Priority: logstream.IsConfiguration,
@@ -119,7 +119,7 @@
 	return stream
 }
 
-func newPlacer(id identity, workers platform.Workers, clock clockwork.Clock, stream *logstream.Stream) *placement.Placer {
+func newPlacer(id identity, workers provider.Workers, clock clockwork.Clock, stream *logstream.Stream) *placement.Placer {
 	placer := placement.New(id.incarnation, workers, clock)
 	stream.Observe(func(state *statemachine.State, results []statemachine.Result) {
 		if changesFleet(results) {
@@ -144,7 +144,7 @@
 	return timeline.NewRing(ringSize)
 }
 
-func newLimbo(workers platform.Workers, clock clockwork.Clock, gate *quota.Gate) *dispatch.Limbo {
+func newLimbo(workers provider.Workers, clock clockwork.Clock, gate *quota.Gate) *dispatch.Limbo {
 	return dispatch.NewLimbo(workers, clock, gate.Release)
 }
 
@@ -164,7 +164,7 @@
 }
 
 func newDispatcher(s settings.Entry, id identity, c *control, placer *placement.Placer, gate *quota.Gate,
-	workers platform.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
+	workers provider.Workers, limbo *dispatch.Limbo, orders *dispatch.Orders, clock clockwork.Clock, ring *timeline.Ring,
 	ledger *quota.Ledger, preempter *jobPreempter,
 ) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
@@ -179,7 +179,7 @@
 	return quota.NewAllotter(id.incarnation, stream, ledger, clock, logger)
 }
 
-func newFleetWatch(id identity, vms platform.VMs, placer *placement.Placer, stream *logstream.Stream, clock clockwork.Clock, logger hclog.Logger) *fleetWatch {
+func newFleetWatch(id identity, vms provider.VMs, placer *placement.Placer, stream *logstream.Stream, clock clockwork.Clock, logger hclog.Logger) *fleetWatch {
 	return &fleetWatch{self: id.incarnation, vms: vms, placer: placer, stream: stream, clock: clock, logger: logger}
 }
 
--- a/entry/module_jobs.go
+++ b/entry/module_jobs.go
@@ -10,7 +10,7 @@
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/job"
 	"github.com/anvilcourse/anvilcourse/membership"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/quarantine"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
@@ -42,7 +42,7 @@
 	return jobShards{shards}
 }
 
-func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers platform.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter, judge *quarantine.Judge) *job.Runner {
+func newJobRunner(id identity, shards jobShards, d *dispatch.Dispatcher, workers provider.Workers, clock clockwork.Clock, m *membership.Membership, preempter *jobPreempter, judge *quarantine.Judge) *job.Runner {
 	runner := job.New(job.Config{
 		Incarnation: id.incarnation, Shards: shards.get, Starter: d, Workers: workers, Clock: clock, Judge: judge,
 		Members: func() []string { return reachableMembers(m) },
--- a/entry/module_log.go
+++ b/entry/module_log.go
@@ -6,7 +6,7 @@
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -36,7 +36,7 @@
 	return logstream.NewPacer(clock, s.LogAppendsPerSecond)
 }
 
-func newSnapshots(log platform.Log) *logstream.Snapshots {
+func newSnapshots(log provider.Log) *logstream.Snapshots {
 	return logstream.NewSnapshots(log, controlStream)
 }
 
@@ -53,7 +53,7 @@
 type newShards func(prefix string, count int) *shardSet
 
 func newShardFactory(
-	s settings.Entry, id identity, control *logstream.Stream, log platform.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger,
+	s settings.Entry, id identity, control *logstream.Stream, log provider.Log, pacer *logstream.Pacer, clock clockwork.Clock, logger hclog.Logger,
 ) newShards {
 	config := logstream.Config{
 		Writer: id.incarnation, Log: log, Clock: clock, Logger: logger, Limits: logstream.DefaultLimits(), Pacer: pacer,
--- a/entry/module_maintenance.go
+++ b/entry/module_maintenance.go
@@ -13,7 +13,7 @@
 	"github.com/anvilcourse/anvilcourse/maintenance"
 	"github.com/anvilcourse/anvilcourse/maintenance/executor"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 	"github.com/anvilcourse/anvilcourse/timeline"
 )
@@ -43,11 +43,11 @@
 	})
 }
 
-func newExecutor(id identity, keeper *lease.Keeper, stream *logstream.Stream, workers platform.Workers, client workerClient,
+func newExecutor(id identity, keeper *lease.Keeper, stream *logstream.Stream, workers provider.Workers, client workerClient,
 	watch *fleetWatch, demand *demandWatch, jobs jobShards, clock clockwork.Clock, logger hclog.Logger, ring *timeline.Ring,
 ) *executor.Executor {
 	return executor.New(executor.Config{
-		Lease: keeper, Log: stream, Workers: workers, Pools: platform.NewHTTPPools(client.Client),
+		Lease: keeper, Log: stream, Workers: workers, Pools: provider.NewHTTPPools(client.Client),
 		Clock: clock, Logger: logger, Params: maintenance.DefaultParams(placement.LeaseTTL), Self: id.incarnation,
 		ListedAt:       watch.listedAt,
 		Need:           demand.need,
--- a/entry/module_orders.go
+++ b/entry/module_orders.go
@@ -10,7 +10,7 @@
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/membership"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -37,7 +37,7 @@
 	return orderShards{divide(ordersStream, s.OrderStreams)}
 }
 
-func newOrders(id identity, shards orderShards, workers platform.Workers, clock clockwork.Clock, m *membership.Membership) *dispatch.Orders {
+func newOrders(id identity, shards orderShards, workers provider.Workers, clock clockwork.Clock, m *membership.Membership) *dispatch.Orders {
 	return dispatch.NewOrders(dispatch.OrdersConfig{
 		Incarnation: id.incarnation, Shards: shards.get, Workers: workers, Clock: clock, Alive: reachable(m),
 	})
--- a/entry/operatorerrors.go
+++ b/entry/operatorerrors.go
@@ -7,14 +7,14 @@
 
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/dispatch"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 func writeProposeError(g *gin.Context, err error) {
 	outcome := dispatch.NotRun
 	detail := "the log took no record of the change; try again"
-	if platform.OutcomeOf(err) != platform.Refused {
+	if provider.OutcomeOf(err) != provider.Refused {
 		outcome = dispatch.Unknown
 		detail = "the log did not confirm the change in time; it may be in force: read it before trying again"
 	}
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -7,7 +7,7 @@
 
 	"github.com/anvilcourse/anvilcourse/netcount"
 	"github.com/anvilcourse/anvilcourse/peer"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -35,7 +35,7 @@
 
 // newControlClient names the entry to the platform in the User-Agent header.
 func newControlClient(s settings.Entry, t *traffic) controlClient {
-	client := platform.NewHTTPClient()
+	client := provider.NewHTTPClient()
 	if transport, ok := client.Transport.(*http.Transport); ok {
 		transport.DialContext = t.platform.Dial(transport.DialContext)
 		transport.DisableCompression = false
@@ -45,7 +45,7 @@
 }
 
 func newWorkerClient(s settings.Entry) workerClient {
-	client := platform.NewHTTPClient()
+	client := provider.NewHTTPClient()
 	client.Transport = &userAgent{name: s.Name, next: client.Transport}
 	return workerClient{client}
 }
--- a/entry/vmhealth.go
+++ b/entry/vmhealth.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -13,15 +13,15 @@
 const removeAfter = time.Minute
 
 // writeHealth proposes what the VM list says of failures and recoveries.
-func (f *fleetWatch) writeHealth(ctx context.Context, list []platform.VMInfo) {
+func (f *fleetWatch) writeHealth(ctx context.Context, list []provider.VMInfo) {
 	f.proposeAll(ctx, healthCommands(f.stream.State(), list, f.clock.Now()))
 }
 
 // healthCommands returns the records that bring the VMs' conditions in line
 // with the list.
-func healthCommands(state *statemachine.State, list []platform.VMInfo, now time.Time) []statemachine.Command {
+func healthCommands(state *statemachine.State, list []provider.VMInfo, now time.Time) []statemachine.Command {
 	var out []statemachine.Command
-	listed := make(map[string]platform.VMState, len(list))
+	listed := make(map[string]provider.VMState, len(list))
 	for _, info := range list {
 		listed[info.ID] = info.State
 	}
@@ -36,9 +36,9 @@
 
 // healthCommand returns the record that the VM's line in the list calls for,
 // or nil.
-func healthCommand(vm *statemachine.VM, seen platform.VMState, listed bool, now time.Time) statemachine.Command {
+func healthCommand(vm *statemachine.VM, seen provider.VMState, listed bool, now time.Time) statemachine.Command {
 	switch {
-	case listed && seen == platform.VMFailed:
+	case listed && seen == provider.VMFailed:
 		return failure(vm, statemachine.ConditionFailed)
 	case listed && vm.Condition != statemachine.ConditionHealthy:
 		return &statemachine.VMRecovered{VM: vm.ID, Expected: vm.Version}
--- a/entry/vmhealth_test.go
+++ b/entry/vmhealth_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -19,14 +19,14 @@
 		name      string
 		condition statemachine.Condition
 		since     time.Duration
-		listed    platform.VMState
+		listed    provider.VMState
 		want      statemachine.Command
 	}{
-		{"live", statemachine.ConditionHealthy, 0, platform.VMLive, nil},
-		{"leaving is no failure", statemachine.ConditionHealthy, 0, platform.VMLeaving, nil},
-		{"failed", statemachine.ConditionHealthy, 0, platform.VMFailed, failed(statemachine.ConditionFailed)},
-		{"failed already", statemachine.ConditionFailed, 0, platform.VMFailed, nil},
-		{"live again", statemachine.ConditionFailed, 0, platform.VMLive, &statemachine.VMRecovered{VM: "vm", Expected: 7}},
+		{"live", statemachine.ConditionHealthy, 0, provider.VMLive, nil},
+		{"leaving is no failure", statemachine.ConditionHealthy, 0, provider.VMLeaving, nil},
+		{"failed", statemachine.ConditionHealthy, 0, provider.VMFailed, failed(statemachine.ConditionFailed)},
+		{"failed already", statemachine.ConditionFailed, 0, provider.VMFailed, nil},
+		{"live again", statemachine.ConditionFailed, 0, provider.VMLive, &statemachine.VMRecovered{VM: "vm", Expected: 7}},
 		{"missing", statemachine.ConditionHealthy, 0, "", failed(statemachine.ConditionUnconfirmed)},
 		{"missing for a while", statemachine.ConditionUnconfirmed, now - removeAfter, "", nil},
 		{"missing for long", statemachine.ConditionUnconfirmed, now - removeAfter - 1e6, "", &statemachine.VMRemove{VM: "vm", Expected: 7}},
@@ -35,9 +35,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			vm := &statemachine.VM{ID: "vm", Version: 7, Condition: tt.condition, ConditionSinceMS: tt.since.Milliseconds()}
 			state := &statemachine.State{VMs: statemachine.Table[*statemachine.VM]{}.Set("vm", vm)}
-			var list []platform.VMInfo
+			var list []provider.VMInfo
 			if tt.listed != "" {
-				list = append(list, platform.VMInfo{ID: "vm", State: tt.listed})
+				list = append(list, provider.VMInfo{ID: "vm", State: tt.listed})
 			}
 			var want []statemachine.Command
 			if tt.want != nil {
--- a/job/callers.go
+++ b/job/callers.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -117,7 +117,7 @@
 	if err == nil {
 		return result, nil
 	}
-	if platform.OutcomeOf(err) == platform.Refused {
+	if provider.OutcomeOf(err) == provider.Refused {
 		return result, errors.Mark(err, ErrNotAccepted)
 	}
 	return result, errors.Mark(err, ErrUnknown)
--- a/job/config.go
+++ b/job/config.go
@@ -9,7 +9,7 @@
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -63,7 +63,7 @@
 	// GiveBack returns what Place took, unused.
 	GiveBack(team string, held *placement.Held)
 	// Call sends one start and gives back what Place took.
-	Call(ctx context.Context, held *placement.Held, task platform.Task) (dispatch.AttemptEnd, []byte, error)
+	Call(ctx context.Context, held *placement.Held, task provider.Task) (dispatch.AttemptEnd, []byte, error)
 }
 
 // Config holds what a Runner works with. All members are required.
@@ -74,7 +74,7 @@
 	// known.
 	Shards  func() *logstream.Shards
 	Starter Starter
-	Workers platform.Workers
+	Workers provider.Workers
 	Clock   clockwork.Clock
 	// Judge gives the verdicts on failed starts.
 	Judge Judge
--- a/job/harness_test.go
+++ b/job/harness_test.go
@@ -14,9 +14,9 @@
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/quarantine"
 	"github.com/anvilcourse/anvilcourse/quota"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -34,7 +34,7 @@
 
 // roundRobin leases slots of the VMs in turn.
 type roundRobin struct {
-	workers platform.Workers
+	workers provider.Workers
 	next    *atomic.Int64
 }
 
@@ -44,7 +44,7 @@
 		if id == avoid {
 			continue
 		}
-		lease, err := s.workers.AcquireSlot(ctx, id, platform.SlotRequest{Holder: "h", TTL: placement.LeaseTTL})
+		lease, err := s.workers.AcquireSlot(ctx, id, provider.SlotRequest{Holder: "h", TTL: placement.LeaseTTL})
 		if err == nil {
 			target := &placement.Target{ID: id, Address: id}
 			return &placement.Held{Target: target, Lease: lease.ID, Record: lease.Record, Started: lease.Started}, nil
@@ -86,11 +86,11 @@
 
 // mortal is the fleet as an entry that can be killed sees it.
 type mortal struct {
-	platform.Workers
+	provider.Workers
 	e *entry
 }
 
-func (m mortal) RunTask(ctx context.Context, address string, task platform.Task) (platform.Answer, error) {
+func (m mortal) RunTask(ctx context.Context, address string, task provider.Task) (provider.Answer, error) {
 	if m.e.dieAtStart.Load() {
 		m.e.kill()
 	}
@@ -99,7 +99,7 @@
 		time.Sleep(time.Duration(pause))
 	}
 	if m.e.dead.Load() {
-		return platform.Answer{}, &platform.Error{Op: "run", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+		return provider.Answer{}, &provider.Error{Op: "run", Outcome: provider.Unknown, Code: provider.CodeTimeout}
 	}
 	return m.Workers.RunTask(ctx, address, task)
 }
--- a/job/resolve.go
+++ b/job/resolve.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -35,7 +35,7 @@
 	}
 }
 
-func (a *run) list(ctx context.Context, job *statemachine.Job) (platform.TaskList, error) {
+func (a *run) list(ctx context.Context, job *statemachine.Job) (provider.TaskList, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	return a.r.cfg.Workers.ListTasks(ctx, job.Start.Address)
@@ -44,7 +44,7 @@
 // judge returns the end of a claimed start that the VM's record proves, or
 // nil. OpenFor is the time for which the start was known to be open when the
 // VM was asked, silentFor the time since the VM last answered.
-func judge(job *statemachine.Job, list platform.TaskList, err error, openFor, silentFor time.Duration) *statemachine.JobEnd {
+func judge(job *statemachine.Job, list provider.TaskList, err error, openFor, silentFor time.Duration) *statemachine.JobEnd {
 	out := &statemachine.JobEnd{ID: job.ID, Epoch: job.Epoch, Attempt: job.Attempt}
 	if err != nil {
 		if silentFor < patience(job) {
@@ -65,12 +65,12 @@
 		return out
 	}
 	switch task.State {
-	case platform.TaskSucceeded:
+	case provider.TaskSucceeded:
 		return withAnswer(out, task.Answer)
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		out.End, out.Message = statemachine.JobAttemptFailed, "the task failed"
 		return out
-	case platform.TaskStopped:
+	case provider.TaskStopped:
 		out.End, out.Checkpoint, out.Message = statemachine.JobAttemptStopped, task.Checkpoint, "the task was stopped"
 		return out
 	default:
@@ -86,11 +86,11 @@
 	return lostOnceAfter
 }
 
-func find(list platform.TaskList, job *statemachine.Job) (platform.TaskStatus, bool) {
+func find(list provider.TaskList, job *statemachine.Job) (provider.TaskStatus, bool) {
 	for _, task := range list.Tasks {
 		if task.ID == job.ID && task.Attempt == job.Attempt {
 			return task, true
 		}
 	}
-	return platform.TaskStatus{}, false
+	return provider.TaskStatus{}, false
 }
--- a/job/run.go
+++ b/job/run.go
@@ -8,7 +8,7 @@
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/placement"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -106,7 +106,7 @@
 	a.started.Store(a.r.cfg.Clock.Now().UnixMicro())
 	watchCtx, done := context.WithCancel(ctx)
 	go a.watchStop(watchCtx, job)
-	end, answer, err := a.r.cfg.Starter.Call(ctx, held, platform.Task{
+	end, answer, err := a.r.cfg.Starter.Call(ctx, held, provider.Task{
 		ID: job.ID, Attempt: job.Attempt, Team: job.Team, Checkpoint: job.Checkpoint, Body: job.Body,
 	})
 	done()
--- a/job/verdict_test.go
+++ b/job/verdict_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/anvilcourse/anvilcourse/lease"
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
--- a/logstream/backoff_test.go
+++ b/logstream/backoff_test.go
@@ -7,8 +7,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 )
 
 // TestBackoff_Bounds checks the pauses of failures in a row.
@@ -40,6 +40,6 @@
 	sent := h.stream.attempts.Load()
 	a.cancel()
 	a.wait(t)
-	require.Equal(t, platform.Refused, outcome(a.err))
+	require.Equal(t, provider.Refused, outcome(a.err))
 	require.Equal(t, int64(1), int64(sent))
 }
--- a/logstream/config.go
+++ b/logstream/config.go
@@ -7,7 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -18,7 +18,7 @@
 	Name string
 	// Writer is the incarnation under which records are written.
 	Writer string
-	Log    platform.Log
+	Log    provider.Log
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Limits Limits
--- a/logstream/example_test.go
+++ b/logstream/example_test.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
--- a/logstream/fault.go
+++ b/logstream/fault.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // streamFault is why a Stream has stopped for good.
@@ -25,7 +25,7 @@
 
 // checkPage compares the page with what is known of the stream. It records a
 // Fault if the stream is another one, or shorter than what has been applied.
-func (s *Stream) checkPage(page platform.Page, from uint64) error {
+func (s *Stream) checkPage(page provider.Page, from uint64) error {
 	if page.From != from {
 		return errors.Newf("stream %s: asked for offset %d and got %d", s.cfg.Name, from, page.From)
 	}
--- a/logstream/faults_test.go
+++ b/logstream/faults_test.go
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 )
 
 // TestPropose_Faults is the fault table of a proposal. Each row switches a
@@ -26,7 +26,7 @@
 		blind bool
 		// last is the outcome in the end, "" for success: what the proposer
 		// sees or, after Unknown, what Pending tells once the log has healed.
-		last platform.Outcome
+		last provider.Outcome
 		// effects is the number of times the record is in effect at the end.
 		effects uint64
 	}{
@@ -36,10 +36,10 @@
 		{name: "append late", fault: func(f *fakelog.Faults) { f.HoldAppends = 2 }, effects: 1},
 		{name: "rate limited", fault: func(f *fakelog.Faults) { f.RateLimit = 3 }, effects: 1},
 		{name: "slow", fault: func(f *fakelog.Faults) { f.Slow = 5 * time.Millisecond }, effects: 1},
-		{name: "down, given up", fault: func(f *fakelog.Faults) { f.Down = true }, giveUp: true, last: platform.Refused},
-		{name: "rate limited, given up", fault: func(f *fakelog.Faults) { f.RateLimit = 1 << 40 }, giveUp: true, last: platform.Refused},
-		{name: "append lost, given up", fault: func(f *fakelog.Faults) { f.LoseAppends = 1 << 40 }, giveUp: true, last: platform.Refused},
-		{name: "append late, given up", fault: func(f *fakelog.Faults) { f.HoldAppends = 1 << 40 }, giveUp: true, last: platform.Refused},
+		{name: "down, given up", fault: func(f *fakelog.Faults) { f.Down = true }, giveUp: true, last: provider.Refused},
+		{name: "rate limited, given up", fault: func(f *fakelog.Faults) { f.RateLimit = 1 << 40 }, giveUp: true, last: provider.Refused},
+		{name: "append lost, given up", fault: func(f *fakelog.Faults) { f.LoseAppends = 1 << 40 }, giveUp: true, last: provider.Refused},
+		{name: "append late, given up", fault: func(f *fakelog.Faults) { f.HoldAppends = 1 << 40 }, giveUp: true, last: provider.Refused},
 		{name: "written but not read, given up", fault: func(*fakelog.Faults) {}, giveUp: true, blind: true, effects: 1},
 		{name: "reply lost and not read, given up", fault: func(f *fakelog.Faults) { f.LoseReplies = 1 << 40 }, giveUp: true, blind: true, effects: 1},
 	}
@@ -64,7 +64,7 @@
 			log.Set(func(f *fakelog.Faults) { *f = fakelog.Faults{} })
 			h.gate.blind.Store(false)
 			if pending, ok := PendingOf(a.err); ok {
-				require.Equal(t, platform.Unknown, outcome(a.err))
+				require.Equal(t, provider.Unknown, outcome(a.err))
 				a.result, a.err = pending.Wait(t.Context())
 			}
 			require.Equal(t, row.last, outcome(a.err))
@@ -80,11 +80,11 @@
 }
 
 // outcome returns the outcome of the error, or "" without one.
-func outcome(err error) platform.Outcome {
+func outcome(err error) provider.Outcome {
 	if err == nil {
 		return ""
 	}
-	return platform.OutcomeOf(err)
+	return provider.OutcomeOf(err)
 }
 
 // TestPropose_QueueIsBounded checks that a log that is down makes proposals
@@ -107,7 +107,7 @@
 				if pending, ok := PendingOf(a.err); ok {
 					_, a.err = pending.Wait(t.Context())
 				}
-				require.Equal(t, platform.Refused, outcome(a.err))
+				require.Equal(t, provider.Refused, outcome(a.err))
 				n++
 			default:
 			}
@@ -137,7 +137,7 @@
 	h.eventually(func() bool { return h.stream.attempts.Load() == 1 && h.stream.waiting.len() == 0 })
 	a.cancel()
 	a.wait(t)
-	require.Equal(t, platform.Refused, outcome(a.err))
+	require.Equal(t, provider.Refused, outcome(a.err))
 }
 
 // TestWaiting_IsBounded checks that records that are written and not read
@@ -202,7 +202,7 @@
 			require.Greater(t, h.stream.Age(), time.Hour)
 			a := h.propose(pool("q", 0))
 			a.wait(t)
-			require.Equal(t, platform.Refused, outcome(a.err))
+			require.Equal(t, provider.Refused, outcome(a.err))
 		})
 	}
 }
--- a/logstream/flush_bench_test.go
+++ b/logstream/flush_bench_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/logstream"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -67,7 +67,7 @@
 	limits.MaxBatchRecords = records
 	clock := clockwork.NewRealClock()
 	stream := logstream.New(logstream.Config{
-		Name: "control", Writer: "w", Log: platform.NewHTTPLog(server.URL(), platform.NewHTTPClient()), Clock: clock,
+		Name: "control", Writer: "w", Log: provider.NewHTTPLog(server.URL(), provider.NewHTTPClient()), Clock: clock,
 		Logger: hclog.NewNullLogger(), Limits: limits, Pacer: logstream.NewPacer(clock, settings.DefaultStandin().AppendsPerSecond),
 	}, statemachine.New())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // follow reads the stream and applies its records until the context ends or
@@ -17,7 +17,7 @@
 	for ctx.Err() == nil && s.Fault() == nil {
 		err := s.readOnce(ctx)
 		s.readable.Store(err == nil)
-		if platform.CodeOf(err) == platform.CodeTrimmed {
+		if provider.CodeOf(err) == provider.CodeTrimmed {
 			s.restoreTrimmed(ctx)
 		}
 		if err == nil {
--- a/logstream/harness_test.go
+++ b/logstream/harness_test.go
@@ -10,8 +10,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -22,13 +22,13 @@
 
 // gatedLog can refuse reads while appends go through.
 type gatedLog struct {
-	platform.Log
+	provider.Log
 	blind atomic.Bool
 }
 
-func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (g *gatedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	if g.blind.Load() {
-		return platform.Page{}, &platform.Error{Op: "log.read", Outcome: platform.Refused, Code: platform.CodeUnavailable}
+		return provider.Page{}, &provider.Error{Op: "log.read", Outcome: provider.Refused, Code: provider.CodeUnavailable}
 	}
 	return g.Log.Read(ctx, stream, from, limit, wait)
 }
@@ -51,7 +51,7 @@
 	return limits
 }
 
-func testConfig(log platform.Log, writer string) Config {
+func testConfig(log provider.Log, writer string) Config {
 	return Config{
 		Name: "control", Writer: writer, Log: log, Clock: clockwork.NewRealClock(),
 		Logger: hclog.NewNullLogger(), Limits: testLimits(),
--- a/logstream/leave_test.go
+++ b/logstream/leave_test.go
@@ -8,13 +8,13 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // heldLog holds each append until it is released, and then refuses it.
 type heldLog struct {
-	platform.Log
+	provider.Log
 	entered chan struct{}
 	release chan struct{}
 }
@@ -22,7 +22,7 @@
 func (l *heldLog) Append(context.Context, string, [][]byte) (uint64, error) {
 	l.entered <- struct{}{}
 	<-l.release
-	return 0, &platform.Error{Op: "log.append", Outcome: platform.Refused, Code: platform.CodeUnavailable}
+	return 0, &provider.Error{Op: "log.append", Outcome: provider.Refused, Code: provider.CodeUnavailable}
 }
 
 // TestPropose_LeavesDuringARefusedAppend checks that a proposer that gives up
@@ -36,13 +36,13 @@
 	defer stop()
 	go s.write(run)
 	ctx, giveUp := context.WithCancel(context.Background())
-	outcome := make(chan platform.Outcome)
+	outcome := make(chan provider.Outcome)
 	go func() {
 		_, err := s.Propose(ctx, &statemachine.PoolSet{})
-		outcome <- platform.OutcomeOf(err)
+		outcome <- provider.OutcomeOf(err)
 	}()
 	<-log.entered
 	giveUp()
 	go func() { log.release <- struct{}{} }()
-	require.Equal(t, platform.Refused, <-outcome)
+	require.Equal(t, provider.Refused, <-outcome)
 }
--- a/logstream/pending.go
+++ b/logstream/pending.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -23,7 +23,7 @@
 	case <-p.proposal.done:
 		return p.proposal.result, p.proposal.err
 	case <-ctx.Done():
-		return statemachine.Result{}, proposeError(platform.Unknown, platform.CodeTimeout, "the record's fate is not known yet")
+		return statemachine.Result{}, proposeError(provider.Unknown, provider.CodeTimeout, "the record's fate is not known yet")
 	}
 }
 
--- a/logstream/proposal.go
+++ b/logstream/proposal.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -83,7 +83,7 @@
 // sent.
 func (p *proposal) refuseUnsent(when string) {
 	if p.state.CompareAndSwap(int32(proposalQueued), int32(proposalDropped)) {
-		p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeTimeout, "the record was not sent "+when))
+		p.finish(statemachine.Result{}, proposeError(provider.Refused, provider.CodeTimeout, "the record was not sent "+when))
 		return
 	}
 	if p.state.Load() == int32(proposalDropped) {
@@ -91,24 +91,24 @@
 	}
 }
 
-func proposeError(outcome platform.Outcome, code platform.Code, message string) error {
-	return &platform.Error{Op: "log.propose", Outcome: outcome, Code: code, Message: message}
+func proposeError(outcome provider.Outcome, code provider.Code, message string) error {
+	return &provider.Error{Op: "log.propose", Outcome: outcome, Code: code, Message: message}
 }
 
 // Propose writes the command and waits until it has been read back. The
 // result tells whether the record took effect or is void. The error wraps a
-// *platform.Error: Refused if the record is not in the stream and never takes
+// *provider.Error: Refused if the record is not in the stream and never takes
 // effect, Unknown if it may, now or later. PendingOf gives what follows an
 // Unknown.
 func (s *Stream) Propose(ctx context.Context, command statemachine.Command) (statemachine.Result, error) {
 	if s.Fault() != nil {
-		return statemachine.Result{}, proposeError(platform.Refused, platform.CodeUnavailable, s.Fault().Error())
+		return statemachine.Result{}, proposeError(provider.Refused, provider.CodeUnavailable, s.Fault().Error())
 	}
 	p := newProposal(ctx, command)
 	select {
 	case s.queue <- p:
 	default:
-		return statemachine.Result{}, proposeError(platform.Refused, platform.CodeUnavailable, "too many records wait for the log")
+		return statemachine.Result{}, proposeError(provider.Refused, provider.CodeUnavailable, "too many records wait for the log")
 	}
 	select {
 	case <-p.done:
@@ -134,6 +134,6 @@
 	if p.isDone() {
 		return p.result, p.err
 	}
-	err := proposeError(platform.Unknown, platform.CodeTimeout, "the record was sent and not read back "+when)
+	err := proposeError(provider.Unknown, provider.CodeTimeout, "the record was sent and not read back "+when)
 	return statemachine.Result{}, &unresolvedError{error: err, pending: &Pending{proposal: p}}
 }
--- a/logstream/snapshot.go
+++ b/logstream/snapshot.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -51,13 +51,13 @@
 
 // Snapshots keeps the snapshots of one stream in a stream of their own.
 type Snapshots struct {
-	log        platform.Log
+	log        provider.Log
 	name       string
 	chunkBytes int
 }
 
 // NewSnapshots returns the snapshots of the named stream.
-func NewSnapshots(log platform.Log, stream string) *Snapshots {
+func NewSnapshots(log provider.Log, stream string) *Snapshots {
 	return &Snapshots{log: log, name: stream + snapshotSuffix, chunkBytes: maxChunkBytes}
 }
 
@@ -99,7 +99,7 @@
 	for range loadTries {
 		var out Snapshot
 		out, err = s.loadOnce(ctx)
-		if platform.CodeOf(err) != platform.CodeTrimmed {
+		if provider.CodeOf(err) != provider.CodeTrimmed {
 			return out, err
 		}
 	}
--- a/logstream/snapshot_test.go
+++ b/logstream/snapshot_test.go
@@ -13,7 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
--- a/logstream/waiting.go
+++ b/logstream/waiting.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -44,14 +44,14 @@
 			p.finish(result, nil)
 			continue
 		}
-		p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeTimeout, "a later record of the writer took effect without this one"))
+		p.finish(statemachine.Result{}, proposeError(provider.Refused, provider.CodeTimeout, "a later record of the writer took effect without this one"))
 	}
 }
 
 // giveUp ends the proposals up to the number, whose results were not seen.
 func (w *waiting) giveUp(seq uint64, message string) {
 	for _, p := range w.takeUpTo(seq) {
-		p.finish(statemachine.Result{}, proposeError(platform.Unknown, platform.CodeUnavailable, message))
+		p.finish(statemachine.Result{}, proposeError(provider.Unknown, provider.CodeUnavailable, message))
 	}
 }
 
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -111,7 +111,7 @@
 		}
 		payload, err := w.encode(batch)
 		if err != nil {
-			finishAll(batch, proposeError(platform.Refused, platform.CodeInvalid, err.Error()))
+			finishAll(batch, proposeError(provider.Refused, provider.CodeInvalid, err.Error()))
 			return
 		}
 		w.waiting.add(batch)
@@ -119,14 +119,14 @@
 		if outcome == "" {
 			return
 		}
-		if outcome == platform.Unknown {
+		if outcome == provider.Unknown {
 			w.repeat(ctx, batch, payload)
 			return
 		}
 		w.takeBack(batch)
 		w.backOffWrites(ctx, &w.failed, batch)
 	}
-	finishAll(batch, proposeError(platform.Refused, platform.CodeUnavailable, "the stream has ended"))
+	finishAll(batch, proposeError(provider.Refused, provider.CodeUnavailable, "the stream has ended"))
 }
 
 // takeBack returns a refused batch to the state before it was sent. A proposer
@@ -135,7 +135,7 @@
 	w.waiting.remove(batch)
 	for _, p := range batch {
 		if p.ctx.Err() != nil {
-			p.finish(statemachine.Result{}, proposeError(platform.Refused, platform.CodeUnavailable, "the log takes no records"))
+			p.finish(statemachine.Result{}, proposeError(provider.Refused, provider.CodeUnavailable, "the log takes no records"))
 			continue
 		}
 		p.state.Store(int32(proposalQueued))
@@ -172,7 +172,7 @@
 }
 
 // append sends one append and returns its outcome, or "" on success.
-func (w *writer) append(ctx context.Context, payload []byte) platform.Outcome {
+func (w *writer) append(ctx context.Context, payload []byte) provider.Outcome {
 	outcome := w.Stream.append(ctx, payload)
 	if outcome == "" {
 		w.failed.reset()
@@ -180,7 +180,7 @@
 	return outcome
 }
 
-func (s *Stream) append(ctx context.Context, payload []byte) platform.Outcome {
+func (s *Stream) append(ctx context.Context, payload []byte) provider.Outcome {
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.Limits.CallTimeout)
 	defer cancel()
 	s.attempts.Add(1)
@@ -189,7 +189,7 @@
 		return ""
 	}
 	s.cfg.Logger.Debug("append failed", "stream", s.cfg.Name, "error", err.Error())
-	return platform.OutcomeOf(err)
+	return provider.OutcomeOf(err)
 }
 
 func (s *Stream) encode(batch []*proposal) ([]byte, error) {
--- a/maintenance/executor/config.go
+++ b/maintenance/executor/config.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/anvilcourse/anvilcourse/maintenance"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -27,8 +27,8 @@
 type Config struct {
 	Lease   Lease
 	Log     Log
-	Workers platform.Workers
-	Pools   platform.Pools
+	Workers provider.Workers
+	Pools   provider.Pools
 	Clock   clockwork.Clock
 	Logger  hclog.Logger
 	Params  maintenance.Params
@@ -40,7 +40,7 @@
 	Need func() map[string]int
 	// Checkpointable reports whether a task may be stopped and resumed
 	// elsewhere without harm to its request.
-	Checkpointable func(platform.TaskStatus) bool
+	Checkpointable func(provider.TaskStatus) bool
 	// Report is told of each action that took effect.
 	Report func(maintenance.Action)
 }
--- a/maintenance/executor/executor_test.go
+++ b/maintenance/executor/executor_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/maintenance"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -21,8 +21,8 @@
 
 // fakeVM is the only VM of the fake platform.
 type fakeVM struct {
-	platform.Workers
-	tasks    map[string]platform.TaskState
+	provider.Workers
+	tasks    map[string]provider.TaskState
 	draining bool
 	sick     bool
 	reboots  int
@@ -37,29 +37,29 @@
 func (v *fakeVM) Drain(context.Context, string) error  { v.draining = true; return nil }
 func (v *fakeVM) Return(context.Context, string) error { v.draining = false; return nil }
 
-func (v *fakeVM) Reboot(_ context.Context, _ string, at platform.Position) error {
+func (v *fakeVM) Reboot(_ context.Context, _ string, at provider.Position) error {
 	if v.holdReboot {
 		v.holdReboot = false
 		v.late = func() error { return v.reboot(at) }
-		return &platform.Error{Op: "pool.reboot", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+		return &provider.Error{Op: "pool.reboot", Outcome: provider.Unknown, Code: provider.CodeTimeout}
 	}
 	return v.reboot(at)
 }
 
-func (v *fakeVM) reboot(at platform.Position) error {
+func (v *fakeVM) reboot(at provider.Position) error {
 	list, _ := v.ListTasks(context.Background(), "")
 	if at != list.Position() {
-		return &platform.Error{Op: "pool.reboot", Outcome: platform.Refused, Code: platform.CodeInvalid}
+		return &provider.Error{Op: "pool.reboot", Outcome: provider.Refused, Code: provider.CodeInvalid}
 	}
 	v.reboots++
 	v.cut += len(v.tasks)
 	return nil
 }
 
-func (v *fakeVM) ListTasks(context.Context, string) (platform.TaskList, error) {
-	list := platform.TaskList{Record: "record", Forgotten: v.ended}
+func (v *fakeVM) ListTasks(context.Context, string) (provider.TaskList, error) {
+	list := provider.TaskList{Record: "record", Forgotten: v.ended}
 	for id, state := range v.tasks {
-		list.Tasks = append(list.Tasks, platform.TaskStatus{ID: id, State: state})
+		list.Tasks = append(list.Tasks, provider.TaskStatus{ID: id, State: state})
 	}
 	return list, nil
 }
@@ -71,11 +71,11 @@
 	return nil
 }
 
-func (v *fakeVM) AcquireSlot(context.Context, string, platform.SlotRequest) (platform.SlotLease, error) {
+func (v *fakeVM) AcquireSlot(context.Context, string, provider.SlotRequest) (provider.SlotLease, error) {
 	if v.sick || v.draining {
-		return platform.SlotLease{}, &platform.Error{Op: "worker.acquire", Outcome: platform.Refused, Code: platform.CodeDraining}
+		return provider.SlotLease{}, &provider.Error{Op: "worker.acquire", Outcome: provider.Refused, Code: provider.CodeDraining}
 	}
-	return platform.SlotLease{}, nil
+	return provider.SlotLease{}, nil
 }
 
 func (v *fakeVM) ReleaseSlot(context.Context, string, string) error { return nil }
@@ -104,16 +104,16 @@
 }
 
 func newBench(t *testing.T, tasks ...string) *bench {
-	b := &bench{t: t, state: statemachine.New(), clock: clockwork.NewFakeClock(), held: true, fakeVM: &fakeVM{tasks: make(map[string]platform.TaskState)}}
+	b := &bench{t: t, state: statemachine.New(), clock: clockwork.NewFakeClock(), held: true, fakeVM: &fakeVM{tasks: make(map[string]provider.TaskState)}}
 	for _, id := range tasks {
-		b.tasks[id] = platform.TaskRunning
+		b.tasks[id] = provider.TaskRunning
 	}
 	b.Executor = New(Config{
 		Lease: b, Log: b, Workers: b.fakeVM, Pools: b.fakeVM, Clock: b.clock, Logger: hclog.NewNullLogger(),
 		Params: maintenance.DefaultParams(slotLease), Self: "e",
 		ListedAt:       b.clock.Now,
 		Need:           func() map[string]int { return nil },
-		Checkpointable: func(task platform.TaskStatus) bool { return task.ID == "long" },
+		Checkpointable: func(task provider.TaskStatus) bool { return task.ID == "long" },
 		Report:         func(a maintenance.Action) { b.report = append(b.report, a.Kind) },
 	})
 	for _, c := range []statemachine.Command{
@@ -171,7 +171,7 @@
 func TestExecutor_LateStart(t *testing.T) {
 	b := newBench(t)
 	b.rounds(slotLease)
-	b.tasks["late"] = platform.TaskRunning
+	b.tasks["late"] = provider.TaskRunning
 	b.rounds(3 * time.Second)
 	require.Zero(t, b.reboots)
 	delete(b.tasks, "late")
@@ -197,7 +197,7 @@
 	b.rounds(deadline / 2)
 	require.Len(t, b.tasks, 2)
 	b.rounds(time.Second)
-	require.Equal(t, map[string]platform.TaskState{"order": platform.TaskRunning}, b.tasks)
+	require.Equal(t, map[string]provider.TaskState{"order": provider.TaskRunning}, b.tasks)
 	require.Zero(t, b.reboots)
 }
 
@@ -218,7 +218,7 @@
 	require.Nil(t, b.Latest())
 
 	b.held = true
-	b.tasks["stray"] = platform.TaskRunning
+	b.tasks["stray"] = provider.TaskRunning
 	b.rounds(time.Second)
 	require.Zero(t, b.reboots, "a VM that runs tasks is not restarted")
 	delete(b.tasks, "stray")
@@ -242,9 +242,9 @@
 	require.Equal(t, "w", b.vm().MaintainedBy)
 	require.Equal(t, 1, b.reboots)
 
-	b.tasks["order"] = platform.TaskRunning
+	b.tasks["order"] = provider.TaskRunning
 	b.draining = true
-	require.Equal(t, platform.Refused, platform.OutcomeOf(b.late()))
+	require.Equal(t, provider.Refused, provider.OutcomeOf(b.late()))
 	require.Equal(t, 1, b.reboots)
 	require.Zero(t, b.cut)
 }
--- a/maintenance/executor/observe.go
+++ b/maintenance/executor/observe.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/anvilcourse/anvilcourse/maintenance"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -125,12 +125,12 @@
 
 // running lists the tasks that run on the VM, and returns where its record of
 // tasks stands.
-func (e *Executor) running(ctx context.Context, vm *statemachine.VM) (out []maintenance.RunningTask, at platform.Position, err error) {
+func (e *Executor) running(ctx context.Context, vm *statemachine.VM) (out []maintenance.RunningTask, at provider.Position, err error) {
 	err = e.call(ctx, vm, func(ctx context.Context, address string) error {
 		list, err := e.cfg.Workers.ListTasks(ctx, address)
 		at = list.Position()
 		for _, task := range list.Tasks {
-			if task.State != platform.TaskRunning {
+			if task.State != provider.TaskRunning {
 				continue
 			}
 			out = append(out, maintenance.RunningTask{
@@ -145,7 +145,7 @@
 // probe confirms that the VM grants a slot, and gives it back.
 func (e *Executor) probe(ctx context.Context, vm *statemachine.VM) error {
 	return e.call(ctx, vm, func(ctx context.Context, address string) error {
-		lease, err := e.cfg.Workers.AcquireSlot(ctx, address, platform.SlotRequest{Holder: e.cfg.Self, TTL: callTimeout})
+		lease, err := e.cfg.Workers.AcquireSlot(ctx, address, provider.SlotRequest{Holder: e.cfg.Self, TTL: callTimeout})
 		if err != nil {
 			return err
 		}
--- a/placement/cordon_test.go
+++ b/placement/cordon_test.go
@@ -7,15 +7,15 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // grantingWorkers grants every slot.
-type grantingWorkers struct{ platform.Workers }
+type grantingWorkers struct{ provider.Workers }
 
-func (grantingWorkers) AcquireSlot(context.Context, string, platform.SlotRequest) (platform.SlotLease, error) {
-	return platform.SlotLease{ID: "lease", TTL: LeaseTTL, Free: 1}, nil
+func (grantingWorkers) AcquireSlot(context.Context, string, provider.SlotRequest) (provider.SlotLease, error) {
+	return provider.SlotLease{ID: "lease", TTL: LeaseTTL, Free: 1}, nil
 }
 
 // TestSetFleet_CordonsDrainedVM checks that the drain record alone keeps work
@@ -28,7 +28,7 @@
 	set := func(step statemachine.Step) {
 		vm.Maintenance.Step = step
 		placer.SetFleet(&statemachine.State{VMs: statemachine.Table[*statemachine.VM]{}.Set("vm", &vm)})
-		placer.Observe([]platform.VMInfo{{ID: "vm", State: platform.VMLive}}, clock.Now())
+		placer.Observe([]provider.VMInfo{{ID: "vm", State: provider.VMLive}}, clock.Now())
 	}
 	set(statemachine.StepServing)
 	held, err := placer.Acquire(t.Context(), []string{"pool"}, "")
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -10,23 +10,23 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
 // countingWorkers grants slots except at the addresses that do not answer.
 type countingWorkers struct {
-	platform.Workers
+	provider.Workers
 	silent map[string]bool
 	asked  map[string]int
 }
 
-func (w *countingWorkers) AcquireSlot(_ context.Context, address string, req platform.SlotRequest) (platform.SlotLease, error) {
+func (w *countingWorkers) AcquireSlot(_ context.Context, address string, req provider.SlotRequest) (provider.SlotLease, error) {
 	w.asked[address]++
 	if w.silent[address] {
-		return platform.SlotLease{}, &platform.Error{Outcome: platform.Unknown, Code: platform.CodeTimeout}
+		return provider.SlotLease{}, &provider.Error{Outcome: provider.Unknown, Code: provider.CodeTimeout}
 	}
-	return platform.SlotLease{ID: "lease", TTL: req.TTL, Free: 1}, nil
+	return provider.SlotLease{ID: "lease", TTL: req.TTL, Free: 1}, nil
 }
 
 func newHealthPlacer(vms int) (*Placer, *countingWorkers, *clockwork.FakeClock) {
@@ -58,7 +58,7 @@
 	p, workers, clock := newHealthPlacer(2)
 	require.Zero(t, workers.count(p, 10))
 	clock.Advance(ConfirmedFor)
-	p.Observe([]platform.VMInfo{{ID: "vm-0", State: platform.VMLive}, {ID: "vm-1", State: platform.VMFailed}}, clock.Now())
+	p.Observe([]provider.VMInfo{{ID: "vm-0", State: provider.VMLive}, {ID: "vm-1", State: provider.VMFailed}}, clock.Now())
 	clock.Advance(time.Millisecond)
 	require.Zero(t, workers.count(p, 10))
 	require.Zero(t, workers.asked["vm-1"])
--- a/placement/held.go
+++ b/placement/held.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // Held is a slot lease that this entry holds.
@@ -35,7 +35,7 @@
 }
 
 // newHeld returns the lease that was asked for at the given time.
-func newHeld(target *Target, lease platform.SlotLease, sent time.Time) *Held {
+func newHeld(target *Target, lease provider.SlotLease, sent time.Time) *Held {
 	return &Held{
 		Target: target, Lease: lease.ID, Granted: sent, Expires: sent.Add(lease.TTL - leaseMargin),
 		Record: lease.Record, Started: lease.Started,
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -47,7 +47,7 @@
 // Placer finds slots for tasks. Acquire and Release take no lock.
 type Placer struct {
 	holder  string
-	workers platform.Workers
+	workers provider.Workers
 	clock   clockwork.Clock
 	mu      sync.Mutex
 	view    atomic.Pointer[view]
@@ -55,7 +55,7 @@
 
 // New returns a placer that knows no targets yet. Holder is the own
 // incarnation.
-func New(holder string, workers platform.Workers, clock clockwork.Clock) *Placer {
+func New(holder string, workers provider.Workers, clock clockwork.Clock) *Placer {
 	p := &Placer{holder: holder, workers: workers, clock: clock}
 	p.view.Store(&view{pools: map[string]*poolView{}, byID: map[string]*Target{}})
 	return p
@@ -103,15 +103,15 @@
 }
 
 // Observe brings the targets' health in line with the platform's VM list.
-func (p *Placer) Observe(list []platform.VMInfo, at time.Time) {
+func (p *Placer) Observe(list []provider.VMInfo, at time.Time) {
 	byID := p.view.Load().byID
 	for _, info := range list {
 		target := byID[info.ID]
 		if target == nil {
 			continue
 		}
-		target.leaving.Store(info.State != platform.VMLive)
-		if info.State == platform.VMLive {
+		target.leaving.Store(info.State != provider.VMLive)
+		if info.State == provider.VMLive {
 			target.confirm(at)
 		}
 	}
@@ -211,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	sent := p.clock.Now()
-	lease, err := p.workers.AcquireSlot(ctx, target.Address, platform.SlotRequest{Holder: p.holder, TTL: LeaseTTL})
+	lease, err := p.workers.AcquireSlot(ctx, target.Address, provider.SlotRequest{Holder: p.holder, TTL: LeaseTTL})
 	if err != nil {
 		p.note(target, err)
 		return nil, err
@@ -224,10 +224,10 @@
 func (p *Placer) note(target *Target, err error) {
 	target.fullUS.Store(p.clock.Now().UnixMicro())
 	target.free.Store(0)
-	if platform.CodeOf(err) == platform.CodeTimeout || platform.CodeOf(err) == platform.CodeUnreachable {
+	if provider.CodeOf(err) == provider.CodeTimeout || provider.CodeOf(err) == provider.CodeUnreachable {
 		p.failed(target)
 	}
-	if platform.CodeOf(err) == platform.CodeDraining {
+	if provider.CodeOf(err) == provider.CodeDraining {
 		target.leaving.Store(true)
 	}
 }
--- a/platform/fakelog/log.go
+++ b/provider/fakelog/log.go
@@ -8,7 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // Log is an in-memory log. It is safe for concurrent use.
@@ -28,7 +28,7 @@
 }
 
 // For returns the log as the named client sees it, which Faults.Cut may name.
-func (l *Log) For(client string) platform.Log {
+func (l *Log) For(client string) provider.Log {
 	return &view{log: l, client: client}
 }
 
@@ -91,13 +91,13 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
+// Append implements provider.Log.
 func (l *Log) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
 	return l.append(ctx, "", stream, payloads)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements provider.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	return l.read(ctx, "", stream, from, limit, wait)
 }
 
@@ -114,30 +114,30 @@
 	}
 	switch {
 	case take(&l.faults.RateLimit):
-		return 0, failure(op, platform.Refused, platform.CodeRateLimited)
+		return 0, failure(op, provider.Refused, provider.CodeRateLimited)
 	case take(&l.faults.LoseAppends):
-		return 0, failure(op, platform.Unknown, platform.CodeTimeout)
+		return 0, failure(op, provider.Unknown, provider.CodeTimeout)
 	case take(&l.faults.HoldAppends):
 		l.held = append(l.held, func() { write() })
-		return 0, failure(op, platform.Unknown, platform.CodeTimeout)
+		return 0, failure(op, provider.Unknown, provider.CodeTimeout)
 	case take(&l.faults.LoseReplies):
 		write()
-		return 0, failure(op, platform.Unknown, platform.CodeTimeout)
+		return 0, failure(op, provider.Unknown, provider.CodeTimeout)
 	default:
 		return write(), nil
 	}
 }
 
-func (l *Log) read(ctx context.Context, client, name string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *Log) read(ctx context.Context, client, name string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	const op = "log.read"
 	if err := l.enter(ctx, op, client); err != nil {
-		return platform.Page{}, err
+		return provider.Page{}, err
 	}
 	var deadline <-chan time.Time
 	for {
 		page, changed, ok := l.page(name, from, limit)
 		if !ok {
-			return platform.Page{}, failure(op, platform.Refused, platform.CodeTrimmed)
+			return provider.Page{}, failure(op, provider.Refused, provider.CodeTrimmed)
 		}
 		if len(page.Payloads) > 0 || wait <= 0 || from > page.Next {
 			return page, l.refusal(op, client)
@@ -150,12 +150,12 @@
 		case <-deadline:
 			return page, l.refusal(op, client)
 		case <-ctx.Done():
-			return platform.Page{}, failure(op, platform.Unknown, platform.CodeTimeout)
+			return provider.Page{}, failure(op, provider.Unknown, provider.CodeTimeout)
 		}
 	}
 }
 
-func (l *Log) page(name string, from uint64, limit int) (platform.Page, <-chan struct{}, bool) {
+func (l *Log) page(name string, from uint64, limit int) (provider.Page, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -182,7 +182,7 @@
 		select {
 		case <-l.clock.After(slow):
 		case <-ctx.Done():
-			return failure(op, platform.Unknown, platform.CodeTimeout)
+			return failure(op, provider.Unknown, provider.CodeTimeout)
 		}
 	}
 	return l.refusal(op, client)
@@ -193,11 +193,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down || slices.Contains(l.faults.Cut, client) {
-		return failure(op, platform.Refused, platform.CodeUnavailable)
+		return failure(op, provider.Refused, provider.CodeUnavailable)
 	}
 	return nil
 }
 
-func failure(op string, outcome platform.Outcome, code platform.Code) error {
-	return &platform.Error{Op: op, Outcome: outcome, Code: code, Message: "fault switched on"}
+func failure(op string, outcome provider.Outcome, code provider.Code) error {
+	return &provider.Error{Op: op, Outcome: outcome, Code: code, Message: "fault switched on"}
 }
--- a/platform/fakelog/stream.go
+++ b/provider/fakelog/stream.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // stream is one totally ordered stream. The Log's mutex guards it.
@@ -40,8 +40,8 @@
 
 // page returns the payloads from the offset on. ok is false if the offset is
 // no longer kept.
-func (s *stream) page(from uint64, limit int) (page platform.Page, ok bool) {
-	page = platform.Page{Stream: fmt.Sprintf("%s#%d", s.name, s.life), From: from, Oldest: s.oldest, Next: s.next()}
+func (s *stream) page(from uint64, limit int) (page provider.Page, ok bool) {
+	page = provider.Page{Stream: fmt.Sprintf("%s#%d", s.name, s.life), From: from, Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
 		return page, false
 	}
--- a/platform/fakelog/view.go
+++ b/provider/fakelog/view.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // view is the log as one client sees it.
@@ -13,12 +13,12 @@
 	client string
 }
 
-// Append implements platform.Log.
+// Append implements provider.Log.
 func (v *view) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
 	return v.log.append(ctx, v.client, stream, payloads)
 }
 
-// Read implements platform.Log.
-func (v *view) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements provider.Log.
+func (v *view) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	return v.log.read(ctx, v.client, stream, from, limit, wait)
 }
--- a/platform/fakeworkers/fleet.go
+++ b/provider/fakeworkers/fleet.go
@@ -9,7 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // Work is the part of a task's body that the fake understands.
@@ -20,7 +20,7 @@
 	Fail bool `json:"fail"`
 }
 
-// Fleet is a set of VMs. It implements platform.Workers.
+// Fleet is a set of VMs. It implements provider.Workers.
 type Fleet struct {
 	clock  clockwork.Clock
 	mu     sync.Mutex
@@ -81,37 +81,37 @@
 	v, ok := f.vms[address]
 	switch {
 	case !ok || v.faults.Unreachable:
-		return nil, &platform.Error{Op: op, Outcome: platform.Refused, Code: platform.CodeUnreachable, Message: address}
+		return nil, &provider.Error{Op: op, Outcome: provider.Refused, Code: provider.CodeUnreachable, Message: address}
 	case v.faults.Gone:
-		return nil, &platform.Error{Op: op, Outcome: platform.Unknown, Code: platform.CodeTimeout, Message: address}
+		return nil, &provider.Error{Op: op, Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: address}
 	}
 	return v, nil
 }
 
-// AcquireSlot implements platform.Workers.
-func (f *Fleet) AcquireSlot(ctx context.Context, address string, req platform.SlotRequest) (platform.SlotLease, error) {
+// AcquireSlot implements provider.Workers.
+func (f *Fleet) AcquireSlot(ctx context.Context, address string, req provider.SlotRequest) (provider.SlotLease, error) {
 	const op = "worker.acquire"
 	if err := ctx.Err(); err != nil {
-		return platform.SlotLease{}, &platform.Error{Op: op, Outcome: platform.Unknown, Code: platform.CodeTimeout, Message: err.Error()}
+		return provider.SlotLease{}, &provider.Error{Op: op, Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: err.Error()}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v, err := f.reach(op, address)
 	if err != nil {
-		return platform.SlotLease{}, err
+		return provider.SlotLease{}, err
 	}
 	now := f.clock.Now()
 	free := v.free(now)
 	if free <= 0 {
-		return platform.SlotLease{}, &platform.Error{Op: op, Outcome: platform.Refused, Code: platform.CodeFull, Message: address}
+		return provider.SlotLease{}, &provider.Error{Op: op, Outcome: provider.Refused, Code: provider.CodeFull, Message: address}
 	}
 	f.leases++
 	id := strconv.Itoa(f.leases)
 	v.leases[id] = &lease{expires: now.Add(req.TTL)}
-	return platform.SlotLease{ID: id, TTL: req.TTL, Free: free - 1, Record: v.recordName(), Started: v.started}, nil
+	return provider.SlotLease{ID: id, TTL: req.TTL, Free: free - 1, Record: v.recordName(), Started: v.started}, nil
 }
 
-// ReleaseSlot implements platform.Workers.
+// ReleaseSlot implements provider.Workers.
 func (f *Fleet) ReleaseSlot(_ context.Context, address, leaseID string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// StopTask implements platform.Workers.
+// StopTask implements provider.Workers.
 func (f *Fleet) StopTask(_ context.Context, address, taskID string, checkpoint bool) error {
 	const op = "worker.stop"
 	f.mu.Lock()
@@ -135,7 +135,7 @@
 		return err
 	}
 	for _, status := range v.tasks {
-		if status.ID != taskID || status.State != platform.TaskRunning {
+		if status.ID != taskID || status.State != provider.TaskRunning {
 			continue
 		}
 		if checkpoint {
@@ -148,18 +148,18 @@
 		}
 		return nil
 	}
-	return &platform.Error{Op: op, Outcome: platform.Refused, Code: platform.CodeNotFound, Message: taskID}
+	return &provider.Error{Op: op, Outcome: provider.Refused, Code: provider.CodeNotFound, Message: taskID}
 }
 
-// ListTasks implements platform.Workers.
-func (f *Fleet) ListTasks(_ context.Context, address string) (platform.TaskList, error) {
+// ListTasks implements provider.Workers.
+func (f *Fleet) ListTasks(_ context.Context, address string) (provider.TaskList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v, err := f.reach("worker.list", address)
 	if err != nil {
-		return platform.TaskList{}, err
+		return provider.TaskList{}, err
 	}
-	out := platform.TaskList{VM: address, Record: v.recordName(), Forgotten: v.forgotten}
+	out := provider.TaskList{VM: address, Record: v.recordName(), Forgotten: v.forgotten}
 	if v.faults.Silent {
 		return out, nil
 	}
@@ -170,7 +170,7 @@
 }
 
 // duration is the run time that is left after the checkpoint.
-func duration(task platform.Task) (time.Duration, bool) {
+func duration(task provider.Task) (time.Duration, bool) {
 	var work Work
 	_ = json.Unmarshal(task.Body, &work)
 	done, err := strconv.Atoi(task.Checkpoint)
--- a/platform/fakeworkers/run.go
+++ b/provider/fakeworkers/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const opRun = "worker.run"
@@ -11,22 +11,22 @@
 // run is one task on its way through a VM.
 type run struct {
 	vm     *vm
-	status *platform.TaskStatus
+	status *provider.TaskStatus
 	stop   chan struct{}
 }
 
-// RunTask implements platform.Workers. A caller that has gone does not stop
+// RunTask implements provider.Workers. A caller that has gone does not stop
 // the task.
-func (f *Fleet) RunTask(ctx context.Context, address string, task platform.Task) (platform.Answer, error) {
+func (f *Fleet) RunTask(ctx context.Context, address string, task provider.Task) (provider.Answer, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Answer{}, lost(err.Error())
+		return provider.Answer{}, lost(err.Error())
 	}
 	r, err := f.begin(address, task)
 	if err != nil {
-		return platform.Answer{}, err
+		return provider.Answer{}, err
 	}
 	type reply struct {
-		answer platform.Answer
+		answer provider.Answer
 		err    error
 	}
 	done := make(chan reply, 1)
@@ -38,11 +38,11 @@
 	case got := <-done:
 		return got.answer, got.err
 	case <-ctx.Done():
-		return platform.Answer{}, lost(ctx.Err().Error())
+		return provider.Answer{}, lost(ctx.Err().Error())
 	}
 }
 
-func (f *Fleet) begin(address string, task platform.Task) (*run, error) {
+func (f *Fleet) begin(address string, task provider.Task) (*run, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v, err := f.reach(opRun, address)
@@ -51,14 +51,14 @@
 	}
 	status, code := v.begin(task, f.clock.Now())
 	if code != "" {
-		return nil, &platform.Error{Op: opRun, Outcome: platform.Refused, Code: code, Message: address}
+		return nil, &provider.Error{Op: opRun, Outcome: provider.Refused, Code: code, Message: address}
 	}
 	f.starts[task.ID]++
 	return &run{vm: v, status: status, stop: v.stops[stopKey(task.ID, task.Attempt)]}, nil
 }
 
 // finish waits for the end of the task and makes the reply.
-func (f *Fleet) finish(r *run, task platform.Task) (platform.Answer, error) {
+func (f *Fleet) finish(r *run, task provider.Task) (provider.Answer, error) {
 	left, fail := duration(task)
 	stopped := false
 	select {
@@ -68,12 +68,12 @@
 	}
 	f.mu.Lock()
 	faults := r.vm.faults
-	state := platform.TaskSucceeded
+	state := provider.TaskSucceeded
 	switch {
 	case stopped || faults.StopAll:
-		state = platform.TaskStopped
+		state = provider.TaskStopped
 	case fail || faults.FailAll:
-		state = platform.TaskFailed
+		state = provider.TaskFailed
 	default:
 		r.status.Answer = Answer(task.ID, task.Body)
 	}
@@ -87,26 +87,26 @@
 	if faults.Late > 0 {
 		<-f.clock.After(faults.Late)
 	}
-	return reply(faults, state, checkpoint, platform.Answer{Body: Answer(task.ID, task.Body), Free: free})
+	return reply(faults, state, checkpoint, provider.Answer{Body: Answer(task.ID, task.Body), Free: free})
 }
 
 // reply is what reaches the caller of an ended task.
-func reply(faults Faults, state platform.TaskState, checkpoint string, answer platform.Answer) (platform.Answer, error) {
+func reply(faults Faults, state provider.TaskState, checkpoint string, answer provider.Answer) (provider.Answer, error) {
 	switch {
 	case faults.LoseReplies > 0 || faults.Gone:
-		return platform.Answer{}, lost("the reply was lost")
+		return provider.Answer{}, lost("the reply was lost")
 	case faults.Crossed:
-		return platform.Answer{}, &platform.Error{Op: opRun, Outcome: platform.Unknown, Code: platform.CodeMismatch, Message: "crossed"}
+		return provider.Answer{}, &provider.Error{Op: opRun, Outcome: provider.Unknown, Code: provider.CodeMismatch, Message: "crossed"}
 	case faults.Truncate:
-		return platform.Answer{}, &platform.Error{Op: opRun, Outcome: platform.Unknown, Code: platform.CodeTruncated, Message: "cut"}
-	case state == platform.TaskStopped:
-		return platform.Answer{}, &platform.Error{Op: opRun, Outcome: platform.Failed, Code: platform.CodeTaskStopped, Message: checkpoint}
-	case state == platform.TaskFailed:
-		return platform.Answer{}, &platform.Error{Op: opRun, Outcome: platform.Failed, Code: platform.CodeTaskFailed, Message: "the task failed"}
+		return provider.Answer{}, &provider.Error{Op: opRun, Outcome: provider.Unknown, Code: provider.CodeTruncated, Message: "cut"}
+	case state == provider.TaskStopped:
+		return provider.Answer{}, &provider.Error{Op: opRun, Outcome: provider.Failed, Code: provider.CodeTaskStopped, Message: checkpoint}
+	case state == provider.TaskFailed:
+		return provider.Answer{}, &provider.Error{Op: opRun, Outcome: provider.Failed, Code: provider.CodeTaskFailed, Message: "the task failed"}
 	}
 	return answer, nil
 }
 
 func lost(message string) error {
-	return &platform.Error{Op: opRun, Outcome: platform.Unknown, Code: platform.CodeTimeout, Message: message}
+	return &provider.Error{Op: opRun, Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: message}
 }
--- a/platform/fakeworkers/vm.go
+++ b/provider/fakeworkers/vm.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // vm is one VM of the fleet, guarded by the fleet's lock.
@@ -12,7 +12,7 @@
 	slots     int
 	faults    Faults
 	leases    map[string]*lease
-	tasks     []*platform.TaskStatus
+	tasks     []*provider.TaskStatus
 	record    int
 	started   uint64
 	forgotten uint64
@@ -43,22 +43,22 @@
 }
 
 // begin starts a task under its lease, or says why it does not begin.
-func (v *vm) begin(t platform.Task, now time.Time) (*platform.TaskStatus, platform.Code) {
+func (v *vm) begin(t provider.Task, now time.Time) (*provider.TaskStatus, provider.Code) {
 	if v.faults.RefuseStarts {
-		return nil, platform.CodeDraining
+		return nil, provider.CodeDraining
 	}
 	l, ok := v.leases[t.Lease]
 	if !ok || !now.Before(l.expires) {
-		return nil, platform.CodeLeaseLapsed
+		return nil, provider.CodeLeaseLapsed
 	}
 	if l.busy {
-		return nil, platform.CodeFull
+		return nil, provider.CodeFull
 	}
 	l.busy = true
 	v.started++
-	status := &platform.TaskStatus{
+	status := &provider.TaskStatus{
 		ID: t.ID, Attempt: t.Attempt, Team: t.Team, Holder: t.Holder,
-		State: platform.TaskRunning, StartedMS: now.UnixMilli(),
+		State: provider.TaskRunning, StartedMS: now.UnixMilli(),
 	}
 	v.tasks = append(v.tasks, status)
 	v.stops[stopKey(t.ID, t.Attempt)] = make(chan struct{})
@@ -66,11 +66,11 @@
 }
 
 // end records the end of a task once and frees its slot.
-func (v *vm) end(status *platform.TaskStatus, leaseID string, state platform.TaskState, now time.Time) {
+func (v *vm) end(status *provider.TaskStatus, leaseID string, state provider.TaskState, now time.Time) {
 	if l, ok := v.leases[leaseID]; ok {
 		l.busy = false
 	}
-	if status.State != platform.TaskRunning {
+	if status.State != provider.TaskRunning {
 		return
 	}
 	status.State = state
--- a/platform/log_contract_test.go
+++ b/provider/log_contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"bytes"
@@ -11,15 +11,15 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakelog"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakelog"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
 )
 
 // logFixture is a log under test and its switches.
 type logFixture struct {
-	platform.Log
+	provider.Log
 	// down switches the log off or on.
 	down func(bool)
 	// loseReply drops the reply of the next append.
@@ -48,7 +48,7 @@
 	server, err := standin.Start(s)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
-	log := platform.NewHTTPLog(server.URL(), platform.NewHTTPClient())
+	log := provider.NewHTTPLog(server.URL(), provider.NewHTTPClient())
 	put := func(method, path string, body any) {
 		raw, err := json.Marshal(body)
 		require.NoError(t, err)
@@ -91,7 +91,7 @@
 	}
 }
 
-func mustAppend(t *testing.T, log platform.Log, stream string, payloads ...string) uint64 {
+func mustAppend(t *testing.T, log provider.Log, stream string, payloads ...string) uint64 {
 	t.Helper()
 	var raw [][]byte
 	for _, p := range payloads {
@@ -102,7 +102,7 @@
 	return offset
 }
 
-func mustRead(t *testing.T, log platform.Log, stream string, from uint64, limit int, wait time.Duration) platform.Page {
+func mustRead(t *testing.T, log provider.Log, stream string, from uint64, limit int, wait time.Duration) provider.Page {
 	t.Helper()
 	page, err := log.Read(context.Background(), stream, from, limit, wait)
 	require.NoError(t, err)
@@ -126,7 +126,7 @@
 
 func readWaits(t *testing.T, f logFixture) {
 	mustAppend(t, f, "s", "a")
-	pages := make(chan platform.Page, 1)
+	pages := make(chan provider.Page, 1)
 	go func() {
 		page, _ := f.Read(context.Background(), "s", 1, 10, 10*time.Second)
 		pages <- page
@@ -154,7 +154,7 @@
 	identity := mustRead(t, f, "s", 0, 1, 0).Stream
 	f.trim("s")
 	_, err := f.Read(context.Background(), "s", 1, 10, 0)
-	require.Equal(t, platform.CodeTrimmed, platform.CodeOf(err))
+	require.Equal(t, provider.CodeTrimmed, provider.CodeOf(err))
 	page := mustRead(t, f, "s", 2, 10, 0)
 	require.Equal(t, []uint64{2, 2}, []uint64{page.Oldest, page.Next})
 	require.Equal(t, identity, page.Stream)
@@ -164,9 +164,9 @@
 func downRefuses(t *testing.T, f logFixture) {
 	f.down(true)
 	_, err := f.Append(context.Background(), "s", [][]byte{[]byte("a")})
-	require.Equal(t, platform.Refused, platform.OutcomeOf(err))
+	require.Equal(t, provider.Refused, provider.OutcomeOf(err))
 	_, err = f.Read(context.Background(), "s", 0, 10, 0)
-	require.Equal(t, platform.CodeUnavailable, platform.CodeOf(err))
+	require.Equal(t, provider.CodeUnavailable, provider.CodeOf(err))
 	f.down(false)
 	require.Empty(t, mustRead(t, f, "s", 0, 10, 0).Payloads)
 }
@@ -174,15 +174,15 @@
 func lostReplyIsUnknown(t *testing.T, f logFixture) {
 	f.loseReply()
 	_, err := f.Append(context.Background(), "s", [][]byte{[]byte("a")})
-	require.Equal(t, platform.Unknown, platform.OutcomeOf(err))
+	require.Equal(t, provider.Unknown, provider.OutcomeOf(err))
 	require.Equal(t, [][]byte{[]byte("a")}, mustRead(t, f, "s", 0, 10, 0).Payloads)
 }
 
 func rateLimitRefuses(t *testing.T, f logFixture) {
 	f.limit()
 	_, err := f.Append(context.Background(), "s", [][]byte{[]byte("a")})
-	require.Equal(t, platform.Refused, platform.OutcomeOf(err))
-	require.Equal(t, platform.CodeRateLimited, platform.CodeOf(err))
+	require.Equal(t, provider.Refused, provider.OutcomeOf(err))
+	require.Equal(t, provider.CodeRateLimited, provider.CodeOf(err))
 	require.Empty(t, mustRead(t, f, "s", 0, 10, 0).Payloads)
 }
 
--- a/platform/outcome.go
+++ b/provider/outcome.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 // Outcome tells whether a failed call can have taken effect.
 type Outcome string
--- a/platform/position.go
+++ b/provider/position.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 // Position tells where a VM's record of tasks stands.
 type Position struct {
--- a/platform/workers_contract_test.go
+++ b/provider/workers_contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
-	"github.com/anvilcourse/anvilcourse/platform/fakeworkers"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/provider/fakeworkers"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/standin"
 )
@@ -33,9 +33,9 @@
 	gone      fault = "gone"
 )
 
-// subject is one implementation of platform.Workers under the contract.
+// subject is one implementation of provider.Workers under the contract.
 type subject struct {
-	workers platform.Workers
+	workers provider.Workers
 	address string
 	set     func(t *testing.T, f fault)
 	starts  func() map[string]int
@@ -80,16 +80,16 @@
 		return json.Unmarshal(answer, &got) == nil && got.Task == id && got.Digest == standin.Digest(body)
 	}
 	return subject{
-		workers: platform.NewHTTPWorkers(platform.NewHTTPClient()), address: server.URL() + "/vms/vm-000",
+		workers: provider.NewHTTPWorkers(provider.NewHTTPClient()), address: server.URL() + "/vms/vm-000",
 		set: set, starts: func() map[string]int { return server.Record().Starts }, own: own,
 	}
 }
 
-func (s subject) run(t *testing.T, ctx context.Context, id string, attempt int, body string) (platform.Answer, error) {
+func (s subject) run(t *testing.T, ctx context.Context, id string, attempt int, body string) (provider.Answer, error) {
 	t.Helper()
-	lease, err := s.workers.AcquireSlot(ctx, s.address, platform.SlotRequest{Holder: "e", TTL: ttl})
+	lease, err := s.workers.AcquireSlot(ctx, s.address, provider.SlotRequest{Holder: "e", TTL: ttl})
 	require.NoError(t, err)
-	return s.workers.RunTask(ctx, s.address, platform.Task{ID: id, Attempt: attempt, Lease: lease.ID, Team: "team", Body: []byte(body)})
+	return s.workers.RunTask(ctx, s.address, provider.Task{ID: id, Attempt: attempt, Lease: lease.ID, Team: "team", Body: []byte(body)})
 }
 
 // TestWorkersContract holds each implementation to the same outcomes.
@@ -100,19 +100,19 @@
 		fault   fault
 		body    string
 		patient time.Duration
-		outcome platform.Outcome
-		code    platform.Code
-		state   platform.TaskState
+		outcome provider.Outcome
+		code    provider.Code
+		state   provider.TaskState
 	}{
-		{"answered", none, `{"work_ms":1}`, ttl, "", "", platform.TaskSucceeded},
-		{"answered on empty body", none, ``, ttl, "", "", platform.TaskSucceeded},
-		{"failed by its work", none, `{"fail":true}`, ttl, platform.Failed, platform.CodeTaskFailed, platform.TaskFailed},
-		{"failed by the VM", failAll, `{}`, ttl, platform.Failed, platform.CodeTaskFailed, platform.TaskFailed},
-		{"crossed answer", crossed, `{}`, ttl, platform.Unknown, platform.CodeMismatch, platform.TaskSucceeded},
-		{"crossed failure", crossed, `{"fail":true}`, ttl, platform.Unknown, platform.CodeMismatch, platform.TaskFailed},
-		{"truncated answer", truncated, `{}`, ttl, platform.Unknown, platform.CodeTruncated, platform.TaskSucceeded},
-		{"lost reply", lostReply, `{}`, ttl, platform.Unknown, platform.CodeTimeout, platform.TaskSucceeded},
-		{"late answer", late, `{}`, 50 * time.Millisecond, platform.Unknown, platform.CodeTimeout, platform.TaskSucceeded},
+		{"answered", none, `{"work_ms":1}`, ttl, "", "", provider.TaskSucceeded},
+		{"answered on empty body", none, ``, ttl, "", "", provider.TaskSucceeded},
+		{"failed by its work", none, `{"fail":true}`, ttl, provider.Failed, provider.CodeTaskFailed, provider.TaskFailed},
+		{"failed by the VM", failAll, `{}`, ttl, provider.Failed, provider.CodeTaskFailed, provider.TaskFailed},
+		{"crossed answer", crossed, `{}`, ttl, provider.Unknown, provider.CodeMismatch, provider.TaskSucceeded},
+		{"crossed failure", crossed, `{"fail":true}`, ttl, provider.Unknown, provider.CodeMismatch, provider.TaskFailed},
+		{"truncated answer", truncated, `{}`, ttl, provider.Unknown, provider.CodeTruncated, provider.TaskSucceeded},
+		{"lost reply", lostReply, `{}`, ttl, provider.Unknown, provider.CodeTimeout, provider.TaskSucceeded},
+		{"late answer", late, `{}`, 50 * time.Millisecond, provider.Unknown, provider.CodeTimeout, provider.TaskSucceeded},
 	}
 	for name, newSubject := range subjects {
 		for _, c := range cases {
@@ -128,8 +128,8 @@
 					require.NoError(t, err)
 					require.True(t, s.own("task", []byte(c.body), answer.Body))
 				} else {
-					require.Equal(t, c.outcome, platform.OutcomeOf(err), "%v", err)
-					require.Equal(t, c.code, platform.CodeOf(err), "%v", err)
+					require.Equal(t, c.outcome, provider.OutcomeOf(err), "%v", err)
+					require.Equal(t, c.code, provider.CodeOf(err), "%v", err)
 				}
 				require.Equal(t, 1, s.starts()["task"])
 				require.Eventually(t, func() bool { return s.stateOf("task", 2) == c.state }, ttl, time.Millisecond)
@@ -140,7 +140,7 @@
 	}
 }
 
-func (s subject) stateOf(id string, attempt int) platform.TaskState {
+func (s subject) stateOf(id string, attempt int) provider.TaskState {
 	list, err := s.workers.ListTasks(context.Background(), s.address)
 	if err != nil {
 		return ""
@@ -157,20 +157,20 @@
 // and that the record proves so.
 func refused(t *testing.T, s subject) {
 	ctx := context.Background()
-	lapsing, err := s.workers.AcquireSlot(ctx, s.address, platform.SlotRequest{Holder: "e", TTL: time.Nanosecond})
+	lapsing, err := s.workers.AcquireSlot(ctx, s.address, provider.SlotRequest{Holder: "e", TTL: time.Nanosecond})
 	require.NoError(t, err)
 	time.Sleep(time.Millisecond)
-	_, err = s.workers.RunTask(ctx, s.address, platform.Task{ID: "task", Attempt: 1, Lease: lapsing.ID})
-	require.Equal(t, platform.Refused, platform.OutcomeOf(err))
-	require.Equal(t, platform.CodeLeaseLapsed, platform.CodeOf(err))
+	_, err = s.workers.RunTask(ctx, s.address, provider.Task{ID: "task", Attempt: 1, Lease: lapsing.ID})
+	require.Equal(t, provider.Refused, provider.OutcomeOf(err))
+	require.Equal(t, provider.CodeLeaseLapsed, provider.CodeOf(err))
 	require.Empty(t, s.starts())
 	list, err := s.workers.ListTasks(ctx, s.address)
 	require.NoError(t, err)
 	require.True(t, list.Covers(lapsing.Record, lapsing.Started))
 	require.False(t, list.Covers("another", lapsing.Started))
 	s.set(t, gone)
-	_, err = s.workers.AcquireSlot(ctx, s.address, platform.SlotRequest{Holder: "e", TTL: ttl})
-	require.Equal(t, platform.Unknown, platform.OutcomeOf(err))
+	_, err = s.workers.AcquireSlot(ctx, s.address, provider.SlotRequest{Holder: "e", TTL: ttl})
+	require.Equal(t, provider.Unknown, provider.OutcomeOf(err))
 }
 
 // stopped checks that a stop from outside is told from a failure and leaves
@@ -181,20 +181,20 @@
 		_, err := s.run(t, context.Background(), "task", 1, `{"work_ms":60000}`)
 		end <- err
 	}()
-	require.Eventually(t, func() bool { return s.stateOf("task", 1) == platform.TaskRunning }, ttl, time.Millisecond)
+	require.Eventually(t, func() bool { return s.stateOf("task", 1) == provider.TaskRunning }, ttl, time.Millisecond)
 	require.NoError(t, s.workers.StopTask(context.Background(), s.address, "task", true))
 	err := <-end
-	require.Equal(t, platform.Failed, platform.OutcomeOf(err))
-	require.Equal(t, platform.CodeTaskStopped, platform.CodeOf(err))
-	require.Equal(t, platform.TaskStopped, s.stateOf("task", 1))
+	require.Equal(t, provider.Failed, provider.OutcomeOf(err))
+	require.Equal(t, provider.CodeTaskStopped, provider.CodeOf(err))
+	require.Equal(t, provider.TaskStopped, s.stateOf("task", 1))
 }
 
 // TestHTTPWorkers_Replies feeds the adapter replies that a target must not
 // get away with.
 func TestHTTPWorkers_Replies(t *testing.T) {
 	identified := func(w http.ResponseWriter, attempt string) {
-		w.Header().Set(platform.HeaderTask, "task")
-		w.Header().Set(platform.HeaderAttempt, attempt)
+		w.Header().Set(provider.HeaderTask, "task")
+		w.Header().Set(provider.HeaderAttempt, attempt)
 	}
 	refusal := func(w http.ResponseWriter) {
 		w.WriteHeader(http.StatusConflict)
@@ -203,48 +203,48 @@
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
-		outcome platform.Outcome
-		code    platform.Code
+		outcome provider.Outcome
+		code    provider.Code
 	}{
 		{"answer of an earlier attempt", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "1")
 			_, _ = w.Write([]byte("answer"))
-		}, platform.Unknown, platform.CodeMismatch},
+		}, provider.Unknown, provider.CodeMismatch},
 		{"answer without identity", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) },
-			platform.Unknown, platform.CodeMismatch},
+			provider.Unknown, provider.CodeMismatch},
 		{"answer shorter than announced", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "2")
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte("short"))
-		}, platform.Unknown, platform.CodeTruncated},
+		}, provider.Unknown, provider.CodeTruncated},
 		{"answer without a length", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "2")
 			_, _ = w.Write([]byte("a"))
 			w.(http.Flusher).Flush()
-		}, platform.Unknown, platform.CodeTruncated},
+		}, provider.Unknown, provider.CodeTruncated},
 		{"refusal of an earlier attempt", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "1")
 			refusal(w)
-		}, platform.Unknown, platform.CodeMismatch},
+		}, provider.Unknown, provider.CodeMismatch},
 		{"refusal without identity", func(w http.ResponseWriter, _ *http.Request) { refusal(w) },
-			platform.Unknown, platform.CodeMismatch},
+			provider.Unknown, provider.CodeMismatch},
 		{"own refusal", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "2")
 			refusal(w)
-		}, platform.Refused, platform.CodeFull},
+		}, provider.Refused, provider.CodeFull},
 		{"error page", func(w http.ResponseWriter, _ *http.Request) {
 			identified(w, "2")
 			http.Error(w, "bad gateway", http.StatusBadGateway)
-		}, platform.Unknown, platform.CodeUnavailable},
+		}, provider.Unknown, provider.CodeUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
-			workers := platform.NewHTTPWorkers(platform.NewHTTPClient())
-			_, err := workers.RunTask(context.Background(), server.URL, platform.Task{ID: "task", Attempt: 2})
-			require.Equal(t, c.outcome, platform.OutcomeOf(err), "%v", err)
-			require.Equal(t, c.code, platform.CodeOf(err), "%v", err)
+			workers := provider.NewHTTPWorkers(provider.NewHTTPClient())
+			_, err := workers.RunTask(context.Background(), server.URL, provider.Task{ID: "task", Attempt: 2})
+			require.Equal(t, c.outcome, provider.OutcomeOf(err), "%v", err)
+			require.Equal(t, c.code, provider.CodeOf(err), "%v", err)
 		})
 	}
 }
--- a/quota/allotter_test.go
+++ b/quota/allotter_test.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -84,7 +84,7 @@
 	}
 	p.log.seqs[p.writer]++
 	p.log.held = append(p.log.held, heldRecord{writer: p.writer, record: statemachine.Record{Seq: p.log.seqs[p.writer], Command: command}})
-	return statemachine.Result{}, &platform.Error{Op: "log.propose", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+	return statemachine.Result{}, &provider.Error{Op: "log.propose", Outcome: provider.Unknown, Code: provider.CodeTimeout}
 }
 
 func newTestAllotter(log *fakeLog, entry string) *Allotter {
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -113,30 +113,30 @@
 	return sum
 }
 
-// List implements platform.VMs.
-func (m *model) List(context.Context) ([]platform.VMInfo, error) {
-	var out []platform.VMInfo
+// List implements provider.VMs.
+func (m *model) List(context.Context) ([]provider.VMInfo, error) {
+	var out []provider.VMInfo
 	for i := range m.vms {
 		id := fmt.Sprint(i)
-		out = append(out, platform.VMInfo{ID: id, Address: id, State: platform.VMLive})
+		out = append(out, provider.VMInfo{ID: id, Address: id, State: provider.VMLive})
 	}
 	return out, nil
 }
 
-// modelWorkers implements the part of platform.Workers that a survey uses.
+// modelWorkers implements the part of provider.Workers that a survey uses.
 type modelWorkers struct {
-	platform.Workers
+	provider.Workers
 	model *model
 }
 
-func (w modelWorkers) ListTasks(_ context.Context, address string) (platform.TaskList, error) {
+func (w modelWorkers) ListTasks(_ context.Context, address string) (provider.TaskList, error) {
 	var index int
 	if _, err := fmt.Sscan(address, &index); err != nil {
-		return platform.TaskList{}, err
+		return provider.TaskList{}, err
 	}
-	out := platform.TaskList{}
+	out := provider.TaskList{}
 	for id, holder := range w.model.vms[index].running {
-		out.Tasks = append(out.Tasks, platform.TaskStatus{ID: id, Holder: holder, State: platform.TaskRunning})
+		out.Tasks = append(out.Tasks, provider.TaskStatus{ID: id, Holder: holder, State: provider.TaskRunning})
 	}
 	return out, nil
 }
--- a/quota/modelnode_test.go
+++ b/quota/modelnode_test.go
@@ -8,8 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/anvilcourse/anvilcourse/membership"
-	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/proto/peerpb"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -81,7 +81,7 @@
 		if m.chance(50, "late append") {
 			m.late = append(m.late, batch)
 		}
-		return statemachine.Result{}, &platform.Error{Op: "log.propose", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+		return statemachine.Result{}, &provider.Error{Op: "log.propose", Outcome: provider.Unknown, Code: provider.CodeTimeout}
 	}
 	m.landLate(n.name)
 	m.land(batch)
--- a/quota/surveyor.go
+++ b/quota/surveyor.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -28,13 +28,13 @@
 
 // Surveyor asks the VMs what runs on them.
 type Surveyor struct {
-	vms     platform.VMs
-	workers platform.Workers
+	vms     provider.VMs
+	workers provider.Workers
 	clock   clockwork.Clock
 }
 
 // NewSurveyor returns a surveyor of the platform's VMs.
-func NewSurveyor(vms platform.VMs, workers platform.Workers, clock clockwork.Clock) *Surveyor {
+func NewSurveyor(vms provider.VMs, workers provider.Workers, clock clockwork.Clock) *Surveyor {
 	return &Surveyor{vms: vms, workers: workers, clock: clock}
 }
 
@@ -59,7 +59,7 @@
 		if skip(vm.ID) {
 			continue
 		}
-		if vm.State == platform.VMFailed {
+		if vm.State == provider.VMFailed {
 			findings[i] = &Finding{VM: vm.ID, Asked: asked}
 			continue
 		}
@@ -73,22 +73,22 @@
 }
 
 // surveyTargets joins the platform's list with the VMs of the control state.
-func surveyTargets(list []platform.VMInfo, state *statemachine.State) []platform.VMInfo {
-	out := append([]platform.VMInfo{}, list...)
+func surveyTargets(list []provider.VMInfo, state *statemachine.State) []provider.VMInfo {
+	out := append([]provider.VMInfo{}, list...)
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
 		listed[vm.ID] = true
 	}
 	for id, vm := range state.VMs.All() {
 		if !listed[id] {
-			out = append(out, platform.VMInfo{ID: id, Address: vm.Address, State: platform.VMLive})
+			out = append(out, provider.VMInfo{ID: id, Address: vm.Address, State: provider.VMLive})
 		}
 	}
 	return out
 }
 
 // ask returns what the VM runs, or nil if it does not answer.
-func (s *Surveyor) ask(ctx context.Context, vm platform.VMInfo) *Finding {
+func (s *Surveyor) ask(ctx context.Context, vm provider.VMInfo) *Finding {
 	asked := s.clock.Now()
 	list, err := s.workers.ListTasks(ctx, vm.Address)
 	if err != nil {
@@ -96,7 +96,7 @@
 	}
 	out := &Finding{VM: vm.ID, Asked: asked, Holders: make(map[string]int)}
 	for _, task := range list.Tasks {
-		if task.State == platform.TaskRunning {
+		if task.State == provider.TaskRunning {
 			out.Holders[task.Holder]++
 		}
 	}
--- a/replay/decisions_test.go
+++ b/replay/decisions_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -83,17 +83,17 @@
 		return err == nil
 	},
 	"a VM that shows the end of an order": func(s *Step) bool {
-		if s.Order == nil || s.Order.Outcome != Open || len(s.Order.List.Tasks) == 0 || s.Order.List.Tasks[0].State != platform.TaskRunning {
+		if s.Order == nil || s.Order.Outcome != Open || len(s.Order.List.Tasks) == 0 || s.Order.List.Tasks[0].State != provider.TaskRunning {
 			return false
 		}
-		s.Order.List.Tasks[0].State = platform.TaskSucceeded
+		s.Order.List.Tasks[0].State = provider.TaskSucceeded
 		return true
 	},
 	"a VM that shows the end of a job": func(s *Step) bool {
-		if s.Job == nil || s.Job.Outcome != Open || len(s.Job.List.Tasks) == 0 || s.Job.List.Tasks[0].State != platform.TaskRunning {
+		if s.Job == nil || s.Job.Outcome != Open || len(s.Job.List.Tasks) == 0 || s.Job.List.Tasks[0].State != provider.TaskRunning {
 			return false
 		}
-		s.Job.List.Tasks[0].State = platform.TaskFailed
+		s.Job.List.Tasks[0].State = provider.TaskFailed
 		return true
 	},
 	"a VM list that was not read for a minute": func(s *Step) bool {
--- a/replay/judgement.go
+++ b/replay/judgement.go
@@ -5,7 +5,7 @@
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
 	"github.com/anvilcourse/anvilcourse/job"
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -21,7 +21,7 @@
 	// Order is the order's ID.
 	Order string `json:"order"`
 	// List is the VM's record. Lines of other tasks may be left out.
-	List platform.TaskList `json:"list"`
+	List provider.TaskList `json:"list"`
 	// OpenForMS is the time for which the claim was known to be open, in
 	// milliseconds.
 	OpenForMS int64 `json:"open_for_ms"`
@@ -35,7 +35,7 @@
 	// Job is the job's ID.
 	Job string `json:"job"`
 	// List is the VM's record. Lines of other tasks may be left out.
-	List platform.TaskList `json:"list"`
+	List provider.TaskList `json:"list"`
 	// Silent is set if the VM did not answer.
 	Silent bool `json:"silent,omitempty"`
 	// OpenForMS is the time for which the start was known to be open, and
@@ -69,7 +69,7 @@
 	}
 	var err error
 	if j.Silent {
-		err = &platform.Error{Op: "worker.list", Outcome: platform.Unknown, Code: platform.CodeTimeout}
+		err = &provider.Error{Op: "worker.list", Outcome: provider.Unknown, Code: provider.CodeTimeout}
 	}
 	end := job.JudgeStart(found, j.List, err, milliseconds(j.OpenForMS), milliseconds(j.SilentForMS))
 	if end == nil {
--- a/replay/record.go
+++ b/replay/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // pageLimit is the number of payloads read from the log at a time.
@@ -15,7 +15,7 @@
 // Record reads the streams from the beginning to their end and returns them
 // as a trace. The outcomes are those of the present reducer. It fails with
 // CodeTrimmed if the log no longer keeps the beginning of a stream.
-func Record(ctx context.Context, log platform.Log, header Header, streams []string) (Trace, error) {
+func Record(ctx context.Context, log provider.Log, header Header, streams []string) (Trace, error) {
 	out := Trace{Header: header}
 	player := NewPlayer()
 	for _, stream := range streams {
@@ -28,7 +28,7 @@
 	return out, nil
 }
 
-func recordStream(ctx context.Context, log platform.Log, player *Player, stream string) ([]Step, error) {
+func recordStream(ctx context.Context, log provider.Log, player *Player, stream string) ([]Step, error) {
 	var out []Step
 	var from uint64
 	for {
--- a/replay/recorder.go
+++ b/replay/recorder.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -19,9 +19,9 @@
 // their payloads, what the VMs' records prove of open orders and jobs and what
 // is to be done for the waves. The VMs are only asked, nothing is changed.
 type Recorder struct {
-	Log     platform.Log
-	VMs     platform.VMs
-	Workers platform.Workers
+	Log     provider.Log
+	VMs     provider.VMs
+	Workers provider.Workers
 	Streams []string
 
 	player *Player
@@ -74,7 +74,7 @@
 func (r *Recorder) read(ctx context.Context, stream string) error {
 	for {
 		page, err := r.Log.Read(ctx, stream, r.next[stream], pageLimit, 0)
-		if platform.CodeOf(err) == platform.CodeTrimmed {
+		if provider.CodeOf(err) == provider.CodeTrimmed {
 			return err
 		}
 		if err != nil || len(page.Payloads) == 0 {
@@ -151,8 +151,8 @@
 }
 
 // only keeps the lines of one task.
-func only(list platform.TaskList, id string) platform.TaskList {
+func only(list provider.TaskList, id string) provider.TaskList {
 	list.MaxRunning = nil
-	list.Tasks = slices.DeleteFunc(slices.Clone(list.Tasks), func(t platform.TaskStatus) bool { return t.ID != id })
+	list.Tasks = slices.DeleteFunc(slices.Clone(list.Tasks), func(t provider.TaskStatus) bool { return t.ID != id })
 	return list
 }
--- a/replay/recordplan.go
+++ b/replay/recordplan.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/statemachine"
 )
 
@@ -28,7 +28,7 @@
 		return
 	}
 	step := &Planning{AtMS: asked.UnixMilli(), ListedAtMS: asked.UnixMilli(), VMs: make(map[string]SeenVM)}
-	states := make(map[string]platform.VMState)
+	states := make(map[string]provider.VMState)
 	for _, info := range listed {
 		states[info.ID] = info.State
 	}
@@ -50,7 +50,7 @@
 }
 
 // lookAtVM updates what was seen of the VM in its present step.
-func (r *Recorder) lookAtVM(ctx context.Context, vm *statemachine.VM, listed platform.VMState) SeenVM {
+func (r *Recorder) lookAtVM(ctx context.Context, vm *statemachine.VM, listed provider.VMState) SeenVM {
 	seen := r.seen[vm.ID]
 	if seen == nil || seen.version != vm.Version {
 		seen = &seenStep{version: vm.Version}
@@ -58,12 +58,12 @@
 	}
 	now := time.Now().UnixMilli()
 	if vm.Maintenance.Step == statemachine.StepRebooting {
-		if listed == platform.VMLive {
+		if listed == provider.VMLive {
 			seen.vm.HealthyAtMS = now
 		}
 		return seen.vm
 	}
-	if listed == platform.VMLeaving && seen.vm.DrainedAtMS == 0 {
+	if listed == provider.VMLeaving && seen.vm.DrainedAtMS == 0 {
 		seen.vm.DrainedAtMS = now
 	}
 	if list, err := r.Workers.ListTasks(ctx, vm.Address); err == nil {
@@ -72,10 +72,10 @@
 	return seen.vm
 }
 
-func running(list platform.TaskList) []SeenRun {
+func running(list provider.TaskList) []SeenRun {
 	var out []SeenRun
 	for _, task := range list.Tasks {
-		if task.State == platform.TaskRunning {
+		if task.State == provider.TaskRunning {
 			out = append(out, SeenRun{Task: task.ID, StartedAtMS: task.StartedMS})
 		}
 	}
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // fleet holds the VMs and their lagging list.
@@ -17,7 +17,7 @@
 	listed   atomic.Pointer[listing]
 }
 
-func newFleet(infos []platform.VMInfo) *fleet {
+func newFleet(infos []provider.VMInfo) *fleet {
 	f := &fleet{recorder: newRecorder(), vms: make(map[string]*vm, len(infos))}
 	for _, info := range infos {
 		f.vms[info.ID] = newVM(info, f.recorder)
@@ -28,11 +28,11 @@
 
 // refresh brings the list up to date. Between two calls the list lags.
 func (f *fleet) refresh() {
-	list := make([]platform.VMInfo, 0, len(f.vms))
+	list := make([]provider.VMInfo, 0, len(f.vms))
 	for _, v := range f.vms {
 		list = append(list, v.describe())
 	}
-	slices.SortFunc(list, func(a, b platform.VMInfo) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b provider.VMInfo) int { return strings.Compare(a.ID, b.ID) })
 	f.listed.Store(newListing(list))
 }
 
@@ -47,7 +47,7 @@
 func (f *fleet) handleFaults(w http.ResponseWriter, r *http.Request) {
 	v := f.vms[r.PathValue("vm")]
 	if v == nil {
-		writeError(w, http.StatusNotFound, platform.CodeNotFound, "no such VM")
+		writeError(w, http.StatusNotFound, provider.CodeNotFound, "no such VM")
 		return
 	}
 	var faults VMFaults
--- a/standin/http.go
+++ b/standin/http.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -15,11 +15,11 @@
 }
 
 // writeError answers with a refusal: the call did not take effect.
-func writeError(w http.ResponseWriter, status int, code platform.Code, message string) {
-	writeOutcome(w, status, platform.ErrorBody{Code: code, Outcome: platform.Refused, Message: message})
+func writeError(w http.ResponseWriter, status int, code provider.Code, message string) {
+	writeOutcome(w, status, provider.ErrorBody{Code: code, Outcome: provider.Refused, Message: message})
 }
 
-func writeOutcome(w http.ResponseWriter, status int, body platform.ErrorBody) {
+func writeOutcome(w http.ResponseWriter, status int, body provider.ErrorBody) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -27,7 +27,7 @@
 
 func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
 	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
-		writeError(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		writeError(w, http.StatusBadRequest, provider.CodeInvalid, err.Error())
 		return false
 	}
 	return true
--- a/standin/listing.go
+++ b/standin/listing.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // listing is one state of the VM list, encoded once for all readers.
@@ -20,7 +20,7 @@
 	gzipped []byte
 }
 
-func newListing(list []platform.VMInfo) *listing {
+func newListing(list []provider.VMInfo) *listing {
 	plain, _ := json.Marshal(list)
 	var buf bytes.Buffer
 	zip := gzip.NewWriter(&buf)
--- a/standin/log.go
+++ b/standin/log.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
@@ -66,7 +66,7 @@
 		sleep(r, time.Duration(faults.SlowMS)*time.Millisecond)
 	}
 	if faults.Down || slices.Contains(faults.Cut, r.UserAgent()) {
-		writeError(w, http.StatusServiceUnavailable, platform.CodeUnavailable, "the log is down")
+		writeError(w, http.StatusServiceUnavailable, provider.CodeUnavailable, "the log is down")
 		return false
 	}
 	return true
@@ -76,16 +76,16 @@
 	if !l.enter(w, r) {
 		return
 	}
-	var body platform.AppendRequest
+	var body provider.AppendRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAppendBytes)).Decode(&body); err != nil {
-		writeError(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		writeError(w, http.StatusBadRequest, provider.CodeInvalid, err.Error())
 		return
 	}
 	if l.takeFault(func(f *LogFaults) *int { return &f.LoseAppends }) {
 		panic(http.ErrAbortHandler)
 	}
 	if !l.limiter.Allow() || l.takeFault(func(f *LogFaults) *int { return &f.RateLimit }) {
-		writeError(w, http.StatusTooManyRequests, platform.CodeRateLimited, "the append rate limit is exceeded")
+		writeError(w, http.StatusTooManyRequests, provider.CodeRateLimited, "the append rate limit is exceeded")
 		return
 	}
 	offset := l.stream(r.PathValue("stream")).append(body.Payloads, time.Now())
@@ -93,7 +93,7 @@
 	if l.takeFault(func(f *LogFaults) *int { return &f.LoseReplies }) {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, platform.AppendReply{Offset: offset})
+	writeJSON(w, provider.AppendReply{Offset: offset})
 }
 
 // countAppend counts an append of the client.
@@ -121,14 +121,14 @@
 	}
 	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, platform.CodeInvalid, "from must be an offset")
+		writeError(w, http.StatusBadRequest, provider.CodeInvalid, "from must be an offset")
 		return
 	}
 	limit := queryInt(r, "limit", defaultPageLimit)
 	wait := time.Duration(queryInt(r, "wait_ms", 0)) * time.Millisecond
 	page, ok := l.await(r, l.stream(r.PathValue("stream")), from, limit, wait)
 	if !ok {
-		writeError(w, http.StatusGone, platform.CodeTrimmed, "the offset is no longer kept")
+		writeError(w, http.StatusGone, provider.CodeTrimmed, "the offset is no longer kept")
 		return
 	}
 	if !l.enter(w, r) {
@@ -139,7 +139,7 @@
 
 // await returns the page at the offset, waiting for the next append if the
 // offset is the end of the stream.
-func (l *log) await(r *http.Request, s *stream, from uint64, limit int, wait time.Duration) (platform.Page, bool) {
+func (l *log) await(r *http.Request, s *stream, from uint64, limit int, wait time.Duration) (provider.Page, bool) {
 	deadline := time.After(wait)
 	for {
 		page, changed, ok := s.page(from, limit)
--- a/standin/server.go
+++ b/standin/server.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -82,14 +82,14 @@
 }
 
 // vmInfos lays the VMs of the settings out over racks and availability zones.
-func vmInfos(s settings.Standin, base string) []platform.VMInfo {
-	var out []platform.VMInfo
+func vmInfos(s settings.Standin, base string) []provider.VMInfo {
+	var out []provider.VMInfo
 	index := 0
 	for _, pool := range s.Pools {
 		for range pool.VMs {
 			id := fmt.Sprintf("vm-%03d", index)
 			rack := index / s.VMsPerRack
-			out = append(out, platform.VMInfo{
+			out = append(out, provider.VMInfo{
 				ID:               id,
 				Address:          base + "/vms/" + id,
 				Pool:             pool.Name,
@@ -97,7 +97,7 @@
 				Rack:             fmt.Sprintf("rack-%02d", rack),
 				Slots:            s.Slots,
 				Connections:      s.Connections,
-				State:            platform.VMLive,
+				State:            provider.VMLive,
 			})
 			index++
 		}
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // stream is one totally ordered stream of the log.
@@ -39,11 +39,11 @@
 
 // page returns the payloads from the offset on, and a channel that is closed
 // at the next append. ok is false if the offset is no longer kept.
-func (s *stream) page(from uint64, limit int) (page platform.Page, changed <-chan struct{}, ok bool) {
+func (s *stream) page(from uint64, limit int) (page provider.Page, changed <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.oldest + uint64(len(s.payloads))
-	page = platform.Page{Stream: s.id, From: from, Oldest: s.oldest, Next: next}
+	page = provider.Page{Stream: s.id, From: from, Oldest: s.oldest, Next: next}
 	if from < s.oldest {
 		return page, s.changed, false
 	}
--- a/standin/task.go
+++ b/standin/task.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // task is one started task. Its status is guarded by the VM's lock.
 type task struct {
-	status platform.TaskStatus
+	status provider.TaskStatus
 	work   Work
 	from   time.Duration
 	start  time.Time
@@ -18,16 +18,16 @@
 	cancel context.CancelFunc
 }
 
-func newTask(t platform.Task, now time.Time) *task {
+func newTask(t provider.Task, now time.Time) *task {
 	done, cancel := context.WithCancel(context.Background())
 	resumed, err := strconv.Atoi(t.Checkpoint)
 	if err != nil {
 		resumed = 0
 	}
 	return &task{
-		status: platform.TaskStatus{
+		status: provider.TaskStatus{
 			ID: t.ID, Attempt: t.Attempt, Team: t.Team, Holder: t.Holder,
-			State: platform.TaskRunning, StartedMS: now.UnixMilli(),
+			State: provider.TaskRunning, StartedMS: now.UnixMilli(),
 		},
 		work:   parseWork(t.Body),
 		from:   time.Duration(resumed) * time.Millisecond,
--- a/standin/vm.go
+++ b/standin/vm.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // maxEndedTasks bounds the ended tasks that a VM remembers.
@@ -25,7 +25,7 @@
 
 // vm is one worker.
 type vm struct {
-	info     platform.VMInfo
+	info     provider.VMInfo
 	recorder *recorder
 
 	mu       sync.Mutex
@@ -45,7 +45,7 @@
 	forgotten uint64
 }
 
-func newVM(info platform.VMInfo, recorder *recorder) *vm {
+func newVM(info provider.VMInfo, recorder *recorder) *vm {
 	return &vm{
 		info:     info,
 		recorder: recorder,
@@ -66,19 +66,19 @@
 	return v.info.Slots - len(v.slots)
 }
 
-func (v *vm) acquire(req platform.SlotRequest, now time.Time) (platform.SlotLease, platform.Code) {
+func (v *vm) acquire(req provider.SlotRequest, now time.Time) (provider.SlotLease, provider.Code) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.draining && !v.faults.AcceptDraining {
-		return platform.SlotLease{}, platform.CodeDraining
+		return provider.SlotLease{}, provider.CodeDraining
 	}
 	if v.free(now) <= 0 {
-		return platform.SlotLease{}, platform.CodeFull
+		return provider.SlotLease{}, provider.CodeFull
 	}
 	id := uuid.NewString()
 	v.slots[id] = &slot{holder: req.Holder, expires: now.Add(req.TTL)}
 	free := v.info.Slots - len(v.slots)
-	return platform.SlotLease{ID: id, TTL: req.TTL, Free: free, Record: v.record, Started: v.started}, ""
+	return provider.SlotLease{ID: id, TTL: req.TTL, Free: free, Record: v.record, Started: v.started}, ""
 }
 
 func (v *vm) release(lease string) {
@@ -90,21 +90,21 @@
 }
 
 // start begins a task under its slot lease, or says why it does not begin.
-func (v *vm) start(t *task, lease string, now time.Time) platform.Code {
+func (v *vm) start(t *task, lease string, now time.Time) provider.Code {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.draining && now.Sub(v.drainedAt) > lateAfter {
 		v.recorder.late()
 	}
 	if v.draining && !v.faults.AcceptDraining {
-		return platform.CodeDraining
+		return provider.CodeDraining
 	}
 	s, ok := v.slots[lease]
 	if !ok || !now.Before(s.expires) {
-		return platform.CodeLeaseLapsed
+		return provider.CodeLeaseLapsed
 	}
 	if s.task != "" {
-		return platform.CodeFull
+		return provider.CodeFull
 	}
 	s.task = t.key()
 	v.tasks[t.key()] = t
@@ -119,7 +119,7 @@
 func (v *vm) forget() {
 	for len(v.order) > maxEndedTasks {
 		oldest := v.tasks[v.order[0]]
-		if oldest != nil && oldest.status.State == platform.TaskRunning {
+		if oldest != nil && oldest.status.State == provider.TaskRunning {
 			return
 		}
 		delete(v.tasks, v.order[0])
@@ -130,7 +130,7 @@
 
 // finish ends a task once; later calls change nothing. The slot lease stays
 // with its holder until it lapses.
-func (v *vm) finish(t *task, lease string, state platform.TaskState, now time.Time) {
+func (v *vm) finish(t *task, lease string, state provider.TaskState, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.end(t, state, now, false)
@@ -140,8 +140,8 @@
 }
 
 // end records the end of a task. v.mu is held.
-func (v *vm) end(t *task, state platform.TaskState, now time.Time, cut bool) {
-	if t.status.State != platform.TaskRunning {
+func (v *vm) end(t *task, state provider.TaskState, now time.Time, cut bool) {
+	if t.status.State != provider.TaskRunning {
 		return
 	}
 	t.status.State = state
@@ -155,7 +155,7 @@
 	defer v.mu.Unlock()
 	found := false
 	for _, t := range v.tasks {
-		if t.status.ID != id || t.status.State != platform.TaskRunning {
+		if t.status.ID != id || t.status.State != provider.TaskRunning {
 			continue
 		}
 		found = true
@@ -179,10 +179,10 @@
 func (v *vm) endAll(now time.Time) int {
 	ended := 0
 	for _, t := range v.tasks {
-		if t.status.State == platform.TaskRunning {
+		if t.status.State == provider.TaskRunning {
 			ended++
 		}
-		v.end(t, platform.TaskStopped, now, true)
+		v.end(t, provider.TaskStopped, now, true)
 		t.cancel()
 	}
 	v.slots = make(map[string]*slot)
@@ -206,10 +206,10 @@
 
 // restart reboots the VM. Only a VM that drains and has started no task since
 // the position is restarted.
-func (v *vm) restart(at platform.Position, now time.Time) bool {
+func (v *vm) restart(at provider.Position, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	position := platform.Position{Record: v.record, Started: v.started}
+	position := provider.Position{Record: v.record, Started: v.started}
 	if !v.draining || at != position {
 		return false
 	}
@@ -232,10 +232,10 @@
 }
 
 // list returns the VM's record of its tasks.
-func (v *vm) list() platform.TaskList {
+func (v *vm) list() provider.TaskList {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := platform.TaskList{VM: v.info.ID, Record: v.record, Forgotten: v.forgotten, Tasks: []platform.TaskStatus{}}
+	out := provider.TaskList{VM: v.info.ID, Record: v.record, Forgotten: v.forgotten, Tasks: []provider.TaskStatus{}}
 	for _, key := range v.order {
 		if t := v.tasks[key]; t != nil {
 			out.Tasks = append(out.Tasks, t.status)
@@ -245,16 +245,16 @@
 }
 
 // describe returns the VM's line in the platform's list.
-func (v *vm) describe() platform.VMInfo {
+func (v *vm) describe() provider.VMInfo {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	info := v.info
-	info.State = platform.VMLive
+	info.State = provider.VMLive
 	if v.draining && !v.faults.AcceptDraining {
-		info.State = platform.VMLeaving
+		info.State = provider.VMLeaving
 	}
 	if v.faults.Gone {
-		info.State = platform.VMFailed
+		info.State = provider.VMFailed
 	}
 	return info
 }
--- a/standin/vmhandlers.go
+++ b/standin/vmhandlers.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 func (f *fleet) register(mux *http.ServeMux) {
@@ -29,7 +29,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		v := f.vms[r.PathValue("vm")]
 		if v == nil {
-			writeError(w, http.StatusNotFound, platform.CodeNotFound, "no such VM")
+			writeError(w, http.StatusNotFound, provider.CodeNotFound, "no such VM")
 			return
 		}
 		v.mu.Lock()
@@ -50,7 +50,7 @@
 }
 
 func handleAcquire(w http.ResponseWriter, r *http.Request, v *vm) {
-	var req platform.SlotRequest
+	var req provider.SlotRequest
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -70,25 +70,25 @@
 func handleRun(w http.ResponseWriter, r *http.Request, v *vm) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		writeError(w, http.StatusBadRequest, provider.CodeInvalid, err.Error())
 		return
 	}
-	attempt, err := strconv.Atoi(r.Header.Get(platform.HeaderAttempt))
+	attempt, err := strconv.Atoi(r.Header.Get(provider.HeaderAttempt))
 	if err != nil {
-		writeError(w, http.StatusBadRequest, platform.CodeInvalid, "the attempt must be a number")
+		writeError(w, http.StatusBadRequest, provider.CodeInvalid, "the attempt must be a number")
 		return
 	}
-	w.Header().Set(platform.HeaderTask, r.Header.Get(platform.HeaderTask))
-	w.Header().Set(platform.HeaderAttempt, strconv.Itoa(attempt))
-	t := newTask(platform.Task{
-		ID:         r.Header.Get(platform.HeaderTask),
+	w.Header().Set(provider.HeaderTask, r.Header.Get(provider.HeaderTask))
+	w.Header().Set(provider.HeaderAttempt, strconv.Itoa(attempt))
+	t := newTask(provider.Task{
+		ID:         r.Header.Get(provider.HeaderTask),
 		Attempt:    attempt,
-		Team:       r.Header.Get(platform.HeaderTeam),
-		Holder:     r.Header.Get(platform.HeaderHolder),
-		Checkpoint: r.Header.Get(platform.HeaderCheckpoint),
+		Team:       r.Header.Get(provider.HeaderTeam),
+		Holder:     r.Header.Get(provider.HeaderHolder),
+		Checkpoint: r.Header.Get(provider.HeaderCheckpoint),
 		Body:       body,
 	}, time.Now())
-	lease := r.Header.Get(platform.HeaderLease)
+	lease := r.Header.Get(provider.HeaderLease)
 	if code := v.start(t, lease, time.Now()); code != "" {
 		writeError(w, http.StatusConflict, code, "the VM does not start the task")
 		return
@@ -117,12 +117,12 @@
 	previous := v.last
 	v.last = out
 	v.mu.Unlock()
-	state := platform.TaskSucceeded
+	state := provider.TaskSucceeded
 	switch {
 	case t.done.Err() != nil:
-		state = platform.TaskStopped
+		state = provider.TaskStopped
 	case faults.FailAll || t.work.Fail:
-		state = platform.TaskFailed
+		state = provider.TaskFailed
 	default:
 		v.mu.Lock()
 		t.status.Answer = out
@@ -133,7 +133,7 @@
 }
 
 // reply sends the answer of an ended task, as the switches allow.
-func (v *vm) reply(w http.ResponseWriter, r *http.Request, t *task, state platform.TaskState, faults VMFaults, out, previous []byte) {
+func (v *vm) reply(w http.ResponseWriter, r *http.Request, t *task, state provider.TaskState, faults VMFaults, out, previous []byte) {
 	if faults.LateMS > 0 {
 		sleep(r, time.Duration(faults.LateMS)*time.Millisecond)
 	}
@@ -142,14 +142,14 @@
 	}
 	crossed := faults.Crossed && previous != nil
 	if crossed {
-		w.Header().Set(platform.HeaderTask, "crossed-"+t.status.ID)
+		w.Header().Set(provider.HeaderTask, "crossed-"+t.status.ID)
 	}
 	switch state {
-	case platform.TaskFailed:
-		writeOutcome(w, http.StatusInternalServerError, platform.ErrorBody{Code: platform.CodeTaskFailed, Outcome: platform.Failed, Message: "the task failed"})
+	case provider.TaskFailed:
+		writeOutcome(w, http.StatusInternalServerError, provider.ErrorBody{Code: provider.CodeTaskFailed, Outcome: provider.Failed, Message: "the task failed"})
 		return
-	case platform.TaskStopped:
-		writeOutcome(w, http.StatusConflict, platform.ErrorBody{Code: platform.CodeTaskStopped, Outcome: platform.Failed, Message: t.status.Checkpoint})
+	case provider.TaskStopped:
+		writeOutcome(w, http.StatusConflict, provider.ErrorBody{Code: provider.CodeTaskStopped, Outcome: provider.Failed, Message: t.status.Checkpoint})
 		return
 	}
 	if crossed {
@@ -158,7 +158,7 @@
 	v.mu.Lock()
 	free := v.free(time.Now())
 	v.mu.Unlock()
-	w.Header().Set(platform.HeaderFree, strconv.Itoa(free))
+	w.Header().Set(provider.HeaderFree, strconv.Itoa(free))
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if faults.Truncate {
 		_, _ = w.Write(out[:len(out)/2])
@@ -174,7 +174,7 @@
 
 func handleStop(w http.ResponseWriter, r *http.Request, v *vm) {
 	if !v.stop(r.PathValue("task"), r.URL.Query().Get("checkpoint") == "true", time.Now()) {
-		writeError(w, http.StatusNotFound, platform.CodeNotFound, "no such task runs")
+		writeError(w, http.StatusNotFound, provider.CodeNotFound, "no such task runs")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -191,12 +191,12 @@
 }
 
 func handleReboot(w http.ResponseWriter, r *http.Request, v *vm) {
-	var at platform.Position
+	var at provider.Position
 	if !readJSON(w, r, &at) {
 		return
 	}
 	if !v.restart(at, time.Now()) {
-		writeError(w, http.StatusConflict, platform.CodeInvalid, "the VM does not drain, or has started tasks since")
+		writeError(w, http.StatusConflict, provider.CodeInvalid, "the VM does not drain, or has started tasks since")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
