--- a/command/run.go
+++ b/command/run.go
@@ -33,6 +33,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&entryCommand{output: out}, "daemons")
+	c.Register(&fleetEntryCommand{output: out}, "daemons")
 	c.Register(&standinCommand{output: out}, "daemons")
 	c.Register(&demoCommand{output: out}, "trying out")
 	c.Register(&checkSettingsCommand{output: out}, "settings")
--- /dev/null
+++ b/fleet/tenant.go
@@ -0,0 +1,10 @@
+package fleet
+
+// Tenant is a team with its keys, its share and its upper limit.
+type Tenant struct {
+	Name string
+	// Weight is the share when the fleet is full.
+	Weight int64
+	// Cap is what may run at once; zero amounts mean no limit.
+	Cap Resources
+}
--- /dev/null
+++ b/fleet/vm.go
@@ -0,0 +1,33 @@
+package fleet
+
+// VMState is what the list of VMs says of one.
+type VMState int
+
+// States of a VM.
+const (
+	VMUnknown VMState = iota
+	VMUp
+	VMMoving
+	VMInMaintenance
+	VMDown
+)
+
+// VM is a row of the platform's list of VMs.
+type VM struct {
+	Name     string
+	Pool     string
+	State    VMState
+	Zone     string
+	Labels   []string
+	Capacity Resources
+	// WorkerID is the worker that lives on the VM; empty for none.
+	WorkerID string
+}
+
+// Rack returns the failure domain of the VM: the last of its labels.
+func (v *VM) Rack() string {
+	if len(v.Labels) < 2 {
+		return ""
+	}
+	return v.Labels[len(v.Labels)-1]
+}
--- /dev/null
+++ b/fleetentry/appender.go
@@ -0,0 +1,146 @@
+package fleetentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+const (
+	// appendTimeout bounds one append: the store answers in 4 ms and is up to
+	// sixty times slower on bad days.
+	appendTimeout = 700 * time.Millisecond
+	// maxGroup bounds the records of one append.
+	maxGroup = 256
+	// groupPause lets the records of several callers share an append.
+	groupPause = 3 * time.Millisecond
+	// appendRetry is the pause before a failed append is tried again.
+	appendRetry = 60 * time.Millisecond
+	// refusedPatience is how long a caller waits for a store that refuses: it is
+	// better off with another entry.
+	refusedPatience = 130 * time.Millisecond
+)
+
+// Appender appends the records of several callers together. Every record may be
+// appended more than once.
+type Appender struct {
+	store Store
+	queue chan *appendCall
+}
+
+type appendCall struct {
+	records []fleet.Record
+	// refusedUntil is how long refusals are tried again, until how long tries
+	// without an answer are.
+	refusedUntil time.Time
+	until        time.Time
+	result       chan error
+	// unknown tells that an earlier try may have taken effect.
+	unknown bool
+}
+
+// NewAppender returns an appender; Run must run for it to work.
+func NewAppender(store Store) *Appender {
+	return &Appender{store: store, queue: make(chan *appendCall, 4*maxGroup)}
+}
+
+// Append returns once the records are stored. The error's outcome is Refused
+// only if no try can have taken effect.
+func (a *Appender) Append(ctx context.Context, records []fleet.Record, until time.Time) error {
+	refusedUntil := time.Now().Add(refusedPatience)
+	if until.Before(refusedUntil) {
+		refusedUntil = until
+	}
+	call := &appendCall{records: records, refusedUntil: refusedUntil, until: until, result: make(chan error, 1)}
+	select {
+	case a.queue <- call:
+	default:
+		return &provider.Error{Op: "ledger.append", Outcome: provider.Refused, Code: provider.CodeFull, Message: "too many calls wait for the store"}
+	}
+	select {
+	case err := <-call.result:
+		return err
+	case <-ctx.Done():
+		return &provider.Error{Op: "ledger.append", Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: "the caller left"}
+	}
+}
+
+// Run serves calls until the context ends. Two groups may be under way at once.
+func (a *Appender) Run(ctx context.Context) {
+	const lanes = 2
+	for i := 1; i < lanes; i++ {
+		go a.lane(ctx)
+	}
+	a.lane(ctx)
+}
+
+func (a *Appender) lane(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-a.queue:
+			sleep(ctx, groupPause)
+			group := []*appendCall{first}
+			for len(group) < maxGroup {
+				select {
+				case next := <-a.queue:
+					group = append(group, next)
+					continue
+				default:
+				}
+				break
+			}
+			a.storeGroup(ctx, group)
+		}
+	}
+}
+
+// storeGroup appends one group, again and again while its callers wait.
+func (a *Appender) storeGroup(ctx context.Context, group []*appendCall) {
+	for len(group) > 0 {
+		var records []fleet.Record
+		for _, call := range group {
+			records = append(records, call.records...)
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, _, err := a.store.Append(tryCtx, ledgerStream, records, fleet.AppendTerms{})
+		cancel()
+		if err == nil {
+			for _, call := range group {
+				call.result <- nil
+			}
+			return
+		}
+		group = remaining(group, err, time.Now())
+		if len(group) > 0 {
+			sleep(ctx, appendRetry)
+		}
+	}
+}
+
+// remaining answers the calls whose time is up and returns the others.
+func remaining(group []*appendCall, err error, now time.Time) []*appendCall {
+	var left []*appendCall
+	for _, call := range group {
+		if provider.OutcomeOf(err) != provider.Refused {
+			call.unknown = true
+		}
+		until := call.refusedUntil
+		if call.unknown {
+			until = call.until
+		}
+		if now.Add(appendRetry).Before(until) && provider.CodeOf(err) != provider.CodeInvalid {
+			left = append(left, call)
+			continue
+		}
+		outcome := provider.Refused
+		if call.unknown {
+			outcome = provider.Unknown
+		}
+		call.result <- &provider.Error{Op: "ledger.append", Outcome: outcome, Code: provider.CodeOf(err), Message: err.Error()}
+	}
+	return left
+}
--- /dev/null
+++ b/fleetentry/callers.go
@@ -0,0 +1,204 @@
+package fleetentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+const (
+	// defaultPatience is how long callers wait that do not say so.
+	defaultPatience = 2500 * time.Millisecond
+	// answerMargin is the part of a caller's patience kept for the way back.
+	answerMargin = 250 * time.Millisecond
+	// staleState is the age from which the state no longer proves that a job
+	// does not exist.
+	staleState = 2 * time.Second
+	// storeLostRetry is when to come back to an entry that has lost the store.
+	storeLostRetry = time.Second
+	// idDigits is the length of a job's ID.
+	idDigits = 16
+)
+
+// Callers answers the calls of clients.
+type Callers struct {
+	follower *Follower
+	operator *OperatorWatch
+	appender *Appender
+	decoder  Decoder
+	metrics  *Metrics
+	log      hclog.Logger
+	stopping atomic.Bool
+}
+
+// NewCallers returns the service that clients call.
+func NewCallers(f *Follower, o *OperatorWatch, a *Appender, d Decoder, m *Metrics, log hclog.Logger) *Callers {
+	return &Callers{follower: f, operator: o, appender: a, decoder: d, metrics: m, log: log.Named("callers")}
+}
+
+// Serve answers one call.
+func (c *Callers) Serve(ctx context.Context, call fleet.Call) fleet.Reply {
+	began := time.Now()
+	reply, queue, id := c.serve(ctx, call, began)
+	reply.Close = c.stopping.Load()
+	c.metrics.Call(call.Kind, reply.Kind, time.Since(began))
+	if call.Kind != fleet.CallState || reply.Kind == fleet.ReplyGone || reply.Kind >= fleet.ReplyNoQueue {
+		version := int64(0)
+		if m := c.operator.Manifest(); m != nil {
+			version = m.Version
+		}
+		c.log.Info("call", "request", id, "queue", queue, "kind", int(call.Kind), "outcome", reply.Kind.String(),
+			"manifest", version, "ms", time.Since(began).Milliseconds(), "why", reply.Message)
+	}
+	return reply
+}
+
+func (c *Callers) serve(ctx context.Context, call fleet.Call, began time.Time) (reply fleet.Reply, queue, id string) {
+	m := c.operator.Manifest()
+	if m == nil {
+		return fleet.Reply{Kind: fleet.ReplyNotRun, RetryAfter: storeLostRetry, Message: "no manifest is known yet"}, "", ""
+	}
+	q := m.QueueFor(call.Host, call.Path)
+	if q == nil {
+		return fleet.Reply{Kind: fleet.ReplyNoQueue, Message: "no queue takes this host and path"}, "", ""
+	}
+	id = call.Path[len(q.Prefix):]
+	tenant, known := m.TenantOfKey[call.Key]
+	if !known && !q.Open {
+		return fleet.Reply{Kind: fleet.ReplyNoKey, Message: "the key is not known"}, q.Name, id
+	}
+	if id == "" {
+		return c.pending(q, call), q.Name, id
+	}
+	if !validID(id) {
+		return fleet.Reply{Kind: fleet.ReplyBad, Message: "a job's ID has 16 hexadecimal digits"}, q.Name, id
+	}
+	until := began.Add(patience(call, q) - answerMargin)
+	switch call.Kind {
+	case fleet.CallSubmit:
+		return c.submit(ctx, m, q, tenant, id, call, until), q.Name, id
+	case fleet.CallState:
+		return c.state(id), q.Name, id
+	case fleet.CallCancel:
+		return c.cancel(ctx, id, until), q.Name, id
+	default:
+		return fleet.Reply{Kind: fleet.ReplyBad, Message: "the method is not known"}, q.Name, id
+	}
+}
+
+func patience(call fleet.Call, q *fleet.Queue) time.Duration {
+	p := defaultPatience
+	if call.Patience > 0 {
+		p = call.Patience
+	}
+	if q.Timeout > 0 && q.Timeout < p {
+		p = q.Timeout
+	}
+	return p
+}
+
+func validID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, ch := range []byte(id) {
+		if (ch < '0' || ch > '9') && (ch < 'a' || ch > 'f') && (ch < 'A' || ch > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Callers) pending(q *fleet.Queue, call fleet.Call) fleet.Reply {
+	if call.Kind != fleet.CallState {
+		return fleet.Reply{Kind: fleet.ReplyBad, Message: "the path names no job"}
+	}
+	if age, ok := c.follower.Age(time.Now()); !ok || age > staleState {
+		return fleet.Reply{Kind: fleet.ReplyNotRun, RetryAfter: storeLostRetry, Message: "the state is too old"}
+	}
+	out := fleet.Reply{Kind: fleet.ReplyPending}
+	c.follower.Read(func(v *ledger.View) { out.Pending = v.Pending(q.Name) })
+	return out
+}
+
+func (c *Callers) submit(ctx context.Context, m *fleet.Manifest, q *fleet.Queue, tenant, id string, call fleet.Call, until time.Time) fleet.Reply {
+	if m.MaxBodyBytes > 0 && int64(len(call.Body)) > m.MaxBodyBytes {
+		return fleet.Reply{Kind: fleet.ReplyTooLarge, Message: "the body is larger than the manifest allows"}
+	}
+	sub, err := c.decoder.Submission(call.Body)
+	if err != nil {
+		return fleet.Reply{Kind: fleet.ReplyBad, Message: err.Error()}
+	}
+	known := false
+	var owner ledger.Owner
+	c.follower.Read(func(v *ledger.View) {
+		if j, there := v.Jobs[id]; there && j.Submission != nil {
+			known = true
+		}
+		owner = v.Owner
+	})
+	if known {
+		return fleet.Reply{Kind: fleet.ReplyAccepted}
+	}
+	if wait, busy := refuse(&sub, q, owner.Load[q.Name]); busy {
+		return fleet.Reply{Kind: fleet.ReplyBusy, RetryAfter: wait, Message: "the queue's backlog is longer than the job's objective"}
+	}
+	sub.ID, sub.Queue, sub.Tenant, sub.ArrivedMillis = id, q.Name, tenant, time.Now().UnixMilli()
+	return c.store(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, until)
+}
+
+// store appends the records and tells what is known of the outcome.
+func (c *Callers) store(ctx context.Context, records []fleet.Record, until time.Time) fleet.Reply {
+	err := c.appender.Append(ctx, records, until)
+	switch {
+	case err == nil:
+		return fleet.Reply{Kind: fleet.ReplyAccepted}
+	case provider.OutcomeOf(err) == provider.Refused:
+		return fleet.Reply{Kind: fleet.ReplyNotRun, RetryAfter: storeLostRetry, Message: err.Error()}
+	default:
+		return fleet.Reply{Kind: fleet.ReplyUnknown, Message: err.Error()}
+	}
+}
+
+func (c *Callers) state(id string) fleet.Reply {
+	state := ledger.StateUnknown
+	c.follower.Read(func(v *ledger.View) {
+		if j, known := v.Jobs[id]; known {
+			state = j.State()
+		}
+	})
+	if state != ledger.StateUnknown {
+		return fleet.Reply{Kind: fleet.ReplyState, State: string(state)}
+	}
+	if age, ok := c.follower.Age(time.Now()); !ok || age > staleState {
+		return fleet.Reply{Kind: fleet.ReplyUnknown, Message: "the state is too old to tell"}
+	}
+	return fleet.Reply{Kind: fleet.ReplyGone}
+}
+
+// cancel stores the cancellation, also of a job that is not known yet: its
+// submission may be on its way.
+func (c *Callers) cancel(ctx context.Context, id string, until time.Time) fleet.Reply {
+	state := ledger.StateUnknown
+	c.follower.Read(func(v *ledger.View) {
+		if j, known := v.Jobs[id]; known {
+			state = j.State()
+		}
+	})
+	switch state {
+	case ledger.StateCancelled:
+		return fleet.Reply{Kind: fleet.ReplyAccepted}
+	case ledger.StateCompleted, ledger.StateFailed:
+		return fleet.Reply{Kind: fleet.ReplyGone, Message: "the job has ended"}
+	}
+	return c.store(ctx, []fleet.Record{ledger.CancellationRecord(id, time.Now().UnixMilli())}, until)
+}
+
+// Stopping makes answers ask clients for another connection.
+func (c *Callers) Stopping() { c.stopping.Store(true) }
--- /dev/null
+++ b/fleetentry/claim.go
@@ -0,0 +1,133 @@
+package fleetentry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+const (
+	// ownerSilence is how long the owner may be silent before another entry
+	// claims the fleet. The owner tells of itself every heartbeatEvery, and an
+	// append takes up to a quarter of a second on the store's slow days.
+	ownerSilence = 1100 * time.Millisecond
+	// claimSpread spreads the claims of several entries.
+	claimSpread = 200 * time.Millisecond
+	// claimCheck is how often an entry looks whether to claim.
+	claimCheck = 50 * time.Millisecond
+	// claimTimeout bounds one claim.
+	claimTimeout = 800 * time.Millisecond
+	// oldRecord is the age by the wall clock from which the record of an owner,
+	// found at start, is taken as left by one that is gone: its silence, and what
+	// the wall clocks of two VMs may differ by.
+	oldRecord = ownerSilence + 500*time.Millisecond
+	// freshFollow is the age of the state up to which silence is the owner's and
+	// not the store's.
+	freshFollow = 900 * time.Millisecond
+)
+
+// Claimer decides when the entry claims the fleet.
+type Claimer struct {
+	store    Store
+	follower *Follower
+	node     string
+	share    float64
+	log      hclog.Logger
+	// end is where the claims end as far as this entry knows; -1 for unknown.
+	end int64
+	// waitUntil holds back after another entry's claim.
+	waitUntil time.Time
+}
+
+// NewClaimer returns a claimer of the node.
+func NewClaimer(store Store, follower *Follower, node string, share float64, log hclog.Logger) *Claimer {
+	return &Claimer{store: store, follower: follower, node: node, share: share, log: log.Named("claim"), end: 0}
+}
+
+// patience is how long this entry lets others go first: entries with more of a
+// processor claim earlier, and equal ones in an order that differs by owner.
+func (c *Claimer) patience(token int64) time.Duration {
+	turn := xxhash.Sum64String(c.node+string(rune(token))) % 100
+	slow := 0.0
+	if c.share < 1 {
+		slow = 1 - c.share
+	}
+	return time.Duration(float64(claimSpread) * (slow/2 + float64(turn)/200))
+}
+
+// due reports whether the fleet has no owner that is heard.
+func (c *Claimer) due(now time.Time) (bool, string) {
+	age, known := c.follower.Age(now)
+	if !known || age > freshFollow {
+		return false, ""
+	}
+	var owner ledger.Owner
+	none := false
+	c.follower.Read(func(v *ledger.View) { owner, none = v.Owner, v.OwnerOffset < 0 })
+	silence := c.follower.Silence(now)
+	patience := c.patience(owner.Token)
+	switch {
+	case none:
+		return silence > patience, "there has been no owner"
+	case owner.Released:
+		return silence > patience/2, "the owner has stopped"
+	case now.UnixMilli()-owner.AtMillis > oldRecord.Milliseconds() && silence > patience+claimCheck && now.UnixMilli()-owner.AtMillis > (silence+oldRecord).Milliseconds():
+		return true, "the owner's record is old"
+	default:
+		return silence > ownerSilence+patience, "the owner is silent"
+	}
+}
+
+// Try claims the fleet if that is due, and returns the fencing token.
+func (c *Claimer) Try(ctx context.Context, now time.Time) (token int64, ok bool) {
+	due, why := c.due(now)
+	if !due || now.Before(c.waitUntil) {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	record := c.record(now)
+	const tries = 3
+	for range tries {
+		first, end, err := c.store.Append(ctx, claimStream, []fleet.Record{record}, fleet.AppendTerms{Conditional: true, IfEnd: c.end})
+		if err == nil {
+			c.end = end
+			c.log.Info("claimed the fleet", "token", first+1, "why", why)
+			return first + 1, true
+		}
+		if provider.CodeOf(err) != provider.CodeConflict {
+			c.log.Warn("the claim failed", "error", err)
+			c.waitUntil = time.Now().Add(readRetry)
+			return 0, false
+		}
+		c.end = end
+		if !c.behind(end) {
+			// Another entry has claimed and has not told the ledger yet.
+			c.waitUntil = time.Now().Add(ownerSilence)
+			return 0, false
+		}
+	}
+	return 0, false
+}
+
+// behind reports whether the claims end with the owner that is silent.
+func (c *Claimer) behind(end int64) bool {
+	same := false
+	c.follower.Read(func(v *ledger.View) { same = v.Owner.Token >= end })
+	return same
+}
+
+func (c *Claimer) record(now time.Time) fleet.Record {
+	raw, err := json.Marshal(ledger.Owner{Node: c.node, AtMillis: now.UnixMilli()})
+	if err != nil {
+		panic(err)
+	}
+	return fleet.Record{Key: "claim", Value: raw}
+}
--- /dev/null
+++ b/fleetentry/module.go
@@ -0,0 +1,53 @@
+package fleetentry
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/anvilcourse/anvilcourse/platform"
+	"github.com/anvilcourse/anvilcourse/settings"
+)
+
+// New returns the daemon as an fx application.
+func New(s settings.FleetEntry) *fx.App {
+	return fx.New(
+		fx.Supply(s),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(2*settings.Seconds(s.StopGraceS)),
+		fx.Provide(
+			newLogger,
+			NewMetrics,
+			func(s settings.FleetEntry) Store { return platform.NewStore(s.Store) },
+			func() Workers { return platform.NewWorkers() },
+			func(s settings.FleetEntry) VMs { return platform.NewVMs(s.VMs, s.Node) },
+			func(s settings.FleetEntry) Advice { return platform.NewAdvice(s.Advice) },
+			func() Decoder { return platform.Decoder{} },
+			NewFollower,
+			NewOperatorWatch,
+			NewAppender,
+			NewCallers,
+			func(c *Callers) http.Handler { return platform.NewCallerHandler(c) },
+			newDaemon,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, d *Daemon) {
+			lc.Append(fx.Hook{OnStart: d.Start, OnStop: func(ctx context.Context) error { return d.Stop(ctx) }})
+		}),
+	)
+}
+
+func newLogger(s settings.FleetEntry) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: hclog.Info, Output: os.Stdout, JSONFormat: true})
+}
+
+func newDaemon(s settings.FleetEntry, store Store, w Workers, v VMs, a Advice, dec Decoder, log hclog.Logger,
+	m *Metrics, f *Follower, o *OperatorWatch, app *Appender, c *Callers, h http.Handler) *Daemon {
+	return &Daemon{
+		settings: s, store: store, workers: w, vms: v, advice: a, decoder: dec, log: log, metrics: m,
+		follower: f, operator: o, appender: app, callers: c, handler: h,
+	}
+}
--- /dev/null
+++ b/fleetentry/orders.go
@@ -0,0 +1,109 @@
+package fleetentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/scheduler"
+)
+
+const (
+	// orderTimeout bounds one order to a worker, which answers in a few ms.
+	orderTimeout = 500 * time.Millisecond
+	// startTries is how often a start without an answer is sent: the worker
+	// takes a repeat of the same run as the same run.
+	startTries = 2
+	// stopTries is how often a stop without an answer is sent at once; the
+	// scheduler repeats it later.
+	stopTries = 2
+	// askTimeout bounds a question to the advice service.
+	askTimeout = 3 * time.Second
+)
+
+// start sends one start and takes the answer in.
+func (o *Owner) start(s scheduler.Start) {
+	var err error
+	for try := range startTries {
+		now := time.Now()
+		if !o.journal.Authorized(now) {
+			if try == 0 {
+				err = &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseLapsed, Message: "the owner cannot prove that it still is"}
+			}
+			break
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		_, err = o.workers.Start(ctx, s.To, s.Order)
+		cancel()
+		o.metrics.Observe("start", time.Since(now))
+		if err == nil || provider.OutcomeOf(err) != provider.Unknown {
+			break
+		}
+	}
+	if err != nil {
+		o.log.Info("start failed", "request", s.Order.Task.String(), "worker", s.To.WorkerID, "attempt", s.Order.Attempt, "error", err)
+	}
+	o.metrics.Add("starts", 1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.sched.StartAnswered(&s.Order, s.To.WorkerID, err, now)
+	if l, known := o.looks[s.To.WorkerID]; known {
+		l.busy()
+	}
+	o.flush(now)
+	if err != nil {
+		o.nudge()
+	}
+}
+
+// stop sends one stop and takes the answer in.
+func (o *Owner) stop(s scheduler.Stop) {
+	if s.To.Address == "" {
+		return
+	}
+	var err error
+	for range stopTries {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		_, err = o.workers.Stop(ctx, s.To, s.Task, s.Attempt, o.token)
+		cancel()
+		if err == nil || provider.OutcomeOf(err) != provider.Unknown {
+			break
+		}
+	}
+	if err != nil {
+		o.log.Info("stop failed", "request", s.Task.String(), "worker", s.To.WorkerID, "attempt", s.Attempt, "error", err)
+	}
+	o.metrics.Add("stops", 1)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.sched.StopAnswered(&s, err, now)
+	o.flush(now)
+}
+
+// pace sends one order to let a run work at a share of its speed.
+func (o *Owner) pace(p scheduler.Pace) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	if _, err := o.workers.Pace(ctx, p.To, p.Task, p.Attempt, p.Percent, o.token); err != nil {
+		o.log.Info("pace failed", "request", p.Task.String(), "worker", p.To.WorkerID, "percent", p.Percent, "error", err)
+	}
+	o.metrics.Add("paces", 1)
+}
+
+// ask asks the advice service about a step.
+func (o *Owner) ask(q scheduler.Question) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	tickets, valid, err := o.advice.Ask(ctx, q.Step, q.Workers)
+	if err != nil {
+		o.log.Info("advice failed", "request", q.Step, "error", err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.sched.Advised(q, tickets, valid, err, now)
+	o.flush(now)
+	o.nudge()
+}
--- /dev/null
+++ b/fleetentry/owner.go
@@ -0,0 +1,330 @@
+package fleetentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
+	"github.com/anvilcourse/anvilcourse/scheduler"
+)
+
+const (
+	// heartbeatEvery is how often the owner tells of itself.
+	heartbeatEvery = 300 * time.Millisecond
+	// tickEvery is how often what time alone brings is handled.
+	tickEvery = 100 * time.Millisecond
+	// planPause lets events that come together be decided on together.
+	planPause = 4 * time.Millisecond
+	// planEvery is how often work is placed with no event.
+	planEvery = 250 * time.Millisecond
+	// leaseFor is how far the owner extends leases: through a takeover, yet short
+	// enough that the work of a lost worker is soon started elsewhere.
+	leaseFor = 4 * time.Second
+	// ownerTimeout bounds what an owner does before its first decision.
+	ownerTimeout = 3 * time.Second
+)
+
+// Owner is one term as the fleet's owner.
+type Owner struct {
+	store    Store
+	workers  Workers
+	decoder  Decoder
+	advice   Advice
+	follower *Follower
+	operator *OperatorWatch
+	fleetVMs *FleetVMs
+	node     string
+	token    int64
+	log      hclog.Logger
+	metrics  *Metrics
+	config   scheduler.Config
+
+	mu      sync.Mutex
+	sched   *scheduler.Scheduler
+	journal *Journal
+	looks   map[string]*lookLoop
+	kick    chan struct{}
+	group   sync.WaitGroup
+	cancel  context.CancelFunc
+	began   time.Time
+	listed  *workerList
+}
+
+// Run owns the fleet until the context ends or the term is lost.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	o.cancel = cancel
+	defer cancel()
+	o.began = time.Now()
+	o.kick = make(chan struct{}, 1)
+	o.looks = map[string]*lookLoop{}
+	o.journal = NewJournal(o.store, o.token, o.log, o.stored)
+	if err := o.takeOver(ctx); err != nil {
+		o.log.Warn("the takeover failed", "token", o.token, "error", err)
+		return
+	}
+	o.log.Info("owns the fleet", "token", o.token, "ms", time.Since(o.began).Milliseconds())
+	o.follower.Listen(o.heard)
+	o.operator.OnChange(o.manifestChanged)
+	defer o.operator.OnChange(nil)
+	defer o.follower.Listen(nil)
+	o.catchUp()
+	o.spawn(ctx, o.journal.Run)
+	o.spawn(ctx, o.watchWorkers)
+	o.spawn(ctx, o.plan)
+	o.spawn(ctx, o.heartbeat)
+	o.spawn(ctx, o.fleetVMs.run(o))
+	o.tick(ctx)
+	cancel()
+	o.group.Wait()
+	o.log.Info("no longer owns the fleet", "token", o.token, "s", time.Since(o.began).Seconds())
+}
+
+func (o *Owner) spawn(ctx context.Context, do func(context.Context)) {
+	o.group.Add(1)
+	go func() {
+		defer o.group.Done()
+		do(ctx)
+	}()
+}
+
+// takeOver fences earlier owners and builds the state from the ledger.
+func (o *Owner) takeOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	offset, err := o.journal.Begin(ctx, ledger.OwnerRecord(o.self(time.Now(), false)))
+	if err != nil {
+		return err
+	}
+	for {
+		if err := o.follower.Step(ctx, 0); err != nil && ctx.Err() != nil {
+			return err
+		}
+		reached := false
+		o.follower.Read(func(v *ledger.View) { reached = v.OwnerOffset >= offset })
+		if reached {
+			break
+		}
+		sleep(ctx, planPause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	o.config.Token = o.token
+	o.config.Lease = leaseFor
+	now := time.Now()
+	o.config.PriorLease = authority + leaseFor
+	o.sched = scheduler.New(o.config, now)
+	if m := o.operator.Manifest(); m != nil {
+		o.sched.SetManifest(m)
+	}
+	list, err := o.store.WorkerRecords(ctx)
+	if err != nil {
+		return err
+	}
+	o.listed = newWorkerList(o.decoder, o.log)
+	o.listed.take(list)
+	o.sched.SetWorkers(o.listed.workers, now)
+	o.follower.Read(func(v *ledger.View) {
+		for _, j := range v.Jobs {
+			o.sched.Restore(j, now)
+		}
+	})
+	return nil
+}
+
+// catchUp takes in what reached the ledger between the takeover and Listen.
+func (o *Owner) catchUp() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.follower.Read(func(v *ledger.View) {
+		for _, j := range v.Jobs {
+			if j.Submission != nil && j.Result.Outcome == ledger.OutcomeNone {
+				o.sched.Submit(j.Submission, now)
+				if j.Cancelled {
+					o.sched.Cancel(j.Submission.ID, now)
+				}
+			}
+		}
+	})
+	if m := o.operator.Manifest(); m != nil {
+		o.sched.SetManifest(m)
+	}
+	o.flush(now)
+	o.nudge()
+}
+
+// heard takes in new records of entries.
+func (o *Owner) heard(records []fleet.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	changed := false
+	for _, r := range records {
+		id, kind := ledger.JobOf(r)
+		if kind == ledger.RecordOther {
+			continue
+		}
+		o.follower.Read(func(v *ledger.View) {
+			j := v.Jobs[id]
+			if j == nil || j.Submission == nil || j.Result.Outcome != ledger.OutcomeNone {
+				return
+			}
+			changed = true
+			o.sched.Submit(j.Submission, now)
+			if j.Cancelled {
+				o.sched.Cancel(id, now)
+			}
+		})
+	}
+	if changed {
+		o.flush(now)
+		o.nudge()
+	}
+}
+
+func (o *Owner) manifestChanged(m *fleet.Manifest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sched.SetManifest(m)
+	o.nudge()
+}
+
+// nudge asks for work to be placed soon.
+func (o *Owner) nudge() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+// flush hands out what has been decided. The lock is held.
+func (o *Owner) flush(now time.Time) {
+	for _, e := range o.sched.Events() {
+		o.log.Info(e.What, "request", e.ID, "worker", e.Worker, "attempt", e.Attempt, "why", e.Why)
+		o.metrics.Add("event_"+e.What, 1)
+	}
+	b := o.sched.Take()
+	if b.Empty() {
+		return
+	}
+	if b.NeedsStore() {
+		o.journal.Put(b.Number, b.Records)
+	}
+	for i := range b.Stops {
+		go o.stop(b.Stops[i])
+	}
+	for i := range b.Paces {
+		go o.pace(b.Paces[i])
+	}
+	for i := range b.Asks {
+		go o.ask(b.Asks[i])
+	}
+	for _, id := range b.Look {
+		if l, known := o.looks[id]; known {
+			l.hurry()
+		}
+	}
+	if o.sched.Deposed() {
+		o.log.Warn("a worker has seen a later owner", "token", o.token)
+		o.cancel()
+	}
+}
+
+// stored sends what waited for the store.
+func (o *Owner) stored(numbers []int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for _, n := range numbers {
+		for _, start := range o.sched.Durable(n, now) {
+			go o.start(start)
+		}
+	}
+	for _, l := range o.looks {
+		l.storedThrough()
+	}
+	o.flush(now)
+}
+
+// plan places work whenever something has changed.
+func (o *Owner) plan(ctx context.Context) {
+	timer := time.NewTicker(planEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.kick:
+			sleep(ctx, planPause)
+		case <-timer.C:
+		}
+		o.mu.Lock()
+		now := time.Now()
+		if o.journal.Authorized(now) {
+			o.sched.Place(now)
+		}
+		o.flush(now)
+		o.mu.Unlock()
+	}
+}
+
+// tick handles what time alone brings until the term ends.
+func (o *Owner) tick(ctx context.Context) {
+	timer := time.NewTicker(tickEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if o.journal.Fenced() {
+			return
+		}
+		o.mu.Lock()
+		now := time.Now()
+		o.sched.Tick(now)
+		o.followWorkers(ctx)
+		o.flush(now)
+		o.mu.Unlock()
+	}
+}
+
+// heartbeat tells the entries that there is an owner.
+func (o *Owner) heartbeat(ctx context.Context) {
+	timer := time.NewTicker(heartbeatEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		o.mu.Lock()
+		now := time.Now()
+		self := o.self(now, false)
+		self.Load = o.sched.Loads(now)
+		o.mu.Unlock()
+		if o.journal.Pending() < 2 {
+			o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(self)})
+		}
+	}
+}
+
+// Release ends the term so that another entry can claim the fleet at once.
+func (o *Owner) Release(ctx context.Context) {
+	o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(o.self(time.Now(), true))})
+	for ctx.Err() == nil && !o.journal.Fenced() && o.journal.Pending() > 0 {
+		sleep(ctx, planPause)
+	}
+}
+
+func (o *Owner) self(now time.Time, released bool) ledger.Owner {
+	return ledger.Owner{Token: o.token, Node: o.node, Released: released, AtMillis: now.UnixMilli()}
+}
--- /dev/null
+++ b/fleetentry/store.go
@@ -0,0 +1,59 @@
+package fleetentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// Streams that the product keeps in the store.
+const (
+	// ledgerStream holds the jobs, see package ledger.
+	ledgerStream = "ledger"
+	// claimStream holds one record a claim on the fleet; the offset behind it is
+	// the claim's fencing token.
+	claimStream = "claims"
+	// ownerWriter is the fenced writer of the ledger.
+	ownerWriter = "owner"
+)
+
+// Store keeps what must last, and brings the operator's and the workers' records.
+type Store interface {
+	Append(ctx context.Context, stream string, records []fleet.Record, terms fleet.AppendTerms) (first, end int64, err error)
+	Tail(ctx context.Context, stream string, from int64, wait time.Duration) (fleet.Records, error)
+	Newest(ctx context.Context, stream string) (fleet.Records, error)
+	OperatorRecords(ctx context.Context) (fleet.Records, error)
+	TailOperator(ctx context.Context, from int64, wait time.Duration) (fleet.Records, error)
+	WorkerRecords(ctx context.Context) (fleet.Records, error)
+	TailWorkers(ctx context.Context, from int64, wait time.Duration) (fleet.Records, error)
+	PublishWave(ctx context.Context, number int64, completed bool) error
+}
+
+// Workers orders runs and looks at workers.
+type Workers interface {
+	Start(ctx context.Context, to fleet.Endpoint, order fleet.StartOrder) (clock int64, err error)
+	Stop(ctx context.Context, to fleet.Endpoint, task fleet.TaskID, attempt int, token int64) (clock int64, err error)
+	Pace(ctx context.Context, to fleet.Endpoint, task fleet.TaskID, attempt, percent int, token int64) (clock int64, err error)
+	Look(ctx context.Context, to fleet.Endpoint, order fleet.LookOrder, wait time.Duration) (fleet.Look, error)
+}
+
+// VMs lists the fleet's VMs and orders moves and maintenance.
+type VMs interface {
+	List(ctx context.Context) ([]fleet.VM, error)
+	Move(ctx context.Context, vm, pool string, token int64) error
+	Maintain(ctx context.Context, vm string, wave, token int64) error
+}
+
+// Advice knows which workers a queue's policy allows.
+type Advice interface {
+	Ask(ctx context.Context, step string, workers []string) ([]fleet.Ticket, time.Duration, error)
+}
+
+// Decoder reads the records of the operator and of the workers.
+type Decoder interface {
+	Manifest(r fleet.Record) (m *fleet.Manifest, is bool, err error)
+	Wave(r fleet.Record) (w fleet.Wave, is bool, err error)
+	Worker(r fleet.Record) (fleet.Worker, error)
+	Submission(raw []byte) (fleet.Submission, error)
+}
--- /dev/null
+++ b/ledger/job.go
@@ -0,0 +1,48 @@
+package ledger
+
+import "github.com/anvilcourse/anvilcourse/fleet"
+
+// Job is what the ledger holds of one job.
+type Job struct {
+	// Submission is nil while only a cancellation is known.
+	Submission *fleet.Submission
+	Cancelled  bool
+	Result     Result
+	// Tasks holds the assignments that were stored.
+	Tasks map[fleet.TaskID]Assignment
+	// Begun tells that a task has been assigned at some time.
+	Begun bool
+	// EndedAtMillis is when the job was cancelled or ended; 0 for neither.
+	EndedAtMillis int64
+}
+
+// State is what callers are told of a job.
+type State string
+
+// States of a job.
+const (
+	StateUnknown   State = ""
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// State returns the job's state.
+func (j *Job) State() State {
+	switch {
+	case j.Result.Outcome == OutcomeCompleted:
+		return StateCompleted
+	case j.Result.Outcome == OutcomeFailed:
+		return StateFailed
+	case j.Cancelled || j.Result.Outcome == OutcomeCancelled:
+		return StateCancelled
+	case j.Submission == nil:
+		return StateUnknown
+	case j.Begun:
+		return StateRunning
+	default:
+		return StateQueued
+	}
+}
--- /dev/null
+++ b/ledger/jobof.go
@@ -0,0 +1,28 @@
+package ledger
+
+import "github.com/anvilcourse/anvilcourse/fleet"
+
+// RecordKind tells the records that entries write from the owner's.
+type RecordKind int
+
+// Kinds of records.
+const (
+	// RecordOther is one of the owner's.
+	RecordOther RecordKind = iota
+	RecordSubmission
+	RecordCancellation
+)
+
+// JobOf returns the job of an entry's record.
+func JobOf(r fleet.Record) (job string, kind RecordKind) {
+	if r.Key == "" || len(r.Value) == 0 {
+		return "", RecordOther
+	}
+	switch r.Key[0] {
+	case kindSubmission:
+		return r.Key[1:], RecordSubmission
+	case kindCancellation:
+		return r.Key[1:], RecordCancellation
+	}
+	return "", RecordOther
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,13 @@
+package ledger
+
+// Kinds of records, the first byte of a key.
+const (
+	kindSubmission   = 'j'
+	kindCancellation = 'c'
+	kindAssignment   = 't'
+	kindResult       = 'r'
+	kindOwner        = 'o'
+)
+
+// ownerKey is the key of the owner's record, of which there is one.
+const ownerKey = "o"
--- /dev/null
+++ b/ledger/submission.go
@@ -0,0 +1,25 @@
+package ledger
+
+import "github.com/anvilcourse/anvilcourse/fleet"
+
+// SubmissionRecord returns the record of an accepted job.
+func SubmissionRecord(s fleet.Submission) fleet.Record { return record(kindSubmission, s.ID, s) }
+
+// Cancellation tells that a caller cancelled a job.
+type Cancellation struct {
+	AtMillis int64 `json:"t"`
+}
+
+// CancellationRecord returns the record of a cancelled job.
+func CancellationRecord(job string, atMillis int64) fleet.Record {
+	return record(kindCancellation, job, Cancellation{AtMillis: atMillis})
+}
+
+// DropJob returns the records that forget a job.
+func DropJob(job string) []fleet.Record {
+	return []fleet.Record{
+		{Key: string(rune(kindSubmission)) + job},
+		{Key: string(rune(kindCancellation)) + job},
+		{Key: string(rune(kindResult)) + job},
+	}
+}
--- /dev/null
+++ b/ledger/view.go
@@ -0,0 +1,161 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// View is the state that the ledger's records reduce to. It is not safe for
+// concurrent use.
+type View struct {
+	Jobs  map[string]*Job
+	Owner Owner
+	// OwnerOffset is the offset of the owner's newest record; -1 for none.
+	OwnerOffset int64
+	// pending counts the queue's jobs that no task of has been assigned.
+	pending map[string]int
+}
+
+// NewView returns the state of an empty ledger.
+func NewView() *View {
+	return &View{Jobs: map[string]*Job{}, OwnerOffset: -1, pending: map[string]int{}}
+}
+
+// Pending returns the number of the queue's accepted jobs that have not begun
+// and have no due times.
+func (v *View) Pending(queue string) int { return v.pending[queue] }
+
+// Apply takes one record in. An error names a record that cannot be read; the
+// state is then unchanged.
+func (v *View) Apply(r fleet.Record) error {
+	if r.Key == "" {
+		return nil
+	}
+	id := r.Key[1:]
+	switch r.Key[0] {
+	case kindSubmission:
+		return v.applySubmission(id, r)
+	case kindCancellation:
+		return v.applyCancellation(id, r)
+	case kindAssignment:
+		return v.applyAssignment(id, r)
+	case kindResult:
+		return v.applyResult(id, r)
+	case kindOwner:
+		return v.applyOwner(r)
+	}
+	return nil
+}
+
+// change runs a change of one job and keeps the counts of waiting jobs.
+func (v *View) change(id string, do func(j *Job)) {
+	j, known := v.Jobs[id]
+	if !known {
+		j = &Job{}
+		v.Jobs[id] = j
+	}
+	before := j.isPending()
+	do(j)
+	after := j.isPending()
+	if before != after && j.Submission != nil {
+		if after {
+			v.pending[j.Submission.Queue]++
+		} else {
+			v.pending[j.Submission.Queue]--
+		}
+	}
+}
+
+func (j *Job) isPending() bool {
+	return j.Submission != nil && !j.Submission.Timed() && !j.Begun && !j.Cancelled && j.Result.Outcome == OutcomeNone
+}
+
+func (v *View) applySubmission(id string, r fleet.Record) error {
+	if len(r.Value) == 0 {
+		if j, known := v.Jobs[id]; known && j.isPending() {
+			v.pending[j.Submission.Queue]--
+		}
+		delete(v.Jobs, id)
+		return nil
+	}
+	if j, known := v.Jobs[id]; known && j.Submission != nil {
+		return nil // A copy of a submission is the same job.
+	}
+	var s fleet.Submission
+	if err := json.Unmarshal(r.Value, &s); err != nil {
+		return errors.Wrapf(err, "submission %s", id)
+	}
+	s.ID = id
+	v.change(id, func(j *Job) { j.Submission = &s })
+	return nil
+}
+
+func (v *View) applyCancellation(id string, r fleet.Record) error {
+	if len(r.Value) == 0 {
+		return nil
+	}
+	var c Cancellation
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		return errors.Wrapf(err, "cancellation %s", id)
+	}
+	v.change(id, func(j *Job) {
+		j.Cancelled = true
+		j.EndedAtMillis = max(j.EndedAtMillis, c.AtMillis)
+	})
+	return nil
+}
+
+func (v *View) applyAssignment(id string, r fleet.Record) error {
+	task, err := fleet.ParseTaskID(id)
+	if err != nil {
+		return err
+	}
+	if len(r.Value) == 0 {
+		if j, known := v.Jobs[task.Job]; known {
+			delete(j.Tasks, task)
+		}
+		return nil
+	}
+	var a Assignment
+	if err := json.Unmarshal(r.Value, &a); err != nil {
+		return errors.Wrapf(err, "assignment %s", id)
+	}
+	v.change(task.Job, func(j *Job) {
+		if j.Tasks == nil {
+			j.Tasks = map[fleet.TaskID]Assignment{}
+		}
+		j.Tasks[task] = a
+		j.Begun = true
+	})
+	return nil
+}
+
+func (v *View) applyResult(id string, r fleet.Record) error {
+	if len(r.Value) == 0 {
+		return nil
+	}
+	var result Result
+	if err := json.Unmarshal(r.Value, &result); err != nil {
+		return errors.Wrapf(err, "result %s", id)
+	}
+	v.change(id, func(j *Job) {
+		j.Result = result
+		j.Tasks = nil
+		j.EndedAtMillis = max(j.EndedAtMillis, result.AtMillis)
+	})
+	return nil
+}
+
+func (v *View) applyOwner(r fleet.Record) error {
+	var o Owner
+	if err := json.Unmarshal(r.Value, &o); err != nil {
+		return errors.Wrap(err, "owner")
+	}
+	if r.Offset >= v.OwnerOffset {
+		v.Owner, v.OwnerOffset = o, r.Offset
+	}
+	return nil
+}
--- a/provider/outcome.go
+++ b/provider/outcome.go
@@ -44,4 +44,22 @@
 	CodeTruncated Code = "truncated"
 	// CodeInvalid means that the call itself is malformed.
 	CodeInvalid Code = "invalid"
+	// CodeFenced means that a holder with a higher fencing token has been seen.
+	CodeFenced Code = "fenced"
+	// CodeConflict means that the condition of a conditional call did not hold.
+	CodeConflict Code = "conflict"
+	// CodeSuperseded means that an equal or later run of the task was there.
+	CodeSuperseded Code = "superseded"
+	// CodeExpired means that the order's own deadline had passed on arrival.
+	CodeExpired Code = "expired"
+	// CodeNoRoom means that the task does not fit on the worker.
+	CodeNoRoom Code = "no_room"
+	// CodeOtherLife means that another life of the worker got the call.
+	CodeOtherLife Code = "other_life"
+	// CodeNoTicket means that the policy's ticket is missing or has expired.
+	CodeNoTicket Code = "no_ticket"
+	// CodeBusy means that the VM is not up, or is leaving.
+	CodeBusy Code = "busy"
+	// CodeNotInWave means that the VM does not belong to the wave.
+	CodeNotInWave Code = "not_in_wave"
 )
--- /dev/null
+++ b/scheduler/look.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+// LookFailed takes in a look that got no usable answer.
+func (s *Scheduler) LookFailed(id string, err error, now time.Time) {
+	w, known := s.workers[id]
+	if !known {
+		return
+	}
+	switch provider.CodeOf(err) {
+	case provider.CodeFenced:
+		s.deposed = true
+	case provider.CodeOtherLife:
+		s.bury(w, now, "another worker answers at its address")
+	default:
+		w.missed++
+		if w.missed == 1 {
+			s.note(Event{What: "worker.unreachable", ID: id, Why: err.Error()})
+		}
+	}
+}
+
+// Looked takes in what a look, sent at the time sent, showed.
+func (s *Scheduler) Looked(id string, look *fleet.Look, sent, now time.Time) {
+	w, known := s.workers[id]
+	if !known || w.dead {
+		return
+	}
+	if look.BornMillis != 0 && w.info.BornMillis != 0 && look.BornMillis != w.info.BornMillis {
+		if look.BornMillis < w.info.BornMillis {
+			return // An answer of an earlier life.
+		}
+		info := w.info
+		info.BornMillis = look.BornMillis
+		registered := w.registered
+		s.bury(w, now, "the worker has started again")
+		s.setWorker(id, info, now)
+		w = s.workers[id]
+		w.registered = registered
+	}
+	if w.missed > 0 {
+		s.note(Event{What: "worker.reachable", ID: id})
+	}
+	w.missed = 0
+	w.clockMillis, w.clockAt = look.ClockMillis, now
+	w.lookedAt = now
+	s.takeActive(w, look, now)
+	s.takeFinished(w, look, now)
+	s.takeAbsent(w, look, sent, now)
+	w.looked = true
+}
+
+// takeActive confirms the runs that are there and stops those that should not be.
+func (s *Scheduler) takeActive(w *worker, look *fleet.Look, now time.Time) {
+	for i := range look.Active {
+		run := &look.Active[i]
+		t, here := w.tasks[run.Task]
+		if !here || t.attempt != run.Attempt || !t.mayRun() {
+			if here && t.phase == recording {
+				// An earlier run of the task is still there.
+				s.requeueLater(t, now)
+			}
+			s.batch.Stops = append(s.batch.Stops, Stop{To: w.endpoint(), Task: run.Task, Attempt: run.Attempt})
+			s.note(Event{What: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Why: "not assigned"})
+			continue
+		}
+		if t.phase == starting {
+			s.confirm(t, now)
+		}
+		if run.Percent > t.percent || t.progressAt.IsZero() {
+			t.progressAt = now
+		}
+		if run.Percent >= 100 && t.atWorkAt.IsZero() {
+			t.atWorkAt = now
+		}
+		t.percent, t.usage = run.Percent, run.Usage
+		if t.step.def.Checkpointing && run.Checkpoint != "" {
+			t.checkpoint = run.Checkpoint
+		}
+	}
+}
+
+// requeueLater withdraws an assignment whose start has not gone out.
+func (s *Scheduler) requeueLater(t *task, now time.Time) {
+	s.requeue(t, now, "an earlier run is still there")
+}
+
+// confirm notes that the run is there.
+func (s *Scheduler) confirm(t *task, now time.Time) {
+	t.phase = running
+	t.restored, t.unsure = false, false
+	t.confirmedAt = now
+	if t.progressAt.IsZero() {
+		t.progressAt = now
+	}
+}
+
+// takeFinished applies the ends that have not been seen before.
+func (s *Scheduler) takeFinished(w *worker, look *fleet.Look, now time.Time) {
+	for i := range look.Finished {
+		end := &look.Finished[i]
+		if end.Number <= w.handled {
+			continue
+		}
+		w.handled = end.Number
+		t, here := w.tasks[end.Task]
+		if !here || t.attempt != end.Attempt || t.phase == recording {
+			continue
+		}
+		s.takeEnd(t, end, now)
+	}
+	if w.handled > w.recorded {
+		if s.batch.seen == nil {
+			s.batch.seen = map[*worker]int64{}
+		}
+		s.batch.seen[w] = w.handled
+	}
+}
+
+func (s *Scheduler) takeEnd(t *task, end *fleet.FinishedRun, now time.Time) {
+	if t.step.def.Checkpointing && end.Checkpoint != "" {
+		t.checkpoint = end.Checkpoint
+	}
+	switch end.End {
+	case fleet.EndDone:
+		t.worker.praise()
+		if t.step.def.Lasting {
+			s.requeue(t, now, "the run of a lasting task ended")
+			return
+		}
+		gang := t.step
+		s.complete(t, now)
+		if gang.def.Gang {
+			s.completeGang(gang, now)
+		}
+	case fleet.EndFailed:
+		s.fail(t, now)
+	default:
+		s.requeue(t, now, "the run ended: "+end.End.String())
+	}
+}
+
+// takeAbsent finds the runs that the look proves not to be there.
+func (s *Scheduler) takeAbsent(w *worker, look *fleet.Look, sent, now time.Time) {
+	if len(w.tasks) == 0 {
+		return
+	}
+	there := make(map[fleet.TaskID]int, len(look.Active))
+	for i := range look.Active {
+		there[look.Active[i].Task] = look.Active[i].Attempt
+	}
+	for id, t := range w.tasks {
+		if there[id] == t.attempt || t.phase == recording {
+			continue
+		}
+		gone := t.phase == running && t.confirmedAt.Before(sent) ||
+			t.restored && t.phase == starting ||
+			t.restored && t.phase == stopping && !w.looked ||
+			!t.goneAfter.IsZero() && t.goneAfter.Before(sent)
+		if gone {
+			s.requeue(t, now, "a look does not show the run")
+		}
+	}
+}
+
+// StartAnswered takes in the answer to a start, sent at the time sent.
+func (s *Scheduler) StartAnswered(order *fleet.StartOrder, workerID string, err error, now time.Time) {
+	t := s.find(order.Task)
+	if t == nil || t.attempt != order.Attempt || t.worker == nil || t.worker.info.ID != workerID || !t.mayRun() {
+		return
+	}
+	w := t.worker
+	if err == nil {
+		if t.phase == starting {
+			s.confirm(t, now)
+		}
+		return
+	}
+	code := provider.CodeOf(err)
+	if code == provider.CodeFenced {
+		s.deposed = true
+		return
+	}
+	if code == provider.CodeOtherLife {
+		s.bury(w, now, "another worker answers at its address")
+		return
+	}
+	if t.phase != starting {
+		return
+	}
+	if provider.OutcomeOf(err) == provider.Unknown || code == provider.CodeSuperseded {
+		s.startUnsure(t, code, now)
+		return
+	}
+	switch code {
+	case provider.CodeUnavailable, provider.CodeUnreachable, provider.CodeNoRoom, provider.CodeInvalid:
+		w.avoidUntil = later(w.avoidUntil, now.Add(refusedPause))
+	}
+	s.requeue(t, now, "the start was refused: "+string(code))
+}
+
+// startUnsure handles a start that may have been carried out: a stop makes the
+// worker reject the run if it comes later, and ends it if it is there.
+func (s *Scheduler) startUnsure(t *task, code provider.Code, now time.Time) {
+	s.note(Event{What: "start.unsure", ID: t.id.String(), Worker: t.worker.info.ID, Attempt: t.attempt, Why: string(code)})
+	t.unsure = true
+	if code == provider.CodeSuperseded {
+		t.goneAfter = now
+		return
+	}
+	t.worker.avoidUntil = later(t.worker.avoidUntil, now.Add(refusedPause))
+	s.orderStop(t, now)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// StopAnswered takes in the answer to a stop.
+func (s *Scheduler) StopAnswered(stop *Stop, err error, now time.Time) {
+	switch provider.CodeOf(err) {
+	case provider.CodeFenced:
+		s.deposed = true
+		return
+	case provider.CodeOtherLife:
+		s.EndLife(stop.To.WorkerID, now, "another worker answers at its address")
+		return
+	}
+	t := s.find(stop.Task)
+	if err != nil || t == nil || t.attempt != stop.Attempt || t.phase != stopping {
+		return
+	}
+	if t.goneAfter.IsZero() {
+		t.goneAfter = now
+	}
+	s.batch.Look = append(s.batch.Look, stop.To.WorkerID)
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// Place assigns waiting tasks to workers with room, the most urgent first.
+func (s *Scheduler) Place(now time.Time) {
+	if len(s.ready) == 0 {
+		return
+	}
+	byPool := map[string][]*worker{}
+	for _, w := range s.workers {
+		if w.usable(now) {
+			byPool[w.info.Pool] = append(byPool[w.info.Pool], w)
+		}
+	}
+	for _, st := range s.inOrder(now) {
+		if workers := byPool[st.run.job.queue.Pool]; len(workers) > 0 {
+			s.placeStep(st, workers, now)
+		}
+	}
+}
+
+// inOrder returns the steps that have tasks to place, the most urgent first.
+func (s *Scheduler) inOrder(now time.Time) []*step {
+	type ranked struct {
+		step *step
+		rank rank
+	}
+	all := make([]ranked, 0, len(s.ready))
+	for st := range s.ready {
+		all = append(all, ranked{step: st, rank: rankOf(st, now)})
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].rank.before(all[k].rank) })
+	out := make([]*step, len(all))
+	for i := range all {
+		out[i] = all[i].step
+	}
+	return out
+}
+
+// placeStep places as many tasks of the step as have room.
+func (s *Scheduler) placeStep(st *step, workers []*worker, now time.Time) {
+	if st.run.job.queue.NeedsTicket {
+		s.askAdvice(st, workers, now)
+	}
+	if st.def.Gang {
+		s.placeGang(st, workers, now)
+		return
+	}
+	for _, t := range st.tasks {
+		if st.waiting == 0 {
+			return
+		}
+		if t.phase != waiting {
+			continue
+		}
+		if !st.run.job.tenant.roomFor(st.def.Need) {
+			return
+		}
+		w := s.choose(t, workers, now)
+		if w == nil {
+			if t.avoid != "" {
+				continue
+			}
+			return
+		}
+		s.assign(t, w, now)
+	}
+}
+
+// assign gives the task to the worker; the start goes out once that is stored.
+func (s *Scheduler) assign(t *task, w *worker, now time.Time) {
+	t.attempt++
+	t.phase = recording
+	t.step.waiting--
+	if t.step.def.OneRack {
+		t.step.rack = w.info.Rack()
+	}
+	t.ticket = t.step.ticks.byWorker[w.info.ID]
+	s.occupy(t, w)
+	s.record(t)
+	s.batch.starts = append(s.batch.starts, t)
+	s.index(t.step)
+}
+
+// choose returns the worker that suits the task best, or nil.
+func (s *Scheduler) choose(t *task, workers []*worker, now time.Time) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range workers {
+		if !s.allowed(t, w, now) {
+			continue
+		}
+		if score := suitability(t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether the task may run on the worker at all.
+func (s *Scheduler) allowed(t *task, w *worker, now time.Time) bool {
+	def := t.step.def
+	if !w.free().Fits(t.need()) || w.cordoned {
+		return false
+	}
+	if def.Label != "" && !w.info.HasLabel(def.Label) {
+		return false
+	}
+	if def.MaxPerWorker > 0 && t.step.onWorker[w.info.ID] >= def.MaxPerWorker {
+		return false
+	}
+	if def.OneRack && t.step.rack != "" && t.step.rack != w.info.Rack() {
+		return false
+	}
+	if t.avoid == w.info.ID {
+		return false
+	}
+	if t.step.run.job.queue.NeedsTicket {
+		return t.step.ticks.valid(now) && t.step.ticks.byWorker[w.info.ID] != ""
+	}
+	return true
+}
+
+// suitability compares workers for a task; more is better.
+func suitability(t *task, w *worker) float64 {
+	def := t.step.def
+	free := w.free().Minus(t.need())
+	score := 0.0
+	if w.info.Capacity.MilliCPU > 0 {
+		// Fuller workers first, so that others become empty and can be moved.
+		score -= float64(free.MilliCPU) / float64(w.info.Capacity.MilliCPU)
+	}
+	if def.DataRack != "" && def.DataRack == w.info.Rack() {
+		score += 10
+	}
+	if def.Filling || def.TailTargetMillis > 0 {
+		for _, other := range w.tasks {
+			if other.step.def.Filling != def.Filling && (other.step.def.Lasting || def.Filling) {
+				score -= 2
+			}
+		}
+	}
+	if w.dueMaintenance {
+		score--
+		if def.Lasting {
+			score -= 4
+		}
+	}
+	return score
+}
+
+// placeGang places all members at once, on one rack where that helps.
+func (s *Scheduler) placeGang(st *step, workers []*worker, now time.Time) {
+	if st.waiting < len(st.tasks)-st.done || st.waiting == 0 {
+		return // Members of the last run are not all over yet.
+	}
+	total := fleet.Resources{}
+	for range st.tasks {
+		total = total.Plus(st.def.Need)
+	}
+	if !st.run.job.tenant.roomFor(total) {
+		return
+	}
+	if st.def.OneRack || st.def.DataRack != "" {
+		for _, rack := range racksOf(workers, st.def.DataRack) {
+			if s.placeGangOn(st, workersOfRack(workers, rack), now) {
+				return
+			}
+		}
+		if st.def.OneRack {
+			return
+		}
+	}
+	s.placeGangOn(st, workers, now)
+}
+
+// placeGangOn places all members on the workers, or none.
+func (s *Scheduler) placeGangOn(st *step, workers []*worker, now time.Time) bool {
+	attempt, checkpoint := 0, ""
+	for _, t := range st.tasks {
+		if t.attempt > attempt {
+			attempt = t.attempt
+		}
+		if t.checkpoint > checkpoint {
+			checkpoint = t.checkpoint
+		}
+	}
+	var placed []*task
+	for _, t := range st.tasks {
+		if t.phase != waiting {
+			continue
+		}
+		w := s.choose(t, workers, now)
+		if w == nil {
+			for _, undo := range placed {
+				s.vacate(undo)
+			}
+			return false
+		}
+		s.occupy(t, w)
+		placed = append(placed, t)
+	}
+	for _, t := range placed {
+		w := t.worker
+		s.vacate(t)
+		t.attempt = attempt
+		if st.def.Checkpointing {
+			t.checkpoint = checkpoint
+		}
+		s.assign(t, w, now)
+	}
+	return true
+}
+
+// racksOf returns the racks of the workers, the preferred one first.
+func racksOf(workers []*worker, preferred string) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, w := range workers {
+		if rack := w.info.Rack(); !seen[rack] {
+			seen[rack] = true
+			out = append(out, rack)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if (out[i] == preferred) != (out[k] == preferred) {
+			return out[i] == preferred
+		}
+		return out[i] < out[k]
+	})
+	return out
+}
+
+func workersOfRack(workers []*worker, rack string) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		if w.info.Rack() == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/scheduler/workers.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// SetWorkers replaces the list of workers by what the platform lists now.
+func (s *Scheduler) SetWorkers(list map[string]fleet.Worker, now time.Time) {
+	for id, info := range list {
+		s.setWorker(id, info, now)
+	}
+	for id, w := range s.workers {
+		if _, listed := list[id]; !listed {
+			w.registered = false
+			if len(w.tasks) == 0 {
+				w.dead = true
+				delete(s.workers, id)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) setWorker(id string, info fleet.Worker, now time.Time) {
+	w, known := s.workers[id]
+	if known && w.info.BornMillis != 0 && info.BornMillis != 0 && info.BornMillis < w.info.BornMillis {
+		return // A look has shown a later life already.
+	}
+	if known && w.info.BornMillis != 0 && info.BornMillis > w.info.BornMillis {
+		s.bury(w, now, "the worker has started again")
+		known = false
+	}
+	if !known {
+		w = &worker{tasks: map[fleet.TaskID]*task{}}
+		w.leaseFrom, w.leaseFor = s.tookAt, s.cfg.PriorLease
+		s.workers[id] = w
+		s.note(Event{What: "worker.listed", ID: id, Why: info.Pool})
+	}
+	if w.info.Draining != info.Draining && known {
+		s.note(Event{What: "worker.draining", ID: id, Why: info.Pool})
+	}
+	w.info = info
+	w.registered = true
+}
+
+// bury ends a life of a worker: nothing runs on it any more.
+func (s *Scheduler) bury(w *worker, now time.Time, why string) {
+	w.dead = true
+	for _, t := range w.tasks {
+		s.requeue(t, now, why)
+	}
+	if s.workers[w.info.ID] == w {
+		delete(s.workers, w.info.ID)
+	}
+	s.note(Event{What: "worker.over", ID: w.info.ID, Why: why})
+}
+
+// EndLife tells that the worker's process is known to be over.
+func (s *Scheduler) EndLife(id string, now time.Time, why string) {
+	if w, known := s.workers[id]; known {
+		s.bury(w, now, why)
+	}
+}
+
+// Target is a worker to look at.
+type Target struct {
+	To fleet.Endpoint
+	// Pool is where the worker serves.
+	Pool string
+	// BornMillis is the life that is meant.
+	BornMillis int64
+	Busy       bool
+}
+
+// Targets returns the workers that must be looked at.
+func (s *Scheduler) Targets() []Target {
+	out := make([]Target, 0, len(s.workers))
+	for _, w := range s.workers {
+		if w.info.Address == "" {
+			continue
+		}
+		out = append(out, Target{To: w.endpoint(), Pool: w.info.Pool, BornMillis: w.info.BornMillis, Busy: len(w.tasks) > 0})
+	}
+	return out
+}
+
+// PrepareLook returns the order that goes with the next look at the worker. A
+// worker that misses looks has its leases extended no more, so that what runs
+// there may be started elsewhere.
+//
+// An owner that cannot prove that it still is one extends nothing, either.
+func (s *Scheduler) PrepareLook(id string, now time.Time, authorized bool) (fleet.LookOrder, bool) {
+	w, known := s.workers[id]
+	if !known || w.dead {
+		return fleet.LookOrder{}, false
+	}
+	order := fleet.LookOrder{Token: s.cfg.Token, RecordedThrough: w.recorded}
+	if authorized && w.missed == 0 && !w.clockAt.IsZero() && len(w.tasks) > 0 {
+		order.DeadlineMillis = w.clock(now) + s.cfg.Lease.Milliseconds()
+		w.extendLease(now, s.cfg.Lease)
+	}
+	return order, true
+}
+
+// Busy reports whether the worker has runs, and whether ends wait to be stored.
+func (s *Scheduler) Busy(id string) (busy, unstored bool) {
+	w, known := s.workers[id]
+	if !known {
+		return false, false
+	}
+	return len(w.tasks) > 0, w.handled > w.recorded
+}
