Count every record of the owner as a sign of life

Cause: standby entries counted only heartbeats, which the owner left out while other records waited; ownership changed every second. Ruled out: slow reads.

--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -119,8 +119,9 @@
 
 func (f *Follower) apply(got fleet.Records, sent time.Time) {
 	f.mu.Lock()
-	heard := f.view.OwnerOffset
+	heard := false
 	for _, r := range got.Items {
+		heard = heard || ledger.ByOwner(r)
 		if err := f.view.Apply(r); err != nil {
 			f.log.Warn("a record of the ledger cannot be read", "key", r.Key, "offset", r.Offset, "error", err)
 		}
@@ -128,7 +129,7 @@
 	f.next = max(f.next, got.Next)
 	f.readAt = sent
 	now := time.Now()
-	if f.view.OwnerOffset != heard || f.heardAt.IsZero() {
+	if heard || f.heardAt.IsZero() {
 		f.heardAt = now
 	}
 	if f.lost {
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -24,6 +24,9 @@
 	// leaseFor is how far the owner extends leases: through a takeover, yet short
 	// enough that the work of a lost worker is soon started elsewhere.
 	leaseFor = 4 * time.Second
+	// maxWaitingEntries is how many of the owner's entries may wait for the store
+	// before no more heartbeats are added.
+	maxWaitingEntries = 32
 	// ownerTimeout bounds what an owner does before its first decision.
 	ownerTimeout = 3 * time.Second
 )
@@ -311,7 +314,8 @@
 		self := o.self(now, false)
 		self.Load = o.sched.Loads(now)
 		o.mu.Unlock()
-		if o.journal.Pending() < 2 {
+		// While the store is away, one waiting heartbeat is as good as many.
+		if o.journal.Pending() < maxWaitingEntries {
 			o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(self)})
 		}
 	}
--- a/ledger/jobof.go
+++ b/ledger/jobof.go
@@ -26,3 +26,8 @@
 	}
 	return "", RecordOther
 }
+
+// ByOwner reports whether the record is one that only owners write.
+func ByOwner(r fleet.Record) bool {
+	return r.Key != "" && (r.Key[0] == kindAssignment || r.Key[0] == kindResult || r.Key[0] == kindOwner)
+}
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -58,6 +58,7 @@
 
 // takeActive confirms the runs that are there and stops those that should not be.
 func (s *Scheduler) takeActive(w *worker, look *fleet.Look, now time.Time) {
+	w.strays = fleet.Resources{}
 	for i := range look.Active {
 		run := &look.Active[i]
 		t, here := w.tasks[run.Task]
@@ -66,6 +67,9 @@
 				// An earlier run of the task is still there.
 				s.requeueLater(t, now)
 			}
+			if known := s.find(run.Task); known != nil {
+				w.strays = w.strays.Plus(known.need())
+			}
 			s.batch.Stops = append(s.batch.Stops, Stop{To: w.endpoint(), Task: run.Task, Attempt: run.Attempt})
 			s.note(Event{What: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Why: "not assigned"})
 			continue
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,6 +13,8 @@
 	// used is what its runs take, those that are being stopped included.
 	used  fleet.Resources
 	tasks map[fleet.TaskID]*task
+	// strays is what runs take that are there and are not assigned.
+	strays fleet.Resources
 	// looked tells that a look under the owner's token has succeeded: earlier
 	// owners can order nothing more there.
 	looked bool
@@ -48,7 +50,7 @@
 }
 
 // free returns the room that is left.
-func (w *worker) free() fleet.Resources { return w.info.Capacity.Minus(w.used) }
+func (w *worker) free() fleet.Resources { return w.info.Capacity.Minus(w.used).Minus(w.strays) }
 
 // usable reports whether new work may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
