Decide maintenance waves and moves between pools

Change: waves drain and maintain within their cap and the steps' budgets; empty VMs move to pools that lack room.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/scheduler"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
@@ -135,6 +136,7 @@
 			continue
 		}
 		owner := d.newOwner(token)
+		d.follower.Read(func(v *ledger.View) { owner.graceful = v.OwnerOffset < 0 || v.Owner.Released })
 		d.owner.Store(owner)
 		owner.Run(ctx)
 		d.owner.Store(nil)
@@ -147,7 +149,10 @@
 		store: d.store, workers: d.workers, decoder: d.decoder, advice: d.advice,
 		follower: d.follower, operator: d.operator, fleetVMs: &FleetVMs{vms: d.vms},
 		node: s.Node, token: token, log: d.log.Named("owner"), metrics: d.metrics,
+		orderLease: time.Duration(s.VMOrderLeaseMS) * time.Millisecond,
 		config: scheduler.Config{
+			MaintenanceTime: settings.Seconds(s.MaintenanceS),
+			MoveTime:        settings.Seconds(s.MoveS),
 			StopTime:        time.Duration(s.StopMS) * time.Millisecond,
 			CheckpointEvery: settings.Seconds(s.CheckpointS),
 			FarFactor:       s.FarFactor,
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -45,6 +45,11 @@
 	log      hclog.Logger
 	metrics  *Metrics
 	config   scheduler.Config
+	// vmOrdersFrom is when the owner may first order moves and maintenance: an
+	// earlier owner's orders are then over.
+	vmOrdersFrom time.Time
+	// orderLease is how long an earlier owner's orders may be under way.
+	orderLease time.Duration
 
 	mu      sync.Mutex
 	sched   *scheduler.Scheduler
@@ -54,7 +59,12 @@
 	group   sync.WaitGroup
 	cancel  context.CancelFunc
 	began   time.Time
-	listed  *workerList
+	// graceful terms begin after the last owner has stopped by itself, or as the
+	// first.
+	graceful bool
+	listed   *workerList
+	// listedAt is when the newest list of VMs was asked for.
+	listedAt time.Time
 }
 
 // Run owns the fleet until the context ends or the term is lost.
@@ -120,6 +130,10 @@
 	o.config.Token = o.token
 	o.config.Lease = leaseFor
 	now := time.Now()
+	o.vmOrdersFrom = now
+	if !o.graceful {
+		o.vmOrdersFrom = now.Add(o.orderLease)
+	}
 	o.config.PriorLease = authority + leaseFor
 	o.sched = scheduler.New(o.config, now)
 	if m := o.operator.Manifest(); m != nil {
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -7,6 +7,7 @@
 	kindAssignment   = 't'
 	kindResult       = 'r'
 	kindOwner        = 'o'
+	kindWave         = 'w'
 )
 
 // ownerKey is the key of the owner's record, of which there is one.
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -11,7 +11,9 @@
 // View is the state that the ledger's records reduce to. It is not safe for
 // concurrent use.
 type View struct {
-	Jobs  map[string]*Job
+	Jobs map[string]*Job
+	// Waves holds how far each maintenance wave is, by its number as text.
+	Waves map[string]Wave
 	Owner Owner
 	// OwnerOffset is the offset of the owner's newest record; -1 for none.
 	OwnerOffset int64
@@ -21,7 +23,7 @@
 
 // NewView returns the state of an empty ledger.
 func NewView() *View {
-	return &View{Jobs: map[string]*Job{}, OwnerOffset: -1, pending: map[string]int{}}
+	return &View{Jobs: map[string]*Job{}, Waves: map[string]Wave{}, OwnerOffset: -1, pending: map[string]int{}}
 }
 
 // Pending returns the number of the queue's accepted jobs that have not begun
@@ -46,6 +48,8 @@
 		return v.applyResult(id, r)
 	case kindOwner:
 		return v.applyOwner(r)
+	case kindWave:
+		return v.applyWave(id, r)
 	}
 	return nil
 }
@@ -159,3 +163,16 @@
 	}
 	return nil
 }
+
+func (v *View) applyWave(id string, r fleet.Record) error {
+	if len(r.Value) == 0 {
+		delete(v.Waves, id)
+		return nil
+	}
+	var w Wave
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return errors.Wrapf(err, "wave %s", id)
+	}
+	v.Waves[id] = w
+	return nil
+}
--- /dev/null
+++ b/ledger/wave.go
@@ -0,0 +1,20 @@
+package ledger
+
+import (
+	"strconv"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// Wave is how far a maintenance wave is.
+type Wave struct {
+	// BeganMillis is when an entry first saw the wave.
+	BeganMillis int64 `json:"b"`
+	// Done names the VMs whose maintenance has begun.
+	Done []string `json:"d,omitempty"`
+}
+
+// WaveRecord returns the record of a wave's progress.
+func WaveRecord(number int64, w Wave) fleet.Record {
+	return record(kindWave, strconv.FormatInt(number, 10), w)
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -13,6 +13,9 @@
 	PriorLease time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
+	// MaintenanceTime and MoveTime are how long a VM is away.
+	MaintenanceTime time.Duration
+	MoveTime        time.Duration
 	// CheckpointEvery is the work between two checkpoints.
 	CheckpointEvery time.Duration
 	// FarFactor is how many times as long a task takes away from its data.
--- /dev/null
+++ b/scheduler/pools.go
@@ -0,0 +1,230 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+const (
+	// moveMargin is how much more room than its demand a pool gets.
+	moveMargin = 1.15
+	// idleBeforeMove is how long a VM must be empty before it is given away.
+	idleBeforeMove = 250 * time.Millisecond
+	// idleBeforeSpare is how long a VM must be empty before it is switched off.
+	idleBeforeSpare = 5 * time.Second
+	// poolFloor is the part of a pool's listed VMs that it always keeps.
+	poolFloor = 2
+	// hotShare is the use of a pool's room from which it counts as hot.
+	hotShare = 0.85
+)
+
+// poolState is what a pool has and needs at the moment.
+type poolState struct {
+	name string
+	// vms are up with a usable worker, incoming are on their way.
+	vms      []*vm
+	incoming int
+	// capacity is that of the VMs, incoming ones included; demand is the room
+	// taken and asked for. Both in thousandths of a core.
+	capacity int64
+	demand   int64
+	// perVM is the room of one VM.
+	perVM int64
+}
+
+// short returns how many more VMs the pool could use.
+func (p *poolState) short() int {
+	if p.perVM == 0 {
+		return 0
+	}
+	lack := int64(float64(p.demand)*moveMargin) - p.capacity
+	if lack <= 0 {
+		return 0
+	}
+	return int((lack + p.perVM - 1) / p.perVM)
+}
+
+// spareVMs returns how many VMs the pool could do without.
+func (p *poolState) surplus() int {
+	if p.perVM == 0 {
+		return 0
+	}
+	over := (p.capacity - int64(float64(p.demand)*moveMargin)) / p.perVM
+	return max(0, min(int(over), len(p.vms)+p.incoming-poolFloor))
+}
+
+// poolStates works out what every pool has and needs.
+func (s *Scheduler) poolStates(now time.Time) map[string]*poolState {
+	out := map[string]*poolState{}
+	at := func(name string) *poolState {
+		p, known := out[name]
+		if !known {
+			p = &poolState{name: name}
+			out[name] = p
+		}
+		return p
+	}
+	for _, v := range s.vms {
+		if v.ordered != nil && v.ordered.Kind == VMMove {
+			p := at(v.ordered.Pool)
+			p.incoming++
+			p.capacity += v.info.Capacity.MilliCPU
+			p.perVM = v.info.Capacity.MilliCPU
+			continue
+		}
+		p := at(v.info.Pool)
+		p.perVM = max(p.perVM, v.info.Capacity.MilliCPU)
+		switch {
+		case v.info.State == fleet.VMMoving || v.info.State == fleet.VMInMaintenance || v.ordered != nil:
+			p.incoming++
+			p.capacity += v.info.Capacity.MilliCPU
+		case v.info.State == fleet.VMUp:
+			p.vms = append(p.vms, v)
+			if w := s.workerOf(v); w != nil && (w.usable(now) || w.cordoned) || s.isSpare(v.info.Pool) {
+				p.capacity += v.info.Capacity.MilliCPU
+			}
+		}
+	}
+	for _, w := range s.workers {
+		for _, t := range w.tasks {
+			if !t.step.def.Filling {
+				at(w.info.Pool).demand += t.step.def.Need.MilliCPU
+			}
+		}
+	}
+	for st := range s.ready {
+		if st.def.Filling || rankOf(st, now).class > 1 {
+			continue
+		}
+		at(st.run.job.queue.Pool).demand += int64(st.waiting) * st.def.Need.MilliCPU
+	}
+	return out
+}
+
+// hot reports whether the pool had little room at the last look at all pools.
+func (s *Scheduler) hot(pool string) bool {
+	p, known := s.pools[pool]
+	return known && float64(p.demand) > hotShare*float64(p.capacity)
+}
+
+// planPools moves empty VMs to pools whose demand is larger than their room,
+// and switches off those that no pool has needed for a while. Demand turns
+// between the queues, so that what one pool lacks lies idle in the others.
+func (s *Scheduler) planPools(now time.Time) {
+	s.pools = s.poolStates(now)
+	names := make([]string, 0, len(s.pools))
+	for name := range s.pools {
+		if _, known := s.manifest.Pools[name]; known && !s.isSpare(name) {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, k int) bool {
+		if a, b := s.pools[names[i]].short(), s.pools[names[k]].short(); a != b {
+			return a > b
+		}
+		return names[i] < names[k]
+	})
+	for _, name := range names {
+		need := s.pools[name]
+		for range need.short() {
+			v := s.donor(name, now)
+			if v == nil {
+				break
+			}
+			s.moveTo(v, name, now)
+		}
+	}
+	s.switchOff(names, now)
+}
+
+// moveTo orders the VM to the pool and keeps the counts.
+func (s *Scheduler) moveTo(v *vm, pool string, now time.Time) {
+	from, to := s.pools[v.info.Pool], s.pools[pool]
+	s.drain(v, VMMove, now)
+	s.order(v, VMOrder{Kind: VMMove, VM: v.info.Name, Pool: pool}, now)
+	from.capacity -= v.info.Capacity.MilliCPU
+	to.capacity += v.info.Capacity.MilliCPU
+	to.incoming++
+	for i, other := range from.vms {
+		if other == v {
+			from.vms = append(from.vms[:i:i], from.vms[i+1:]...)
+			break
+		}
+	}
+}
+
+// donor returns a VM that can go to the pool, or nil: one that runs in a pool
+// with more than it needs, or one that is off.
+func (s *Scheduler) donor(to string, now time.Time) *vm {
+	var best *vm
+	for _, p := range s.pools {
+		if p.name == to || !s.isSpare(p.name) && p.surplus() == 0 {
+			continue
+		}
+		for _, v := range p.vms {
+			if !s.movable(v, now) {
+				continue
+			}
+			if best == nil || s.betterDonor(v, best) {
+				best = v
+			}
+		}
+	}
+	return best
+}
+
+// betterDonor prefers VMs that run and are idle to those that are off, and VMs
+// whose maintenance is over.
+func (s *Scheduler) betterDonor(a, b *vm) bool {
+	if spareA, spareB := s.isSpare(a.info.Pool), s.isSpare(b.info.Pool); spareA != spareB {
+		return spareB
+	}
+	if !a.emptySince.Equal(b.emptySince) {
+		return a.emptySince.Before(b.emptySince)
+	}
+	return a.info.Name < b.info.Name
+}
+
+// movable reports whether the VM is up and empty and no order is under way.
+func (s *Scheduler) movable(v *vm, now time.Time) bool {
+	if !v.settled(now) || v.draining != VMNoOrder || v.emptySince.IsZero() {
+		return false
+	}
+	if w := s.workerOf(v); w != nil && (w.info.Draining || !w.looked || w.missed > 0) {
+		return false
+	}
+	return s.isSpare(v.info.Pool) || now.Sub(v.emptySince) >= idleBeforeMove
+}
+
+// switchOff moves VMs that have been idle for long to the spare pool.
+func (s *Scheduler) switchOff(names []string, now time.Time) {
+	spare := ""
+	for name, p := range s.manifest.Pools {
+		if p.Spare && (spare == "" || name < spare) {
+			spare = name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	if _, known := s.pools[spare]; !known {
+		s.pools[spare] = &poolState{name: spare}
+	}
+	for _, name := range names {
+		p := s.pools[name]
+		for range p.surplus() {
+			var idle *vm
+			for _, v := range p.vms {
+				if s.movable(v, now) && now.Sub(v.emptySince) > idleBeforeSpare && (idle == nil || v.emptySince.Before(idle.emptySince)) {
+					idle = v
+				}
+			}
+			if idle == nil {
+				break
+			}
+			s.moveTo(idle, spare, now)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,8 +21,12 @@
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// timed holds the jobs with occurrences to come.
-	timed map[*job]struct{}
-	// lost holds tasks of workers that ended before they were looked at.
+	timed    map[*job]struct{}
+	vms      map[string]*vm
+	vmsAt    time.Time
+	vmOrders []VMOrder
+	waves    map[int64]*wave
+	pools    map[string]*poolState
 	batch    Batch
 	inFlight map[int64]*Batch
 	number   int64
@@ -42,6 +46,9 @@
 		queues:   map[string]fleet.Queue{},
 		ready:    map[*step]struct{}{},
 		timed:    map[*job]struct{}{},
+		vms:      map[string]*vm{},
+		waves:    map[int64]*wave{},
+		pools:    map[string]*poolState{},
 		inFlight: map[int64]*Batch{},
 		tookAt:   now,
 	}
--- /dev/null
+++ b/scheduler/vm.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+// vm is one VM as the owner knows it.
+type vm struct {
+	info fleet.VM
+	// ordered is the order that is under way or whose effect is not listed yet.
+	ordered *VMOrder
+	// orderedAt is when it was decided, doneAt when it was answered with success.
+	orderedAt time.Time
+	doneAt    time.Time
+	// draining VMs get no new work because of the order to come.
+	draining   VMOrderKind
+	drainingAt time.Time
+	wave       int64
+	// emptySince is when the last run on the VM ended; zero while it has runs.
+	emptySince time.Time
+	// holdOff keeps orders off a VM whose last order was refused.
+	holdOff time.Time
+}
+
+// VMOrderKind is what a VM is ordered to do.
+type VMOrderKind int
+
+// Kinds of orders.
+const (
+	VMNoOrder VMOrderKind = iota
+	VMMove
+	VMMaintain
+)
+
+// VMOrder is an order for one VM.
+type VMOrder struct {
+	Kind VMOrderKind
+	VM   string
+	// Pool goes with VMMove, Wave with VMMaintain.
+	Pool string
+	Wave int64
+}
+
+const (
+	// listLag is how long an order's effect may take to show in the list of VMs.
+	listLag = 2 * time.Second
+	// orderHoldOff is the pause after a refused order.
+	orderHoldOff = 500 * time.Millisecond
+)
+
+// SetVMs takes in the platform's list of VMs, asked for at the time sent.
+func (s *Scheduler) SetVMs(list []fleet.VM, sent, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		info := list[i]
+		listed[info.Name] = true
+		v, known := s.vms[info.Name]
+		if !known {
+			v = &vm{}
+			s.vms[info.Name] = v
+		}
+		if v.ordered != nil && !v.doneAt.IsZero() && sent.After(v.doneAt) &&
+			(info.State != fleet.VMUp || info.WorkerID != v.info.WorkerID || now.Sub(v.doneAt) > listLag) {
+			v.ordered = nil
+			v.draining = VMNoOrder
+		}
+		v.info = info
+	}
+	for name := range s.vms {
+		if !listed[name] {
+			delete(s.vms, name)
+		}
+	}
+	s.vmsAt = now
+}
+
+// workerOf returns the worker that lives on the VM, or nil.
+func (s *Scheduler) workerOf(v *vm) *worker {
+	if v.info.WorkerID == "" {
+		return nil
+	}
+	return s.workers[v.info.WorkerID]
+}
+
+// settle is whether the VM is up and no order for it is under way.
+func (v *vm) settled(now time.Time) bool {
+	return v.info.State == fleet.VMUp && v.ordered == nil && !now.Before(v.holdOff)
+}
+
+// order decides an order for the VM.
+func (s *Scheduler) order(v *vm, o VMOrder, now time.Time) {
+	v.ordered, v.orderedAt, v.doneAt = &o, now, time.Time{}
+	s.vmOrders = append(s.vmOrders, o)
+	what := "vm.move"
+	why := o.Pool
+	if o.Kind == VMMaintain {
+		what, why = "vm.maintain", ""
+	}
+	s.note(Event{What: what, ID: o.VM, Why: why, Worker: v.info.WorkerID})
+}
+
+// VMOrdered takes in the answer to an order.
+func (s *Scheduler) VMOrdered(o VMOrder, err error, now time.Time) {
+	v, known := s.vms[o.VM]
+	if err == nil && o.Kind == VMMaintain {
+		s.maintained(o)
+	}
+	if !known || v.ordered == nil || *v.ordered != o {
+		return
+	}
+	if err == nil {
+		v.doneAt = now
+		s.EndLife(v.info.WorkerID, now, "its VM is moved or maintained")
+		return
+	}
+	s.note(Event{What: "vm.order_failed", ID: o.VM, Why: err.Error()})
+	v.holdOff = now.Add(orderHoldOff)
+	if provider.OutcomeOf(err) == provider.Unknown {
+		// It may have been carried out: the list shows it, or it is sent again.
+		v.doneAt = now
+		return
+	}
+	if provider.CodeOf(err) == provider.CodeFenced {
+		s.deposed = true
+	}
+	v.ordered = nil
+	if o.Kind == VMMove || provider.CodeOf(err) == provider.CodeNotInWave {
+		s.undrain(v)
+	}
+	if o.Kind == VMMaintain && provider.CodeOf(err) == provider.CodeInvalid {
+		s.maintained(o) // The VM is gone for good.
+	}
+}
+
+// drain keeps new work off the VM.
+func (s *Scheduler) drain(v *vm, kind VMOrderKind, now time.Time) {
+	v.draining, v.drainingAt = kind, now
+	if w := s.workerOf(v); w != nil {
+		w.cordoned = true
+	}
+}
+
+func (s *Scheduler) undrain(v *vm) {
+	v.draining = VMNoOrder
+	if w := s.workerOf(v); w != nil {
+		w.cordoned = false
+	}
+}
+
+// TakeVMOrders returns the orders decided since the last call.
+func (s *Scheduler) TakeVMOrders() []VMOrder {
+	out := s.vmOrders
+	s.vmOrders = nil
+	return out
+}
+
+// PlanVMs decides which VMs are maintained and which are moved.
+func (s *Scheduler) PlanVMs(now time.Time) {
+	if s.vmsAt.IsZero() {
+		return
+	}
+	for _, v := range s.vms {
+		w := s.workerOf(v)
+		switch {
+		case w == nil || len(w.tasks) == 0:
+			if v.emptySince.IsZero() {
+				v.emptySince = now
+			}
+		default:
+			v.emptySince = time.Time{}
+		}
+		if w != nil {
+			w.cordoned = v.draining != VMNoOrder || v.ordered != nil
+		}
+	}
+	s.planWaves(now)
+	s.planPools(now)
+}
