Evict lasting tasks one by one before maintenance; keep floors of pools

Ruled out: the wave's cap. Change: orders under way count as away, avoidance ends, pools keep as many VMs as a step needs apart, lasting tasks are evicted within their budget.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -33,6 +33,8 @@
 	freshLook = 2500 * time.Millisecond
 	// refusedPause keeps tasks off a worker that has just refused one.
 	refusedPause = 700 * time.Millisecond
+	// avoidAfterFailure keeps a task off the worker on which it failed.
+	avoidAfterFailure = 1500 * time.Millisecond
 	// failuresToQuarantine is how many runs in a row must fail on a worker, of
 	// two jobs or more, before it gets no new work for a while.
 	failuresToQuarantine = 3
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -118,7 +118,7 @@
 	if def.OneRack && t.step.rack != "" && t.step.rack != w.info.Rack() {
 		return false
 	}
-	if t.avoid == w.info.ID {
+	if t.avoid == w.info.ID && now.Before(t.avoidUntil) {
 		return false
 	}
 	if t.step.run.job.queue.NeedsTicket {
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -14,8 +14,11 @@
 	idleBeforeMove = 250 * time.Millisecond
 	// idleBeforeSpare is how long a VM must be empty before it is switched off.
 	idleBeforeSpare = 5 * time.Second
-	// poolFloor is the part of a pool's listed VMs that it always keeps.
-	poolFloor = 2
+	// poolFloor is how many VMs a pool always keeps.
+	poolFloor = 3
+	// unplacedFor is how long a task may wait in a pool that seems to have room
+	// before the pool gets another VM.
+	unplacedFor = 500 * time.Millisecond
 	// hotShare is the use of a pool's room from which it counts as hot.
 	hotShare = 0.85
 )
@@ -32,6 +35,10 @@
 	demand   int64
 	// perVM is the room of one VM.
 	perVM int64
+	// apart is how many VMs a step needs whose tasks must not share one.
+	apart int
+	// stuck tells that a task has waited for long though there seems to be room.
+	stuck bool
 }
 
 // short returns how many more VMs the pool could use.
@@ -40,10 +47,14 @@
 		return 0
 	}
 	lack := int64(float64(p.demand)*moveMargin) - p.capacity
-	if lack <= 0 {
-		return 0
+	byRoom := 0
+	if lack > 0 {
+		byRoom = int((lack + p.perVM - 1) / p.perVM)
+	}
+	if p.stuck && p.incoming == 0 {
+		byRoom = max(byRoom, 1)
 	}
-	return int((lack + p.perVM - 1) / p.perVM)
+	return max(byRoom, p.apart-len(p.vms)-p.incoming)
 }
 
 // spareVMs returns how many VMs the pool could do without.
@@ -52,7 +63,7 @@
 		return 0
 	}
 	over := (p.capacity - int64(float64(p.demand)*moveMargin)) / p.perVM
-	return max(0, min(int(over), len(p.vms)+p.incoming-poolFloor))
+	return max(0, min(int(over), len(p.vms)+p.incoming-max(poolFloor, p.apart)))
 }
 
 // poolStates works out what every pool has and needs.
@@ -94,7 +105,23 @@
 			}
 		}
 	}
+	for _, j := range s.jobs {
+		if j.ended {
+			continue
+		}
+		for _, o := range j.live {
+			for _, st := range o.steps {
+				if per := st.def.MaxPerWorker; per > 0 && st.done < len(st.tasks) {
+					p := at(j.queue.Pool)
+					p.apart = max(p.apart, (len(st.tasks)-st.done+per-1)/per)
+				}
+			}
+		}
+	}
 	for st := range s.ready {
+		if p := at(st.run.job.queue.Pool); st.waitingSince(now) > unplacedFor && p.demand < p.capacity {
+			p.stuck = true
+		}
 		if st.def.Filling || rankOf(st, now).class > 1 {
 			continue
 		}
--- a/scheduler/step.go
+++ b/scheduler/step.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/anvilcourse/anvilcourse/fleet"
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
 
 // step is one step of one occurrence of a job.
 type step struct {
@@ -15,6 +19,9 @@
 	blockers int
 	// onWorker counts the tasks that take room, by worker.
 	onWorker map[string]int
+	// readyAt is since when tasks of the step wait that may be placed; zero for
+	// none.
+	readyAt time.Time
 	// rack is where a step that must stay on one rack has its first tasks.
 	rack string
 	// gangDone tells that a member of the gang has ended as done.
@@ -35,3 +42,11 @@
 	}
 	return id
 }
+
+// waitingSince returns for how long tasks of the step have waited.
+func (s *step) waitingSince(now time.Time) time.Duration {
+	if s.readyAt.IsZero() {
+		s.readyAt = now
+	}
+	return now.Sub(s.readyAt)
+}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -191,6 +191,7 @@
 		s.ready[st] = struct{}{}
 	} else {
 		delete(s.ready, st)
+		st.readyAt = time.Time{}
 	}
 }
 
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -32,8 +32,9 @@
 	goneAfter time.Time
 	// stopOrderedAt is when the last stop went out.
 	stopOrderedAt time.Time
-	// avoid is the worker on which the last run failed.
-	avoid string
+	// avoid is the worker on which the last run failed, until avoidUntil.
+	avoid      string
+	avoidUntil time.Time
 	// percent and usage come from the last look.
 	percent int
 	usage   int64
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -124,7 +124,7 @@
 	j := t.step.run.job
 	t.failures++
 	if t.worker != nil {
-		t.avoid = t.worker.info.ID
+		t.avoid, t.avoidUntil = t.worker.info.ID, now.Add(avoidAfterFailure)
 		s.blame(t.worker, j.sub.ID, now)
 	}
 	if j.ended || j.lasting || t.failures < j.queue.MaxAttempts {
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -64,6 +64,9 @@
 		}
 		if v.ordered != nil && !v.doneAt.IsZero() && sent.After(v.doneAt) &&
 			(info.State != fleet.VMUp || info.WorkerID != v.info.WorkerID || now.Sub(v.doneAt) > listLag) {
+			if w := s.workerOf(v); w != nil {
+				w.ending = false
+			}
 			v.ordered = nil
 			v.draining = VMNoOrder
 		}
@@ -93,6 +96,9 @@
 // order decides an order for the VM.
 func (s *Scheduler) order(v *vm, o VMOrder, now time.Time) {
 	v.ordered, v.orderedAt, v.doneAt = &o, now, time.Time{}
+	if w := s.workerOf(v); w != nil {
+		w.ending = true
+	}
 	s.vmOrders = append(s.vmOrders, o)
 	what := "vm.move"
 	why := o.Pool
@@ -127,6 +133,9 @@
 		s.deposed = true
 	}
 	v.ordered = nil
+	if w := s.workerOf(v); w != nil {
+		w.ending = false
+	}
 	if o.Kind == VMMove || provider.CodeOf(err) == provider.CodeNotInWave {
 		s.undrain(v)
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -145,6 +145,8 @@
 		if busy < w.def.MaxDown && v.settled(now) && s.mayMaintain(v, pressed, now) {
 			s.order(v, VMOrder{Kind: VMMaintain, VM: v.info.Name, Wave: w.def.Number}, now)
 			busy++
+		} else if worker := s.workerOf(v); worker != nil {
+			s.evict(worker, now)
 		}
 	}
 	room := w.def.MaxDown - busy
@@ -274,6 +276,33 @@
 	return true
 }
 
+// evict stops lasting tasks on a worker that is to lose all its runs, as far as
+// their steps' budgets allow, so that they start elsewhere in good time.
+func (s *Scheduler) evict(w *worker, now time.Time) {
+	if !w.looked || w.missed > 0 {
+		return
+	}
+	for _, t := range w.tasks {
+		st := t.step
+		if !st.def.Lasting || t.phase != running || st.run.job.ended {
+			continue
+		}
+		if !st.def.HasDisruptionBudget {
+			continue
+		}
+		if st.here(w) > st.def.MayMiss && st.awayAnywhere() < st.def.MayMiss {
+			s.note(Event{What: "task.evicted", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Why: "its VM is to be maintained"})
+			s.orderStop(t, now)
+		}
+	}
+}
+
+// here counts the step's tasks on the worker.
+func (s *step) here(w *worker) int { return s.onWorker[w.info.ID] }
+
+// awayAnywhere counts the step's tasks that are not known to be at work.
+func (s *step) awayAnywhere() int { return s.away(nil) }
+
 // away counts the step's tasks elsewhere that are not known to be at work.
 func (s *step) away(except *worker) int {
 	n := 0
@@ -281,7 +310,7 @@
 		if t.worker == except && t.worker != nil {
 			continue
 		}
-		if t.phase != running || t.percent < 100 || t.worker.missed > 0 {
+		if t.phase != running || t.percent < 100 || t.worker.missed > 0 || t.worker.ending {
 			n++
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,6 +43,8 @@
 	registered bool
 	// cordoned workers get no new work: their VM is to be moved or maintained.
 	cordoned bool
+	// ending tells that an order is under way that ends all that runs there.
+	ending bool
 	// dueMaintenance VMs will be maintained soon.
 	dueMaintenance bool
 	// dead lives have ended.
