Resolve orders on VMs by the list; count runs of ended jobs as room taken

Ruled out: fences, late orders. Change: a later list shows whether an order took effect; runs that are not assigned take room; the new owner's heartbeats begin before it reads the ledger.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -20,9 +20,9 @@
 const (
 	// drainShare is the part of the stop grace for which a stopping entry goes on
 	// serving: the balancer takes two seconds to leave it out.
-	drainShare = 0.55
+	drainShare = 0.45
 	// closeShare is the part for the last answers.
-	closeShare = 0.25
+	closeShare = 0.2
 	// headerTimeout bounds the read of a call's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes connections that clients do not use.
@@ -147,7 +147,7 @@
 	s := d.settings
 	return &Owner{
 		store: d.store, workers: d.workers, decoder: d.decoder, advice: d.advice,
-		follower: d.follower, operator: d.operator, fleetVMs: &FleetVMs{vms: d.vms},
+		follower: d.follower, operator: d.operator, fleetVMs: NewFleetVMs(d.vms),
 		node: s.Node, token: token, log: d.log.Named("owner"), metrics: d.metrics,
 		orderLease: time.Duration(s.VMOrderLeaseMS) * time.Millisecond,
 		config: scheduler.Config{
--- a/fleetentry/fleetvms.go
+++ b/fleetentry/fleetvms.go
@@ -26,6 +26,13 @@
 // FleetVMs orders moves and maintenance of VMs for the owner.
 type FleetVMs struct {
 	vms VMs
+	// listSoon asks for a list at once.
+	listSoon chan struct{}
+}
+
+// NewFleetVMs returns what orders moves and maintenance through the interface.
+func NewFleetVMs(vms VMs) *FleetVMs {
+	return &FleetVMs{vms: vms, listSoon: make(chan struct{}, 1)}
 }
 
 // run lists the VMs and carries out what is decided, until the term ends.
@@ -67,8 +74,16 @@
 		o.mu.Lock()
 		o.sched.SetVMs(list, sent, time.Now())
 		o.listedAt = sent
+		o.flush(time.Now())
+		o.nudge()
 		o.mu.Unlock()
-		sleep(ctx, listEvery)
+		timer := time.NewTimer(listEvery)
+		select {
+		case <-ctx.Done():
+		case <-f.listSoon:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
@@ -111,6 +126,9 @@
 	defer o.mu.Unlock()
 	now := time.Now()
 	o.sched.VMOrdered(order, err, now)
+	if order.Kind == scheduler.VMMaintain {
+		signal(f.listSoon)
+	}
 	o.flush(now)
 	o.nudge()
 }
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -67,6 +67,12 @@
 	listedAt time.Time
 }
 
+// workersRead is the platform's list of workers, or why it could not be read.
+type workersRead struct {
+	list fleet.Records
+	err  error
+}
+
 // Run owns the fleet until the context ends or the term is lost.
 func (o *Owner) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -78,6 +84,8 @@
 	o.journal = NewJournal(o.store, o.token, o.log, o.stored)
 	if err := o.takeOver(ctx); err != nil {
 		o.log.Warn("the takeover failed", "token", o.token, "error", err)
+		cancel()
+		o.group.Wait()
 		return
 	}
 	o.log.Info("owns the fleet", "token", o.token, "ms", time.Since(o.began).Milliseconds())
@@ -86,10 +94,8 @@
 	defer o.operator.OnChange(nil)
 	defer o.follower.Listen(nil)
 	o.catchUp()
-	o.spawn(ctx, o.journal.Run)
 	o.spawn(ctx, o.watchWorkers)
 	o.spawn(ctx, o.plan)
-	o.spawn(ctx, o.heartbeat)
 	o.spawn(ctx, o.fleetVMs.run(o))
 	o.tick(ctx)
 	cancel()
@@ -107,12 +113,21 @@
 
 // takeOver fences earlier owners and builds the state from the ledger.
 func (o *Owner) takeOver(ctx context.Context) error {
+	term := ctx
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	offset, err := o.journal.Begin(ctx, ledger.OwnerRecord(o.self(time.Now(), false)))
 	if err != nil {
 		return err
 	}
+	// The others must hear of the owner while it reads the ledger.
+	o.spawn(term, o.journal.Run)
+	o.spawn(term, o.heartbeat)
+	listed := make(chan workersRead, 1)
+	o.spawn(ctx, func(ctx context.Context) {
+		list, err := o.store.WorkerRecords(ctx)
+		listed <- workersRead{list: list, err: err}
+	})
 	for {
 		if err := o.follower.Step(ctx, 0); err != nil && ctx.Err() != nil {
 			return err
@@ -135,22 +150,25 @@
 		o.vmOrdersFrom = now.Add(o.orderLease)
 	}
 	o.config.PriorLease = authority + leaseFor
-	o.sched = scheduler.New(o.config, now)
+	sched := scheduler.New(o.config, now)
 	if m := o.operator.Manifest(); m != nil {
-		o.sched.SetManifest(m)
+		sched.SetManifest(m)
 	}
-	list, err := o.store.WorkerRecords(ctx)
-	if err != nil {
-		return err
+	read := <-listed
+	if read.err != nil {
+		return read.err
 	}
 	o.listed = newWorkerList(o.decoder, o.log)
-	o.listed.take(list)
-	o.sched.SetWorkers(o.listed.workers, now)
+	o.listed.take(read.list)
+	sched.SetWorkers(o.listed.workers, now)
 	o.follower.Read(func(v *ledger.View) {
 		for _, j := range v.Jobs {
-			o.sched.Restore(j, now)
+			sched.Restore(j, now)
 		}
 	})
+	o.mu.Lock()
+	o.sched = sched
+	o.mu.Unlock()
 	return nil
 }
 
@@ -257,6 +275,9 @@
 func (o *Owner) stored(numbers []int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.sched == nil {
+		return
+	}
 	now := time.Now()
 	for _, n := range numbers {
 		for _, start := range o.sched.Durable(n, now) {
@@ -326,7 +347,9 @@
 		o.mu.Lock()
 		now := time.Now()
 		self := o.self(now, false)
-		self.Load = o.sched.Loads(now)
+		if o.sched != nil {
+			self.Load = o.sched.Loads(now)
+		}
 		o.mu.Unlock()
 		// While the store is away, one waiting heartbeat is as good as many.
 		if o.journal.Pending() < maxWaitingEntries {
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -67,9 +67,7 @@
 				// An earlier run of the task is still there.
 				s.requeueLater(t, now)
 			}
-			if known := s.find(run.Task); known != nil {
-				w.strays = w.strays.Plus(known.need())
-			}
+			w.strays = w.strays.Plus(s.needOf(w, run.Task))
 			s.batch.Stops = append(s.batch.Stops, Stop{To: w.endpoint(), Task: run.Task, Attempt: run.Attempt})
 			s.note(Event{What: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Why: "not assigned"})
 			continue
@@ -90,6 +88,23 @@
 	}
 }
 
+// needOf returns what a run takes that is not assigned: one of a job that has
+// ended, or of an earlier attempt. A run of a job that is not known at all may
+// take everything.
+func (s *Scheduler) needOf(w *worker, id fleet.TaskID) fleet.Resources {
+	if t := s.find(id); t != nil {
+		return t.need()
+	}
+	if sub, known := s.past[id.Job]; known && id.Step < len(sub.Steps) {
+		need := sub.Steps[id.Step].Need
+		if sub.Steps[id.Step].Filling {
+			need.MilliCPU = 0
+		}
+		return need
+	}
+	return w.info.Capacity
+}
+
 // requeueLater withdraws an assignment whose start has not gone out.
 func (s *Scheduler) requeueLater(t *task, now time.Time) {
 	s.requeue(t, now, "an earlier run is still there")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,9 @@
 	jobs     map[string]*job
 	workers  map[string]*worker
 	tenants  map[string]*tenant
+	// past holds the jobs that had ended when this owner took over: runs of theirs
+	// may still be stopping.
+	past map[string]*fleet.Submission
 	// queues keeps the last known form of each queue, also of those that the
 	// manifest no longer has.
 	queues map[string]fleet.Queue
@@ -46,6 +49,7 @@
 		queues:   map[string]fleet.Queue{},
 		ready:    map[*step]struct{}{},
 		timed:    map[*job]struct{}{},
+		past:     map[string]*fleet.Submission{},
 		vms:      map[string]*vm{},
 		waves:    map[int64]*wave{},
 		pools:    map[string]*poolState{},
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -45,7 +45,11 @@
 
 // Restore takes in a job of the ledger with the assignments stored so far.
 func (s *Scheduler) Restore(known *ledger.Job, now time.Time) {
-	if known.Submission == nil || known.Result.Outcome != ledger.OutcomeNone {
+	if known.Submission == nil {
+		return
+	}
+	if known.Result.Outcome != ledger.OutcomeNone {
+		s.past[known.Submission.ID] = known.Submission
 		return
 	}
 	j := s.add(known.Submission, now)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -15,6 +15,8 @@
 	// orderedAt is when it was decided, doneAt when it was answered with success.
 	orderedAt time.Time
 	doneAt    time.Time
+	// unsure orders got no answer.
+	unsure bool
 	// draining VMs get no new work because of the order to come.
 	draining   VMOrderKind
 	drainingAt time.Time
@@ -62,14 +64,7 @@
 			v = &vm{}
 			s.vms[info.Name] = v
 		}
-		if v.ordered != nil && !v.doneAt.IsZero() && sent.After(v.doneAt) &&
-			(info.State != fleet.VMUp || info.WorkerID != v.info.WorkerID || now.Sub(v.doneAt) > listLag) {
-			if w := s.workerOf(v); w != nil {
-				w.ending = false
-			}
-			v.ordered = nil
-			v.draining = VMNoOrder
-		}
+		s.resolveOrder(v, info, sent, now)
 		v.info = info
 	}
 	for name := range s.vms {
@@ -80,6 +75,27 @@
 	s.vmsAt = now
 }
 
+// resolveOrder ends an answered order once a later list shows its effect, or
+// shows that it had none: an order that was carried out before succeeds, too, and
+// then the worker lives on.
+func (s *Scheduler) resolveOrder(v *vm, listed fleet.VM, sent, now time.Time) {
+	if v.ordered == nil || v.doneAt.IsZero() || !sent.After(v.doneAt) {
+		return
+	}
+	took := listed.State != fleet.VMUp || listed.WorkerID != v.info.WorkerID
+	if !took && v.unsure && now.Sub(v.doneAt) < listLag {
+		return
+	}
+	if w := s.workerOf(v); w != nil {
+		w.ending = false
+		if took {
+			s.bury(w, now, "its VM is moved or maintained")
+		}
+	}
+	v.ordered, v.unsure = nil, false
+	v.draining = VMNoOrder
+}
+
 // workerOf returns the worker that lives on the VM, or nil.
 func (s *Scheduler) workerOf(v *vm) *worker {
 	if v.info.WorkerID == "" {
@@ -119,14 +135,13 @@
 	}
 	if err == nil {
 		v.doneAt = now
-		s.EndLife(v.info.WorkerID, now, "its VM is moved or maintained")
 		return
 	}
 	s.note(Event{What: "vm.order_failed", ID: o.VM, Why: err.Error()})
 	v.holdOff = now.Add(orderHoldOff)
 	if provider.OutcomeOf(err) == provider.Unknown {
 		// It may have been carried out: the list shows it, or it is sent again.
-		v.doneAt = now
+		v.doneAt, v.unsure = now, true
 		return
 	}
 	if provider.CodeOf(err) == provider.CodeFenced {
