Let a new owner wait before it disrupts lasting tasks

Ruled out: counting of budgets within one term. Change: evictions and maintenance under lasting tasks wait until the last owner's orders must have taken effect.

--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -28,6 +28,9 @@
 	// poolShareDown is the part of a pool that a wave takes at once while there
 	// is time.
 	poolShareDown = 0.25
+	// settleTime is how long a new owner waits before it disrupts lasting tasks:
+	// stops and orders on VMs of the last owner may still take effect.
+	settleTime = 2 * time.Second
 	// waveReserve is the part of the wave's time kept for the unforeseen.
 	waveReserve = 0.3
 )
@@ -257,17 +260,26 @@
 	if short && now.Sub(v.drainingAt) < patience {
 		return false
 	}
-	return s.keepsBudgets(w)
+	return s.keepsBudgets(w, now)
+}
+
+// settled reports whether nothing that the last owner ordered can take effect
+// any more.
+func (s *Scheduler) settled(now time.Time) bool {
+	return now.Sub(s.tookAt) > settleTime+s.cfg.StopTime
 }
 
 // keepsBudgets reports whether all that runs on the worker may be ended at once.
-func (s *Scheduler) keepsBudgets(w *worker) bool {
+func (s *Scheduler) keepsBudgets(w *worker, now time.Time) bool {
 	ending := map[*step]int{}
 	for _, t := range w.tasks {
 		if t.step.def.HasDisruptionBudget && !t.step.run.job.ended {
 			ending[t.step]++
 		}
 	}
+	if len(ending) > 0 && !s.settled(now) {
+		return false
+	}
 	for st, n := range ending {
 		if st.away(w)+n > st.def.MayMiss {
 			return false
@@ -279,7 +291,7 @@
 // evict stops lasting tasks on a worker that is to lose all its runs, as far as
 // their steps' budgets allow, so that they start elsewhere in good time.
 func (s *Scheduler) evict(w *worker, now time.Time) {
-	if !w.looked || w.missed > 0 {
+	if !w.looked || w.missed > 0 || !s.settled(now) {
 		return
 	}
 	for _, t := range w.tasks {
