--- a/fleetentry/claim.go
+++ b/fleetentry/claim.go
@@ -47,7 +47,7 @@
 	share    float64
 	log      hclog.Logger
 	// end is where the claims end as far as this entry knows; -1 for unknown.
-	end int64
+	end   int64
 	began time.Time
 	// waitUntil holds back after another entry's claim.
 	waitUntil time.Time
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -58,7 +58,7 @@
 	default:
 		r.class = 3
 	}
-	r.score = o.remaining
+	r.score = float64(deadline.Add(-o.remainingChain()).UnixMilli())
 	if r.class == 3 {
 		r.score = 0
 	}
