Size pools by the rate of arriving work as well as by the backlog

Cause: at the start of a turn the backlog shows the need 0.5 s late, and a move takes 1.5 s of a turn of 4 s. Change: a pool's demand is at least what has come in the last 0.4 s.

--- a/fleetentry/workerlist.go
+++ b/fleetentry/workerlist.go
@@ -14,7 +14,7 @@
 	// workersWait is how long a read of the workers' reports waits.
 	workersWait = 500 * time.Millisecond
 	// workersPause is the pause between two reads.
-	workersPause = 250 * time.Millisecond
+	workersPause = 100 * time.Millisecond
 )
 
 // workerList is the platform's list of workers.
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -19,6 +19,9 @@
 	// unplacedFor is how long a task may wait in a pool that seems to have room
 	// before the pool gets another VM.
 	unplacedFor = 500 * time.Millisecond
+	// arrivalWindow is over how long the rate of arriving work is measured: at the
+	// start of a turn the backlog shows the need half a second later.
+	arrivalWindow = 400 * time.Millisecond
 	// hotShare is the use of a pool's room from which it counts as hot.
 	hotShare = 0.85
 )
@@ -118,6 +121,10 @@
 			}
 		}
 	}
+	for name, rate := range s.arrivalRates(now) {
+		p := at(name)
+		p.demand = max(p.demand, rate)
+	}
 	for st := range s.ready {
 		if p := at(st.run.job.queue.Pool); st.waitingSince(now) > unplacedFor && p.demand < p.capacity {
 			p.stuck = true
@@ -130,6 +137,26 @@
 	return out
 }
 
+// arrival is the work of one job that has come.
+type arrival struct {
+	at          time.Time
+	pool        string
+	coreSeconds float64
+}
+
+// arrivalRates returns the cores that it takes to keep up with what has come
+// lately, by pool, in thousandths.
+func (s *Scheduler) arrivalRates(now time.Time) map[string]int64 {
+	for len(s.arrivals) > 0 && now.Sub(s.arrivals[0].at) > arrivalWindow {
+		s.arrivals = s.arrivals[1:]
+	}
+	out := map[string]int64{}
+	for _, a := range s.arrivals {
+		out[a.pool] += int64(a.coreSeconds * 1e3 / arrivalWindow.Seconds())
+	}
+	return out
+}
+
 // hot reports whether the pool had little room at the last look at all pools.
 func (s *Scheduler) hot(pool string) bool {
 	p, known := s.pools[pool]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	vmOrders []VMOrder
 	waves    map[int64]*wave
 	pools    map[string]*poolState
+	// arrivals holds the work that has come lately, oldest first.
+	arrivals []arrival
 	batch    Batch
 	inFlight map[int64]*Batch
 	number   int64
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -53,9 +53,6 @@
 		return
 	}
 	j := s.add(known.Submission, now)
-	if j == nil {
-		return
-	}
 	for id, a := range known.Tasks {
 		s.restoreTask(j, id, a)
 	}
@@ -155,7 +152,10 @@
 	if _, known := s.jobs[sub.ID]; known {
 		return
 	}
-	s.add(sub, now)
+	j := s.add(sub, now)
+	if !j.lasting && !sub.Timed() {
+		s.arrivals = append(s.arrivals, arrival{at: now, pool: j.queue.Pool, coreSeconds: j.work})
+	}
 }
 
 func (s *Scheduler) add(sub *fleet.Submission, now time.Time) *job {
