Keep a start's outcome unknown when only its second try was refused

Ruled out: leases, fences. Change: a refused second try settles nothing; entries with a small part of a processor let larger ones own the fleet (the owner had 0.192 cores).

--- a/fleetentry/claim.go
+++ b/fleetentry/claim.go
@@ -19,7 +19,11 @@
 	// append takes up to a quarter of a second on the store's slow days.
 	ownerSilence = 1100 * time.Millisecond
 	// claimSpread spreads the claims of several entries.
-	claimSpread = 200 * time.Millisecond
+	claimSpread = 100 * time.Millisecond
+	// ownerShare is the part of a processor from which an entry can own a fleet
+	// of some hundred workers; smaller ones wait up to smallWait longer.
+	ownerShare = 0.4
+	smallWait  = 700 * time.Millisecond
 	// claimCheck is how often an entry looks whether to claim.
 	claimCheck = 50 * time.Millisecond
 	// startTime is for how long after its start an entry judges the owner by the
@@ -58,15 +62,16 @@
 	return &Claimer{store: store, follower: follower, node: node, share: share, log: log.Named("claim"), began: time.Now()}
 }
 
-// patience is how long this entry lets others go first: entries with more of a
-// processor claim earlier, and equal ones in an order that differs by owner.
+// patience is how long this entry lets others go first: entries with a small part
+// of a processor wait for larger ones, and equal ones claim in an order that
+// differs by owner.
 func (c *Claimer) patience(token int64) time.Duration {
 	turn := xxhash.Sum64String(c.node+string(rune(token))) % 100
-	slow := 0.0
-	if c.share < 1 {
-		slow = 1 - c.share
+	out := claimSpread * time.Duration(turn) / 100
+	if c.share > 0 && c.share < ownerShare {
+		out += time.Duration(float64(smallWait) * (ownerShare - c.share) / ownerShare)
 	}
-	return time.Duration(float64(claimSpread) * (slow/2 + float64(turn)/200))
+	return out
 }
 
 // due reports whether the fleet has no owner that is heard.
--- a/fleetentry/orders.go
+++ b/fleetentry/orders.go
@@ -23,23 +23,7 @@
 
 // start sends one start and takes the answer in.
 func (o *Owner) start(s scheduler.Start) {
-	var err error
-	for try := range startTries {
-		now := time.Now()
-		if !o.journal.Authorized(now) {
-			if try == 0 {
-				err = &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseLapsed, Message: "the owner cannot prove that it still is"}
-			}
-			break
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		_, err = o.workers.Start(ctx, s.To, s.Order)
-		cancel()
-		o.metrics.Observe("start", time.Since(now))
-		if err == nil || provider.OutcomeOf(err) != provider.Unknown {
-			break
-		}
-	}
+	err := o.trySend(s)
 	if err != nil {
 		o.log.Info("start failed", "request", s.Order.Task.String(), "worker", s.To.WorkerID, "attempt", s.Order.Attempt, "error", err)
 	}
@@ -57,6 +41,45 @@
 	}
 }
 
+// trySend sends the start, and once more if there is no answer. A refusal of the
+// second try says nothing of the first, which may still be carried out.
+func (o *Owner) trySend(s scheduler.Start) error {
+	var unknown error
+	for range startTries {
+		now := time.Now()
+		if !o.journal.Authorized(now) {
+			if unknown != nil {
+				return unknown
+			}
+			return &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseLapsed, Message: "the owner cannot prove that it still is"}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		_, err := o.workers.Start(ctx, s.To, s.Order)
+		cancel()
+		o.metrics.Observe("start", time.Since(now))
+		if err == nil || decisive(err) {
+			return err
+		}
+		if provider.OutcomeOf(err) != provider.Unknown {
+			if unknown != nil {
+				return unknown
+			}
+			return err
+		}
+		unknown = err
+	}
+	return unknown
+}
+
+// decisive reports whether a refusal also settles what became of earlier tries.
+func decisive(err error) bool {
+	switch provider.CodeOf(err) {
+	case provider.CodeFenced, provider.CodeOtherLife, provider.CodeSuperseded:
+		return true
+	}
+	return false
+}
+
 // stop sends one stop and takes the answer in.
 func (o *Owner) stop(s scheduler.Stop) {
 	if s.To.Address == "" {
