--- /dev/null
+++ b/emulator/machines.go
@@ -0,0 +1,85 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"time"
+)
+
+// awayFor is how long a move or a maintenance takes.
+const awayFor = 200 * time.Millisecond
+
+// ServeHTTP implements the interface for VMs.
+func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/machines" {
+		writeJSON(w, http.StatusOK, map[string]any{"machines": f.list(), "next-token": nil})
+		return
+	}
+	var call struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+		Wave    int64  `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	m, known := f.vms[call.Machine]
+	if !known {
+		f.mu.Unlock()
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	move := r.URL.Path == "/machine-move"
+	if move && m.pool == call.Pool || !move && m.maintained[call.Wave] {
+		f.mu.Unlock()
+		writeJSON(w, http.StatusOK, map[string]any{})
+		return
+	}
+	if m.state != "up" {
+		f.mu.Unlock()
+		writeJSON(w, http.StatusConflict, map[string]string{"reason": "busy"})
+		return
+	}
+	m.state = "upkeep"
+	if move {
+		m.state, m.pool = "moving", call.Pool
+	} else {
+		m.maintained[call.Wave] = true
+	}
+	f.mu.Unlock()
+	f.end(m)
+	time.AfterFunc(awayFor, func() {
+		// Without an address there is no new life; the VM stays away.
+		_ = f.boot(m)
+	})
+	writeJSON(w, http.StatusOK, map[string]any{})
+}
+
+func (f *Fleet) list() []map[string]any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := make([]string, 0, len(f.vms))
+	for name := range f.vms {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	out := []map[string]any{}
+	for _, name := range names {
+		m := f.vms[name]
+		out = append(out, map[string]any{
+			"machine": name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
+			"capacity": map[string]int64{"cpu": m.room, "mem-mb": 65536, "gpu": 0}, "id": m.worker.id,
+		})
+	}
+	return out
+}
+
+// Maintained reports whether the VM's maintenance for the wave has begun.
+func (f *Fleet) Maintained(vm string, wave int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[vm].maintained[wave]
+}
--- a/fleetentry/appender.go
+++ b/fleetentry/appender.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// appendTimeout bounds one append. The store answers in 4 ms, and on bad days
-	// sixty times slower, one append of a stream after the other; a second try
-	// would only make the others wait longer.
-	appendTimeout = 2 * time.Second
 	// maxGroup bounds the records of one append.
 	maxGroup = 256
 	// groupPause lets the records of several callers share an append.
@@ -29,6 +25,8 @@
 type Appender struct {
 	store Store
 	queue chan *appendCall
+	// patience is used by Run alone.
+	patience appendPatience
 }
 
 type appendCall struct {
@@ -99,9 +97,11 @@
 		for _, call := range group {
 			records = append(records, call.records...)
 		}
-		tryCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		sent := time.Now()
+		tryCtx, cancel := context.WithTimeout(ctx, a.patience.timeout())
 		_, _, err := a.store.Append(tryCtx, jobStream, records, fleet.AppendTerms{})
 		cancel()
+		a.patience.learn(time.Since(sent), err)
 		if err == nil {
 			for _, call := range group {
 				call.result <- nil
--- a/fleetentry/claim.go
+++ b/fleetentry/claim.go
@@ -24,6 +24,9 @@
 	// of some hundred workers; smaller ones wait up to smallWait longer.
 	ownerShare = 0.4
 	smallWait  = 700 * time.Millisecond
+	// firstClaim is how many times as long entries wait for larger ones while there
+	// has never been an owner.
+	firstClaim = 4
 	// claimCheck is how often an entry looks whether to claim.
 	claimCheck = 50 * time.Millisecond
 	// startTime is for how long after its start an entry judges the owner by the
@@ -87,7 +90,8 @@
 	patience := c.patience(owner.Token)
 	switch {
 	case none:
-		return silence > patience, "there has been no owner"
+		// Nothing waits yet: the largest entry should have the time to start.
+		return silence > firstClaim*patience, "there has been no owner"
 	case owner.Released:
 		return silence > patience/2, "the owner has stopped"
 	case now.Sub(c.began) < startTime && now.UnixMilli()-owner.AtMillis > oldRecord.Milliseconds() && silence > missedHeartbeat+patience:
--- a/fleetentry/fleetvms.go
+++ b/fleetentry/fleetvms.go
@@ -135,7 +135,7 @@
 
 // publish tells the operator that a wave is completed.
 func (f *FleetVMs) publish(ctx context.Context, o *Owner, number int64) {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, mostPatience)
 	defer cancel()
 	err := o.store.PublishWave(callCtx, number, true)
 	o.log.Info("wave completed", "wave", number, "error", err)
--- a/fleetentry/journal.go
+++ b/fleetentry/journal.go
@@ -41,6 +41,8 @@
 	// provenAt is when the last append was sent that the store took.
 	provenAt atomic.Pointer[time.Time]
 	sequence int64
+	// patience is used by Run alone.
+	patience appendPatience
 	pending  atomic.Int64
 }
 
@@ -143,9 +145,10 @@
 	lost := false
 	for ctx.Err() == nil {
 		sent := time.Now()
-		tryCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		tryCtx, cancel := context.WithTimeout(ctx, j.patience.timeout())
 		_, _, err := j.store.Append(tryCtx, ledgerStream, records, j.terms())
 		cancel()
+		j.patience.learn(time.Since(sent), err)
 		if err == nil {
 			j.provenAt.Store(&sent)
 			if lost {
--- a/fleetentry/lookloop.go
+++ b/fleetentry/lookloop.go
@@ -29,14 +29,12 @@
 type lookLoop struct {
 	owner  *Owner
 	to     fleet.Endpoint
+	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
 	stored chan struct{}
 }
 
-// hurry ends the pause before the next look.
-func (l *lookLoop) hurry() { signal(l.wake) }
-
 // busy tells that the worker has got a run.
 func (l *lookLoop) busy() { signal(l.wake) }
 
@@ -52,7 +50,7 @@
 
 func (l *lookLoop) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause, unstored, ok := l.look(ctx)
+		pause, unstored, ok := l.look(ctx, true)
 		if !ok {
 			return
 		}
@@ -78,8 +76,9 @@
 	}
 }
 
-// look makes one look; ok is false once there is nothing to look at.
-func (l *lookLoop) look(ctx context.Context) (pause time.Duration, unstored, ok bool) {
+// look makes one look, which waits for an end if it is patient; ok is false once
+// there is nothing to look at. Two looks may be under way at once.
+func (l *lookLoop) look(ctx context.Context, patient bool) (pause time.Duration, unstored, ok bool) {
 	o := l.owner
 	id := l.to.WorkerID
 	o.mu.Lock()
@@ -92,7 +91,7 @@
 		return 0, false, false
 	}
 	wait := time.Duration(0)
-	if order.DeadlineMillis > 0 {
+	if order.DeadlineMillis > 0 && patient {
 		wait = lookWait
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+lookTimeout)
@@ -135,7 +134,7 @@
 			l.cancel()
 		}
 		loopCtx, cancel := context.WithCancel(ctx)
-		l := &lookLoop{owner: o, to: target.To, cancel: cancel, wake: make(chan struct{}, 1), stored: make(chan struct{}, 1)}
+		l := &lookLoop{owner: o, to: target.To, ctx: loopCtx, cancel: cancel, wake: make(chan struct{}, 1), stored: make(chan struct{}, 1)}
 		o.looks[id] = l
 		o.spawn(loopCtx, l.run)
 	}
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,6 +60,8 @@
 	group   sync.WaitGroup
 	cancel  context.CancelFunc
 	began   time.Time
+	// owns tells that the takeover is over.
+	owns atomic.Bool
 	// graceful terms begin after the last owner has stopped by itself, or as the
 	// first.
 	graceful bool
@@ -88,6 +91,7 @@
 		o.group.Wait()
 		return
 	}
+	o.owns.Store(true)
 	o.log.Info("owns the fleet", "token", o.token, "ms", time.Since(o.began).Milliseconds())
 	o.follower.Listen(o.heard)
 	o.operator.OnChange(o.manifestChanged)
@@ -262,7 +266,7 @@
 	}
 	for _, id := range b.Look {
 		if l, known := o.looks[id]; known {
-			l.hurry()
+			go l.look(l.ctx, false)
 		}
 	}
 	if o.sched.Deposed() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,7 +111,7 @@
 		return Start{}, false
 	}
 	w := t.worker
-	if t.step.run.job.ended || w.dead || w.info.Draining || w.cordoned || w.missed > 0 || !w.registered {
+	if t.step.run.job.ended || w.dead || w.info.Draining || w.ending || w.missed > 0 || !w.registered {
 		s.requeue(t, now, "the assignment no longer holds")
 		return Start{}, false
 	}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -242,8 +242,10 @@
 
 // orderStop tells the worker to stop the task's run.
 func (s *Scheduler) orderStop(t *task, now time.Time) {
-	t.phase = stopping
-	t.goneAfter = time.Time{}
+	if t.phase != stopping {
+		t.phase = stopping
+		t.goneAfter = time.Time{}
+	}
 	t.stopOrderedAt = now
 	s.batch.Stops = append(s.batch.Stops, Stop{To: t.worker.endpoint(), Task: t.id, Attempt: t.attempt})
 }
