--- /dev/null
+++ b/scheduler/vms_test.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+func lasting(count, mayMiss int) fleet.Step {
+	return fleet.Step{Count: count, Lasting: true, HasDisruptionBudget: true, MayMiss: mayMiss, EstimateMillis: 500}
+}
+
+// planFor lets time pass and collects the orders on VMs.
+func (b *bench) planFor(d time.Duration) []VMOrder {
+	var out []VMOrder
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.pass(100 * time.Millisecond)
+		b.listVMs()
+		b.s.PlanVMs(b.now)
+		out = append(out, b.s.TakeVMOrders()...)
+		b.carryOut()
+	}
+	return out
+}
+
+// TestPools_FollowArrivals replays the start of a turn: VMs are ordered by what
+// arrives, before the pool is full.
+func TestPools_FollowArrivals(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		b.addVM(name, testPool, 8)
+		b.addVM("o"+name, otherPool, 8)
+	}
+	b.addVM("s1", sparePool, 8)
+	b.planFor(time.Second)
+	for i := range 12 {
+		b.s.Submit(b.job(jobID(i), fleet.Step{Count: 2, EstimateMillis: 900, Need: fleet.Resources{MilliCPU: 1000}}), b.now)
+	}
+	orders := b.planFor(200 * time.Millisecond)
+	require.NotEmpty(t, orders, "no VM is ordered though more arrives than the pool can do")
+	require.Less(t, total(b.running(jobID(0)))+20, 8*4, "the pool is full: the order came too late to show anything")
+	for _, o := range orders {
+		require.Equal(t, VMOrder{Kind: VMMove, VM: o.VM, Pool: testPool}, o)
+	}
+}
+
+// TestPools_KeepRoomForTasksApart keeps as many VMs as a step needs whose tasks
+// must not share one.
+func TestPools_KeepRoomForTasksApart(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3", "a4", "a5"} {
+		b.addVM(name, testPool, 8)
+	}
+	b.addVM("s1", sparePool, 8)
+	b.planFor(500 * time.Millisecond)
+	step := fleet.Step{Count: 5, MaxPerWorker: 1, Lasting: true, Need: fleet.Resources{MilliCPU: 100}}
+	b.s.Submit(b.job("apart", step), b.now)
+	require.Empty(t, b.planFor(10*time.Second), "a VM is taken away that the step needs")
+	require.Equal(t, 5, total(b.running("apart")))
+}
+
+// TestPools_SwitchIdleOff moves idle VMs to the spare pool, down to the floor.
+func TestPools_SwitchIdleOff(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3", "a4", "a5"} {
+		b.addVM(name, testPool, 8)
+	}
+	b.addVM("s1", sparePool, 8)
+	orders := b.planFor(idleBeforeSpare + time.Second)
+	require.Len(t, orders, 5-poolFloor)
+	for _, o := range orders {
+		require.Equal(t, sparePool, o.Pool)
+	}
+}
+
+// TestWave_OneOrderAtATimeUnderABudget replays a wave of two VMs that both have
+// tasks of a step that may miss one.
+func TestWave_OneOrderAtATimeUnderABudget(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3"} {
+		b.addVM(name, testPool, 2)
+	}
+	b.planFor(500 * time.Millisecond)
+	b.s.Submit(b.job("serve", lasting(4, 1)), b.now)
+	b.planFor(4 * time.Second)
+	require.Equal(t, 4, total(b.running("serve")))
+	b.s.SetWave(fleet.Wave{Number: 1, VMs: []string{"a1", "a2", "a3"}, Within: 20 * time.Second, MaxDown: 3}, b.now, nil)
+	seen := map[string]bool{}
+	for range 100 {
+		for _, o := range b.planFor(100 * time.Millisecond) {
+			if o.Kind != VMMaintain {
+				continue
+			}
+			seen[o.VM] = true
+			require.LessOrEqual(t, b.running("serve")["w-"+o.VM], 1, "more tasks are ended at once than may be missing")
+			others := total(b.running("serve")) - b.running("serve")["w-"+o.VM]
+			require.GreaterOrEqual(t, others, 3, "others of the step are away already")
+			b.maintain(o)
+		}
+	}
+	require.Len(t, seen, 3, "the wave is not done")
+	require.Equal(t, []int64{1}, b.s.FinishedWaves())
+}
+
+// maintain carries out the order: the VM comes back with a new worker.
+func (b *bench) maintain(o VMOrder) {
+	id := "w-" + o.VM
+	clear(b.runs[id])
+	w := b.fleet[id]
+	w.BornMillis++
+	b.fleet[id] = w
+	b.s.VMOrdered(o, nil, b.now)
+	b.s.SetVMs([]fleet.VM{{Name: o.VM, Pool: w.Pool, State: fleet.VMInMaintenance}}, b.now.Add(time.Millisecond), b.now)
+	b.s.SetWorkers(b.fleet, b.now)
+}
+
+// TestVMOrder_CarriedOutBefore replays a maintenance order that an earlier owner
+// had given: it succeeds without effect, and the worker's runs go on.
+func TestVMOrder_CarriedOutBefore(t *testing.T) {
+	b := newBench(t)
+	b.addVM("a1", testPool, 4)
+	b.planFor(500 * time.Millisecond)
+	b.s.Submit(b.job("j", fleet.Step{EstimateMillis: second(60)}), b.now)
+	b.pass(200 * time.Millisecond)
+	v := b.s.vms["a1"]
+	order := VMOrder{Kind: VMMaintain, VM: "a1", Wave: 3}
+	b.s.order(v, order, b.now)
+	b.s.VMOrdered(order, nil, b.now)
+	require.Equal(t, running, b.s.find(taskOf("j", 0)).phase, "the answer alone ends the worker's life")
+	b.pass(100 * time.Millisecond)
+	b.listVMs()
+	require.Nil(t, v.ordered)
+	require.Equal(t, running, b.s.find(taskOf("j", 0)).phase)
+}
+
+// TestWave_NewOwnerWaits lets what the last owner ordered take effect before it
+// disrupts a lasting task.
+func TestWave_NewOwnerWaits(t *testing.T) {
+	b := newBench(t)
+	b.addVM("a1", testPool, 4)
+	b.addVM("a2", testPool, 4)
+	b.pass(100 * time.Millisecond)
+	sub := b.job("serve", lasting(3, 1))
+	b.s.Submit(sub, b.now)
+	b.s.Place(b.now)
+	b.takeover(b.carryOut(), sub)
+	began := b.now
+	b.listVMs()
+	b.s.SetWave(fleet.Wave{Number: 1, VMs: []string{"a1", "a2"}, Within: 20 * time.Second, MaxDown: 2}, b.now, nil)
+	for b.now.Sub(began) < settleTime {
+		for _, o := range b.planFor(100 * time.Millisecond) {
+			require.Empty(t, b.running("serve")["w-"+o.VM], "a lasting task is ended too early")
+		}
+		require.Equal(t, 3, total(b.running("serve")), "a lasting task is evicted too early")
+	}
+}
