Write logs in the background, and forget old jobs

Cause: a stuck output would have held decisions, and ended jobs stayed in the store for good. Change: a bounded sink that counts what it leaves out; the owner drops jobs some time after callers may ask for them.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -55,6 +55,7 @@
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
 	servers  []*http.Server
+	sink     *LogSink
 }
 
 // Start opens the entry's addresses and begins to serve.
@@ -149,6 +150,7 @@
 		store: d.store, workers: d.workers, decoder: d.decoder, advice: d.advice,
 		follower: d.follower, operator: d.operator, fleetVMs: NewFleetVMs(d.vms),
 		node: s.Node, token: token, log: d.log.Named("owner"), metrics: d.metrics,
+		keepState:  settings.Seconds(s.KeepStateS),
 		orderLease: time.Duration(s.VMOrderLeaseMS) * time.Millisecond,
 		config: scheduler.Config{
 			MaintenanceTime: settings.Seconds(s.MaintenanceS),
@@ -184,5 +186,8 @@
 	}
 	d.cancel()
 	d.log.Info("stopped")
+	if d.sink != nil {
+		d.sink.Close()
+	}
 	return nil
 }
--- a/fleetentry/module.go
+++ b/fleetentry/module.go
@@ -20,6 +20,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(2*settings.Seconds(s.StopGraceS)),
 		fx.Provide(
+			newSink,
 			newLogger,
 			NewMetrics,
 			func(s settings.FleetEntry) Store { return platform.NewStore(s.Store) },
@@ -34,14 +35,17 @@
 			func(c *Callers) http.Handler { return platform.NewCallerHandler(c) },
 			newDaemon,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, d *Daemon) {
+		fx.Invoke(func(lc fx.Lifecycle, d *Daemon, sink *LogSink) {
+			d.sink = sink
 			lc.Append(fx.Hook{OnStart: d.Start, OnStop: func(ctx context.Context) error { return d.Stop(ctx) }})
 		}),
 	)
 }
 
-func newLogger(s settings.FleetEntry) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: hclog.Info, Output: os.Stdout, JSONFormat: true})
+func newSink() *LogSink { return NewLogSink(os.Stdout) }
+
+func newLogger(s settings.FleetEntry, sink *LogSink) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: hclog.Info, Output: sink, JSONFormat: true})
 }
 
 func newDaemon(s settings.FleetEntry, store Store, w Workers, v VMs, a Advice, dec Decoder, log hclog.Logger,
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -49,6 +49,8 @@
 	// vmOrdersFrom is when the owner may first order moves and maintenance: an
 	// earlier owner's orders are then over.
 	vmOrdersFrom time.Time
+	// keepState is for how long callers may ask for an ended job.
+	keepState time.Duration
 	// orderLease is how long an earlier owner's orders may be under way.
 	orderLease time.Duration
 
@@ -100,6 +102,7 @@
 	o.catchUp()
 	o.spawn(ctx, o.watchWorkers)
 	o.spawn(ctx, o.plan)
+	o.spawn(ctx, o.sweep)
 	o.spawn(ctx, o.fleetVMs.run(o))
 	o.tick(ctx)
 	cancel()
