Move runs that stand still, and pace work that fills

Cause: workers on which runs hang or are several times slower kept their tasks until the deadline had passed; nothing acted on the tails of serving tasks. Ruled out: tasks that are slow themselves (moved once only). Change: a run without progress is stopped and started elsewhere once; filling work slows while a tail nears its target.

--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -54,6 +54,8 @@
 	s.takeFinished(w, look, now)
 	s.takeAbsent(w, look, sent, now)
 	w.looked = true
+	s.findStalled(w, now)
+	s.paceFilling(w, now)
 }
 
 // takeActive confirms the runs that are there and stops those that should not be.
@@ -113,6 +115,8 @@
 // confirm notes that the run is there.
 func (s *Scheduler) confirm(t *task, now time.Time) {
 	t.phase = running
+	// What a run of an earlier owner has done so far is not known.
+	t.restoredRun = t.restored
 	t.restored, t.unsure = false, false
 	t.confirmedAt = now
 	if t.progressAt.IsZero() {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -23,6 +23,10 @@
 	// restored tasks were assigned by an earlier owner; a look under the new
 	// token tells whether their run is there.
 	restored bool
+	// restoredRun tells that an earlier owner started the run.
+	restoredRun bool
+	// movedAway tells that the task has been taken away from a slow worker.
+	movedAway bool
 	// confirmedAt is when the worker confirmed the run.
 	confirmedAt time.Time
 	// unsure starts got no answer.
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -40,7 +40,7 @@
 
 // clear resets what is known of the last run.
 func (t *task) clear() {
-	t.restored, t.unsure = false, false
+	t.restored, t.unsure, t.restoredRun = false, false, false
 	t.confirmedAt, t.goneAfter, t.stopOrderedAt, t.progressAt, t.atWorkAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.usage, t.pace = 0, 0, 100
 	t.ticket = ""
