--- /dev/null
+++ b/emulator/fixtures.go
@@ -0,0 +1,77 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Paths of a worker's interface, for faults.
+const (
+	StartPath = "/run-start"
+	StopPath  = "/run-stop"
+	LookPath  = "/hold"
+	// AppendPath is the store's.
+	AppendPath = "/log-append"
+)
+
+// OwnerAppend tells the owner's appends from those of entries, by their query.
+const OwnerAppend = "producer"
+
+// Queue is a route of a manifest.
+type Queue struct{ Name, Host, Prefix, Pool string }
+
+// Manifest returns a manifest with the queues, the pools (true for spare ones) and
+// one team.
+func Manifest(version int, queues []Queue, pools map[string]bool, team, key string, milliCPU int) map[string]any {
+	var routes, services []any
+	for _, q := range queues {
+		routes = append(routes, map[string]any{"name": q.Name, "host": q.Host, "path-prefix": q.Prefix, "service": q.Pool,
+			"kind": "non_idempotent", "timeout-ms": 3000, "target-latency-ms": 600, "priority": 0, "max-attempts": 3,
+			"stretch": 2.0, "public": false})
+	}
+	for name, spare := range pools {
+		services = append(services, map[string]any{"name": name, "health-path": "/healthz", "max-conns": 64,
+			"admission-check": false, "standby": spare})
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits":  map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144},
+		"tenants": []any{map[string]any{"name": team, "api-keys": []string{key}, "weight": 1, "cap": map[string]int{"cpu": milliCPU}}},
+	}
+}
+
+// PublishManifest puts the manifest in force.
+func (s *Store) PublishManifest(m map[string]any) { s.Put("keyed.op", "config", m) }
+
+// PublishWave asks for the maintenance of the VMs.
+func (s *Store) PublishWave(number int, vms []string, withinS float64, maxDown int) {
+	s.Put("keyed.op", fmt.Sprintf("wave/%d", number), map[string]any{"wave": number, "machines": vms, "deadline-s": withinS, "cap": maxDown})
+}
+
+// WaveCompleted reports whether the wave is said to be completed.
+func (s *Store) WaveCompleted(number int) bool {
+	raw, there := s.Newest("keyed.status", fmt.Sprintf("wave/%d", number))
+	var status struct {
+		State string `json:"state"`
+	}
+	return there && json.Unmarshal(raw, &status) == nil && status.State == "completed"
+}
+
+// Step is a step of a job's body.
+type Step struct {
+	Count    int   `json:"count,omitempty"`
+	MilliCPU int   `json:"cpu,omitempty"`
+	Estimate int   `json:"est-runtime-ms,omitempty"`
+	After    []int `json:"depends-on,omitempty"`
+	Lasting  bool  `json:"long-running,omitempty"`
+	MayMiss  int   `json:"may-miss,omitempty"`
+}
+
+// JobBody returns the body of a job.
+func JobBody(spec string, steps ...Step) string {
+	raw, err := json.Marshal(map[string]any{"spec": spec, "phases": steps})
+	if err != nil {
+		panic(err)
+	}
+	return string(raw)
+}
--- a/fleet/call.go
+++ b/fleet/call.go
@@ -42,7 +42,7 @@
 	ReplyNoQueue
 	// ReplyNoKey tells that the call's key is not known.
 	ReplyNoKey
-	// ReplyForbidden tells that the job belongs to another tenant.
+	// ReplyForbidden tells that the job belongs to another team.
 	ReplyForbidden
 	// ReplyBad tells that the call is malformed.
 	ReplyBad
--- a/fleet/manifest.go
+++ b/fleet/manifest.go
@@ -8,9 +8,9 @@
 	Version int64
 	Queues  []Queue
 	Pools   map[string]Pool
-	Tenants map[string]Tenant
-	// TenantOfKey maps a key to its tenant's name.
-	TenantOfKey map[string]string
+	Teams   map[string]Team
+	// TeamOfKey maps a key to its team's name.
+	TeamOfKey map[string]string
 	// MaxBodyBytes and MaxHeaderBytes bound a call.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int64
--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -17,9 +17,9 @@
 
 // Submission is a job as its caller handed it in.
 type Submission struct {
-	ID     string `json:"i"`
-	Queue  string `json:"q"`
-	Tenant string `json:"t,omitempty"`
+	ID    string `json:"i"`
+	Queue string `json:"q"`
+	Team  string `json:"t,omitempty"`
 	// Spec is passed on to the worker unread.
 	Spec  string `json:"s,omitempty"`
 	Steps []Step `json:"p"`
--- a/fleet/tenant.go
+++ b/fleet/team.go
@@ -1,7 +1,7 @@
 package fleet
 
-// Tenant is a team with its keys, its share and its upper limit.
-type Tenant struct {
+// Team is a team with its keys, its share and its upper limit.
+type Team struct {
 	Name string
 	// Weight is the share when the fleet is full.
 	Weight int64
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -14,12 +14,12 @@
 
 // VM is a row of the platform's list of VMs.
 type VM struct {
-	Name     string
-	Pool     string
-	State    VMState
-	Zone     string
-	Labels   []string
-	Capacity Resources
+	Name             string
+	Pool             string
+	State            VMState
+	AvailabilityZone string
+	Labels           []string
+	Capacity         Resources
 	// WorkerID is the worker that lives on the VM; empty for none.
 	WorkerID string
 }
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -2,10 +2,10 @@
 
 // Worker is what one life of a worker reports about itself.
 type Worker struct {
-	ID      string
-	Address string
-	Pool    string
-	Zone    string
+	ID               string
+	Address          string
+	Pool             string
+	AvailabilityZone string
 	// VM is the machine on which the worker lives; empty if it did not say.
 	VM       string
 	Labels   []string
--- a/fleetentry/callers.go
+++ b/fleetentry/callers.go
@@ -69,7 +69,7 @@
 		return fleet.Reply{Kind: fleet.ReplyNoQueue, Message: "no queue takes this host and path"}, "", ""
 	}
 	id = call.Path[len(q.Prefix):]
-	tenant, known := m.TenantOfKey[call.Key]
+	team, known := m.TeamOfKey[call.Key]
 	if !known && !q.Open {
 		return fleet.Reply{Kind: fleet.ReplyNoKey, Message: "the key is not known"}, q.Name, id
 	}
@@ -82,7 +82,7 @@
 	until := began.Add(patience(call, q) - answerMargin)
 	switch call.Kind {
 	case fleet.CallSubmit:
-		return c.submit(ctx, m, q, tenant, id, call, until), q.Name, id
+		return c.submit(ctx, m, q, team, id, call, until), q.Name, id
 	case fleet.CallState:
 		return c.state(id), q.Name, id
 	case fleet.CallCancel:
@@ -127,7 +127,7 @@
 	return out
 }
 
-func (c *Callers) submit(ctx context.Context, m *fleet.Manifest, q *fleet.Queue, tenant, id string, call fleet.Call, until time.Time) fleet.Reply {
+func (c *Callers) submit(ctx context.Context, m *fleet.Manifest, q *fleet.Queue, team, id string, call fleet.Call, until time.Time) fleet.Reply {
 	if m.MaxBodyBytes > 0 && int64(len(call.Body)) > m.MaxBodyBytes {
 		return fleet.Reply{Kind: fleet.ReplyTooLarge, Message: "the body is larger than the manifest allows"}
 	}
@@ -149,7 +149,7 @@
 	if wait, busy := refuse(&sub, q, owner.Load[q.Name]); busy {
 		return fleet.Reply{Kind: fleet.ReplyBusy, RetryAfter: wait, Message: "the queue's backlog is longer than the job's objective"}
 	}
-	sub.ID, sub.Queue, sub.Tenant, sub.ArrivedMillis = id, q.Name, tenant, time.Now().UnixMilli()
+	sub.ID, sub.Queue, sub.Team, sub.ArrivedMillis = id, q.Name, team, time.Now().UnixMilli()
 	return c.store(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, until)
 }
 
--- a/fleetentry/faults_test.go
+++ b/fleetentry/faults_test.go
@@ -34,7 +34,7 @@
 		{name: "the owner's appends are refused", spec: "long", fault: func(w *world) {
 			until := time.Now().Add(1500 * time.Millisecond)
 			w.store.SetFault(func(r *http.Request) emulator.StoreFault {
-				if r.URL.Query().Get("producer") != "" && time.Now().Before(until) {
+				if r.URL.Query().Get(emulator.OwnerAppend) != "" && time.Now().Before(until) {
 					return emulator.StoreBusy
 				}
 				return emulator.StoreWell
@@ -43,7 +43,7 @@
 		{name: "the store loses replies", fault: func(w *world) {
 			lose := every(4)
 			w.store.SetFault(func(r *http.Request) emulator.StoreFault {
-				if r.URL.Path == "/log-append" && lose() {
+				if r.URL.Path == emulator.AppendPath && lose() {
 					return emulator.StoreLosesReply
 				}
 				return emulator.StoreWell
@@ -60,13 +60,13 @@
 		}},
 		{name: "the store forgets its history", fault: func(w *world) { w.store.Forget() }},
 		{name: "workers lose the replies to starts", fault: func(w *world) {
-			w.onWorkers("/run-start", 3, emulator.WorkerLosesReply)
+			w.onWorkers(emulator.StartPath, 3, emulator.WorkerLosesReply)
 		}},
 		{name: "workers carry starts out late", fault: func(w *world) {
-			w.onWorkers("/run-start", 3, emulator.WorkerLate)
+			w.onWorkers(emulator.StartPath, 3, emulator.WorkerLate)
 		}},
 		{name: "workers refuse starts", fault: func(w *world) {
-			w.onWorkers("/run-start", 2, emulator.WorkerRefuses)
+			w.onWorkers(emulator.StartPath, 2, emulator.WorkerRefuses)
 		}},
 		{name: "a worker is cut off and runs on", spec: "long", fault: func(w *world) {
 			w.fleet.Cut("vm-a0")
@@ -130,12 +130,12 @@
 		{"an unknown key", http.MethodPost, id, "other", twoSteps("short"), 401},
 		{"a strange ID", http.MethodPost, "/desk/zz", testKey, twoSteps("short"), 400},
 		{"not JSON", http.MethodPost, id, testKey, "{", 400},
-		{"no steps", http.MethodPost, id, testKey, `{"spec":"x"}`, 400},
-		{"a step that depends on itself", http.MethodPost, id, testKey, `{"phases":[{"count":1,"depends-on":[0]}]}`, 400},
-		{"a step of no tasks", http.MethodPost, id, testKey, `{"phases":[{"count":0}]}`, 400},
-		{"a negative need", http.MethodPost, id, testKey, `{"phases":[{"count":1,"cpu":-5}]}`, 400},
-		{"too large", http.MethodPost, id, testKey, `{"spec":"` + strings.Repeat("x", 300_000) + `","phases":[{"count":1}]}`, 413},
-		{"a spec that is too long", http.MethodPost, id, testKey, `{"spec":"` + strings.Repeat("x", 5000) + `","phases":[{"count":1}]}`, 400},
+		{"no steps", http.MethodPost, id, testKey, emulator.JobBody("x"), 400},
+		{"a step that depends on itself", http.MethodPost, id, testKey, emulator.JobBody("x", emulator.Step{Count: 1, After: []int{0}}), 400},
+		{"a step of no tasks", http.MethodPost, id, testKey, emulator.JobBody("x", emulator.Step{}), 400},
+		{"a negative need", http.MethodPost, id, testKey, emulator.JobBody("x", emulator.Step{Count: 1, MilliCPU: -5}), 400},
+		{"too large", http.MethodPost, id, testKey, emulator.JobBody(strings.Repeat("x", 300_000), emulator.Step{Count: 1}), 413},
+		{"a spec that is too long", http.MethodPost, id, testKey, emulator.JobBody(strings.Repeat("x", 5000), emulator.Step{Count: 1}), 400},
 		{"a job that does not exist", http.MethodGet, id, testKey, "", 410},
 		{"another method", http.MethodPut, id, testKey, "", 400},
 	}
@@ -150,7 +150,7 @@
 	t.Parallel()
 	w := newWorld(t, 2)
 	w.owner()
-	path := w.submit("desk", `{"spec":"lasting","phases":[{"count":3,"cpu":1000,"long-running":true}]}`)
+	path := w.submit("desk", lastingJob(3, 0))
 	require.Eventually(t, func() bool { return w.fleet.Running(idOf(path)) == 3 }, 5*time.Second, 20*time.Millisecond)
 	status, _ := w.call(http.MethodDelete, path, testKey, "")
 	require.Equal(t, http.StatusOK, status)
@@ -176,7 +176,7 @@
 	t.Parallel()
 	w := newWorld(t, 2)
 	w.owner()
-	path := w.submit("desk", `{"spec":"broken","phases":[{"count":1,"cpu":1000,"est-runtime-ms":30}]}`)
+	path := w.submit("desk", emulator.JobBody("broken", emulator.Step{Count: 1, MilliCPU: 1000, Estimate: 30}))
 	w.awaitState(path, "failed")
 	require.Equal(t, 3, w.fleet.Starts(idOf(path)+".0.0.0"))
 }
@@ -186,7 +186,7 @@
 	t.Parallel()
 	w := newWorld(t, 2)
 	w.owner()
-	path := w.submit("desk", `{"spec":"lasting","phases":[{"count":20,"cpu":1000,"long-running":true}]}`)
+	path := w.submit("desk", lastingJob(20, 0))
 	require.Eventually(t, func() bool { return w.fleet.Running(idOf(path)) == 12 }, 5*time.Second, 20*time.Millisecond)
 	require.Never(t, func() bool { return w.fleet.Running(idOf(path)) > 12 }, time.Second, 50*time.Millisecond)
 }
@@ -197,15 +197,14 @@
 	t.Parallel()
 	w := newWorld(t, 2)
 	w.owner()
-	path := w.submit("desk", `{"spec":"lasting","phases":[{"count":4,"cpu":1000,"long-running":true,"may-miss":1}]}`)
+	path := w.submit("desk", lastingJob(4, 1))
 	id := idOf(path)
 	require.Eventually(t, func() bool { return w.fleet.Running(id) == 4 }, 5*time.Second, 20*time.Millisecond)
-	w.store.Put("keyed.op", "wave/7", map[string]any{"wave": 7, "machines": []string{"vm-a0", "vm-a1", "vm-a2", "vm-s0"}, "deadline-s": 20, "cap": 2})
+	w.store.PublishWave(7, []string{"vm-a0", "vm-a1", "vm-a2", "vm-s0"}, 20, 2)
 	fewest := 4
 	require.Eventually(t, func() bool {
 		fewest = min(fewest, w.fleet.Running(id))
-		raw, there := w.store.Newest("keyed.status", "wave/7")
-		return there && strings.Contains(string(raw), "completed")
+		return w.store.WaveCompleted(7)
 	}, 25*time.Second, 5*time.Millisecond)
 	require.GreaterOrEqual(t, fewest, 3, "more tasks were away than may be missing")
 	for _, vm := range []string{"vm-a0", "vm-a1", "vm-a2", "vm-s0"} {
--- a/fleetentry/harness_test.go
+++ b/fleetentry/harness_test.go
@@ -67,20 +67,9 @@
 
 // publish puts a manifest in force.
 func (w *world) publish(version int) {
-	route := func(name, prefix, pool string) map[string]any {
-		return map[string]any{"name": name, "host": testHost, "path-prefix": prefix, "service": pool, "kind": "non_idempotent",
-			"timeout-ms": 3000, "target-latency-ms": 600, "priority": 0, "max-attempts": 3, "stretch": 2.0, "public": false}
-	}
-	pool := func(name string, spare bool) map[string]any {
-		return map[string]any{"name": name, "health-path": "/healthz", "max-conns": 64, "admission-check": false, "standby": spare}
-	}
-	w.store.Put("keyed.op", "config", map[string]any{
-		"version":  version,
-		"routes":   []any{route("q-desk", "/desk/", "desk"), route("q-books", "/books/", "books")},
-		"services": []any{pool("desk", false), pool("books", false), pool("reserve", true)},
-		"limits":   map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144},
-		"tenants":  []any{map[string]any{"name": "team", "api-keys": []string{testKey}, "weight": 1, "cap": map[string]int{"cpu": 12000}}},
-	})
+	queues := []emulator.Queue{{Name: "q-desk", Host: testHost, Prefix: "/desk/", Pool: "desk"}, {Name: "q-books", Host: testHost, Prefix: "/books/", Pool: "books"}}
+	pools := map[string]bool{"desk": false, "books": false, "reserve": true}
+	w.store.PublishManifest(emulator.Manifest(version, queues, pools, "team", testKey, 12_000))
 }
 
 func freeAddress(t *testing.T) string {
@@ -205,7 +194,12 @@
 
 // twoSteps is a job whose second step waits for the first.
 func twoSteps(spec string) string {
-	return `{"spec":"` + spec + `","phases":[{"count":3,"cpu":1000,"mem-mb":64,"est-runtime-ms":100},{"count":2,"cpu":1000,"est-runtime-ms":100,"depends-on":[0]}]}`
+	return emulator.JobBody(spec, emulator.Step{Count: 3, MilliCPU: 1000, Estimate: 100}, emulator.Step{Count: 2, MilliCPU: 1000, Estimate: 100, After: []int{0}})
+}
+
+// lastingJob is a job whose tasks run until it is cancelled.
+func lastingJob(count, mayMiss int) string {
+	return emulator.JobBody("lasting", emulator.Step{Count: count, MilliCPU: 1000, Lasting: true, MayMiss: mayMiss})
 }
 
 // testLog is where entries under test log to.
--- a/fleetentry/operatorwatch.go
+++ b/fleetentry/operatorwatch.go
@@ -118,7 +118,7 @@
 			return
 		}
 		o.manifest.Store(m)
-		o.log.Info("manifest in force", "version", m.Version, "queues", len(m.Queues), "tenants", len(m.Tenants))
+		o.log.Info("manifest in force", "version", m.Version, "queues", len(m.Queues), "teams", len(m.Teams))
 		o.mu.Lock()
 		onChange := o.onChange
 		o.mu.Unlock()
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -42,7 +42,7 @@
 		Version: 1,
 		Queues:  []fleet.Queue{queue("desk", testPool), queue("books", otherPool)},
 		Pools:   map[string]fleet.Pool{testPool: {Name: testPool}, otherPool: {Name: otherPool}, sparePool: {Name: sparePool, Spare: true}},
-		Tenants: map[string]fleet.Tenant{"team": {Name: "team", Weight: 1, Cap: fleet.Resources{MilliCPU: 6000}}},
+		Teams:   map[string]fleet.Team{"team": {Name: "team", Weight: 1, Cap: fleet.Resources{MilliCPU: 6000}}},
 	}
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -22,8 +22,8 @@
 	// nextOccurrence is the next one to become due.
 	nextOccurrence int
 	finished       int
-	// tenant is nil for callers without a key.
-	tenant *tenant
+	// team is nil for callers without a key.
+	team *team
 }
 
 // occurrence is one pass through the steps of a job.
--- a/scheduler/order_test.go
+++ b/scheduler/order_test.go
@@ -50,7 +50,7 @@
 	b.addWorker("w-1", testPool, 16)
 	b.pass(100 * time.Millisecond)
 	job := b.job("capped", fleet.Step{Count: 10, EstimateMillis: second(5)})
-	job.Tenant = "team"
+	job.Team = "team"
 	b.s.Submit(job, b.now)
 	b.pass(200 * time.Millisecond)
 	require.Equal(t, 6, total(b.running("capped")))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -59,7 +59,7 @@
 		if t.phase != waiting {
 			continue
 		}
-		if !st.run.job.tenant.roomFor(st.def.Need) {
+		if !st.run.job.team.roomFor(st.def.Need) {
 			return
 		}
 		w := s.choose(t, workers, now)
@@ -164,7 +164,7 @@
 	for range st.tasks {
 		total = total.Plus(st.def.Need)
 	}
-	if !st.run.job.tenant.roomFor(total) {
+	if !st.run.job.team.roomFor(total) {
 		return
 	}
 	if st.def.OneRack || st.def.DataRack != "" {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,7 +14,7 @@
 	manifest *fleet.Manifest
 	jobs     map[string]*job
 	workers  map[string]*worker
-	tenants  map[string]*tenant
+	teams    map[string]*team
 	// past holds the jobs that had ended when this owner took over: runs of theirs
 	// may still be stopping.
 	past map[string]*fleet.Submission
@@ -47,7 +47,7 @@
 		manifest: &fleet.Manifest{},
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
-		tenants:  map[string]*tenant{},
+		teams:    map[string]*team{},
 		queues:   map[string]fleet.Queue{},
 		ready:    map[*step]struct{}{},
 		timed:    map[*job]struct{}{},
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -13,7 +13,7 @@
 	for i := range m.Queues {
 		s.queues[m.Queues[i].Name] = m.Queues[i]
 	}
-	for _, t := range s.tenants {
+	for _, t := range s.teams {
 		s.refresh(t)
 	}
 	for _, j := range s.jobs {
@@ -23,21 +23,21 @@
 	}
 }
 
-func (s *Scheduler) refresh(t *tenant) {
-	// A tenant that the manifest has dropped keeps its last limit.
-	if def, known := s.manifest.Tenants[t.name]; known {
+func (s *Scheduler) refresh(t *team) {
+	// A team that the manifest has dropped keeps its last limit.
+	if def, known := s.manifest.Teams[t.name]; known {
 		t.weight, t.limit = max(1, def.Weight), def.Cap
 	}
 }
 
-func (s *Scheduler) tenantNamed(name string) *tenant {
+func (s *Scheduler) teamNamed(name string) *team {
 	if name == "" {
 		return nil
 	}
-	t, known := s.tenants[name]
+	t, known := s.teams[name]
 	if !known {
-		t = &tenant{name: name, weight: 1}
-		s.tenants[name] = t
+		t = &team{name: name, weight: 1}
+		s.teams[name] = t
 		s.refresh(t)
 	}
 	return t
@@ -161,7 +161,7 @@
 func (s *Scheduler) add(sub *fleet.Submission, now time.Time) *job {
 	j := &job{
 		sub: sub, chain: sub.Chain(), work: sub.CoreSeconds(), lasting: sub.Lasting(),
-		live: map[int]*occurrence{}, tenant: s.tenantNamed(sub.Tenant),
+		live: map[int]*occurrence{}, team: s.teamNamed(sub.Team),
 	}
 	j.queue = s.queues[sub.Queue]
 	if j.queue.Name == "" {
--- a/scheduler/tenant.go
+++ b/scheduler/team.go
@@ -2,8 +2,8 @@
 
 import "github.com/anvilcourse/anvilcourse/fleet"
 
-// tenant is what a team has running at the moment.
-type tenant struct {
+// team is what a team has running at the moment.
+type team struct {
 	name string
 	used fleet.Resources
 	// weight and limit come from the manifest in force.
@@ -11,7 +11,7 @@
 	limit  fleet.Resources
 }
 
-// roomFor reports whether the tenant may run that much more.
-func (t *tenant) roomFor(need fleet.Resources) bool {
+// roomFor reports whether the team may run that much more.
+func (t *team) roomFor(need fleet.Resources) bool {
 	return t == nil || t.used.Plus(need).WithinCap(t.limit)
 }
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -14,7 +14,7 @@
 	need := t.need()
 	w.used = w.used.Plus(need)
 	t.step.onWorker[w.info.ID]++
-	if tn := t.step.run.job.tenant; tn != nil {
+	if tn := t.step.run.job.team; tn != nil {
 		tn.used = tn.used.Plus(t.step.def.Need)
 	}
 }
@@ -32,7 +32,7 @@
 	} else {
 		delete(t.step.onWorker, w.info.ID)
 	}
-	if tn := t.step.run.job.tenant; tn != nil {
+	if tn := t.step.run.job.team; tn != nil {
 		tn.used = tn.used.Minus(t.step.def.Need)
 	}
 	t.worker = nil
