--- /dev/null
+++ b/ledger/view_test.go
@@ -0,0 +1,88 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
+)
+
+func apply(t *testing.T, v *ledger.View, records ...fleet.Record) {
+	for _, r := range records {
+		require.NoError(t, v.Apply(r))
+	}
+}
+
+func submission(id string) fleet.Submission {
+	return fleet.Submission{ID: id, Queue: "q", Steps: []fleet.Step{{Count: 2}}, ArrivedMillis: 5}
+}
+
+// TestView_States walks jobs through their states.
+func TestView_States(t *testing.T) {
+	v := ledger.NewView()
+	task := fleet.TaskID{Job: "a", Index: 1}
+	apply(t, v, ledger.SubmissionRecord(submission("a")), ledger.SubmissionRecord(submission("b")))
+	require.Equal(t, ledger.StateQueued, v.Jobs["a"].State())
+	require.Equal(t, 2, v.Pending("q"))
+	apply(t, v, ledger.AssignmentRecord(task, ledger.Assignment{Phase: ledger.PhaseAssigned, Attempt: 1, Worker: "w"}))
+	require.Equal(t, ledger.StateRunning, v.Jobs["a"].State())
+	require.Equal(t, 1, v.Pending("q"))
+	apply(t, v, ledger.ResultRecord("a", ledger.Result{Outcome: ledger.OutcomeCompleted, AtMillis: 9}), ledger.DropAssignment(task))
+	require.Equal(t, ledger.StateCompleted, v.Jobs["a"].State())
+	require.Equal(t, int64(9), v.Jobs["a"].EndedAtMillis)
+	apply(t, v, ledger.CancellationRecord("b", 7))
+	require.Equal(t, ledger.StateCancelled, v.Jobs["b"].State())
+	require.Zero(t, v.Pending("q"))
+	entries, own := ledger.DropJob("a")
+	apply(t, v, append(entries, own)...)
+	require.NotContains(t, v.Jobs, "a")
+}
+
+// TestView_AnyOrder reduces the newest records of the two streams in another order
+// than they were written in.
+func TestView_AnyOrder(t *testing.T) {
+	task := fleet.TaskID{Job: "a"}
+	records := []fleet.Record{
+		ledger.SubmissionRecord(submission("a")),
+		ledger.CancellationRecord("a", 3),
+		ledger.AssignmentRecord(task, ledger.Assignment{Phase: ledger.PhaseAssigned, Attempt: 4}),
+	}
+	for i := range records {
+		v := ledger.NewView()
+		for k := range records {
+			apply(t, v, records[(i+k)%len(records)])
+			apply(t, v, records[(i+k)%len(records)])
+		}
+		require.Equal(t, ledger.StateCancelled, v.Jobs["a"].State())
+		require.Equal(t, 4, v.Jobs["a"].Tasks[task].Attempt)
+		require.Zero(t, v.Pending("q"))
+	}
+}
+
+// TestView_CopyIsTheSameJob keeps the first submission of an ID.
+func TestView_CopyIsTheSameJob(t *testing.T) {
+	v := ledger.NewView()
+	apply(t, v, ledger.SubmissionRecord(submission("a")))
+	later := submission("a")
+	later.ArrivedMillis = 99
+	apply(t, v, ledger.SubmissionRecord(later))
+	require.Equal(t, int64(5), v.Jobs["a"].Submission.ArrivedMillis)
+	require.Equal(t, 1, v.Pending("q"))
+}
+
+func FuzzView_Apply(f *testing.F) {
+	f.Add("ja", []byte(`{"q":"x","p":[{"n":1}]}`))
+	f.Add("ta.0.0.0", []byte(`{"p":1}`))
+	f.Add("w1", []byte(`{"b":1}`))
+	f.Add("", []byte("x"))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		v := ledger.NewView()
+		// Records that cannot be read are reported and change nothing.
+		_ = v.Apply(fleet.Record{Key: key, Value: value})
+		for _, j := range v.Jobs {
+			j.State()
+		}
+	})
+}
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -134,6 +134,7 @@
 		w.handled = end.Number
 		t, here := w.tasks[end.Task]
 		if !here || t.attempt != end.Attempt || t.phase == recording {
+			s.takeLateEnd(end, now)
 			continue
 		}
 		s.takeEnd(t, end, now)
@@ -146,6 +147,26 @@
 	}
 }
 
+// takeLateEnd accepts an end as done of a run that was given up, of a worker that
+// is back in reach: work that has been done is not done again while that can be
+// helped.
+func (s *Scheduler) takeLateEnd(end *fleet.FinishedRun, now time.Time) {
+	t := s.find(end.Task)
+	if t == nil || end.End != fleet.EndDone || t.step.def.Lasting || t.step.def.Gang || t.step.run.job.ended {
+		return
+	}
+	switch t.phase {
+	case waiting:
+		t.step.waiting--
+	case recording:
+	default:
+		return
+	}
+	s.note(Event{What: "task.done_late", ID: t.id.String(), Attempt: end.Attempt, Why: "a run that was given up had ended"})
+	s.complete(t, now)
+	s.index(t.step)
+}
+
 func (s *Scheduler) takeEnd(t *task, end *fleet.FinishedRun, now time.Time) {
 	if t.step.def.Checkpointing && end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
