Test that orders under way count as away

Cause: with that mechanism taken out, no test went red. Change: a late wave whose VMs are drained together. Before: green without it; after: red without it, green with it.

--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -157,3 +157,20 @@
 		require.Equal(t, 3, total(b.running("serve")), "a lasting task is evicted too early")
 	}
 }
+
+// TestWave_OrdersUnderWayCountAsAway replays a round in which every VM of a wave is
+// ready at once: while the first order has no answer, no second one may follow.
+func TestWave_OrdersUnderWayCountAsAway(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3"} {
+		b.addVM(name, testPool, 4)
+	}
+	b.planFor(500 * time.Millisecond)
+	step := lasting(3, 1)
+	step.MaxPerWorker = 1
+	b.s.Submit(b.job("serve", step), b.now)
+	b.planFor(4 * time.Second)
+	require.Equal(t, map[string]int{"w-a1": 1, "w-a2": 1, "w-a3": 1}, b.running("serve"))
+	b.s.SetWave(fleet.Wave{Number: 1, VMs: []string{"a1", "a2", "a3"}, Within: 2 * time.Second, MaxDown: 3}, b.now, nil)
+	require.Len(t, b.planFor(time.Second), 1, "the wave is late, and its VMs are drained together")
+}
