Log each assignment with what decided it

Cause: from a request's id nobody could see why its task ran where it did. Change: one line an assignment (slack, free room, age of the look), and the subject of a line is named as what it is.

--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -248,7 +248,7 @@
 // flush hands out what has been decided. The lock is held.
 func (o *Owner) flush(now time.Time) {
 	for _, e := range o.sched.Events() {
-		o.log.Info(e.What, "request", e.ID, "worker", e.Worker, "attempt", e.Attempt, "why", e.Why)
+		o.logEvent(e)
 		o.metrics.Add("event_"+e.What, 1)
 	}
 	b := o.sched.Take()
@@ -278,6 +278,18 @@
 	}
 }
 
+// logEvent writes one decision with the members that it has.
+func (o *Owner) logEvent(e scheduler.Event) {
+	members := []any{e.Subject(), e.ID, "why", e.Why}
+	if e.Worker != "" {
+		members = append(members, "on", e.Worker)
+	}
+	if e.Attempt > 0 {
+		members = append(members, "attempt", e.Attempt)
+	}
+	o.log.Info(e.What, members...)
+}
+
 // stored sends what waited for the store.
 func (o *Owner) stored(numbers []int64) {
 	o.mu.Lock()
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -1,8 +1,11 @@
 package scheduler
 
+import "strings"
+
 // Event is one decision or change of belief, for the log.
 type Event struct {
-	// What names the decision, such as "task.requeued".
+	// What names the decision, such as "task.requeued": what it is about, a dot
+	// and what happened.
 	What string
 	// ID is the task's, job's or worker's.
 	ID string
@@ -12,3 +15,13 @@
 	Worker  string
 	Attempt int
 }
+
+// Subject names what the ID is of: a request, a worker or a VM.
+func (e *Event) Subject() string {
+	switch about, _, _ := strings.Cut(e.What, "."); about {
+	case "worker", "vm":
+		return about
+	default:
+		return "request"
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -82,12 +83,21 @@
 		t.step.rack = w.info.Rack()
 	}
 	t.ticket = t.step.ticks.byWorker[w.info.ID]
+	s.note(Event{What: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Why: t.reason(w, now)})
 	s.occupy(t, w)
 	s.record(t)
 	s.batch.starts = append(s.batch.starts, t)
 	s.index(t.step)
 }
 
+// reason gives what decided an assignment: the slack until the job is late, the
+// worker's free processors and the age of the look that showed them.
+func (t *task) reason(w *worker, now time.Time) string {
+	o := t.step.run
+	slack := o.deadline().Sub(now.Add(o.remainingChain()))
+	return fmt.Sprintf("slack %d ms, %d free millicores, look %d ms old", slack.Milliseconds(), w.free().MilliCPU, now.Sub(w.lookedAt).Milliseconds())
+}
+
 // choose returns the worker that suits the task best, or nil.
 func (s *Scheduler) choose(t *task, workers []*worker, now time.Time) *worker {
 	var best *worker
