--- a/command/checksettings.go
+++ b/command/checksettings.go
@@ -19,15 +19,15 @@
 func (*checkSettingsCommand) Name() string     { return "check-settings" }
 func (*checkSettingsCommand) Synopsis() string { return "check settings without starting anything" }
 func (*checkSettingsCommand) Usage() string {
-	return `check-settings -kind entry|standin|catalog FILE...
+	return `check-settings -kind entry|fleet-entry|standin|catalog FILE...
   Check the files and name every fault.
-check-settings -reference -kind entry|standin
+check-settings -reference -kind entry|fleet-entry|standin
   Print a table of the settings in Markdown.
 `
 }
 
 func (c *checkSettingsCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.kind, "kind", "entry", "what the files hold: entry, standin or catalog")
+	f.StringVar(&c.kind, "kind", "entry", "what the files hold: entry, fleet-entry, standin or catalog")
 	f.BoolVar(&c.reference, "reference", false, "print a table of the settings")
 }
 
@@ -37,7 +37,7 @@
 	}
 	check, ok := settingsCheckers[c.kind]
 	if !ok {
-		return c.usage("-kind must be entry, standin or catalog, not %q", c.kind)
+		return c.usage("-kind must be entry, fleet-entry, standin or catalog, not %q", c.kind)
 	}
 	if f.NArg() == 0 {
 		return c.usage("check-settings needs at least one file")
@@ -58,10 +58,12 @@
 	switch c.kind {
 	case "entry":
 		defaults = settings.DefaultEntry()
+	case "fleet-entry":
+		defaults = settings.DefaultFleetEntry()
 	case "standin":
 		defaults = settings.DefaultStandin()
 	default:
-		return c.usage("-reference takes -kind entry or standin, not %q", c.kind)
+		return c.usage("-reference takes -kind entry, fleet-entry or standin, not %q", c.kind)
 	}
 	if err := settings.WriteReference(c.stdout, defaults); err != nil {
 		return c.fail(err)
@@ -71,7 +73,8 @@
 
 // settingsCheckers checks a file by the kind of its content.
 var settingsCheckers = map[string]func(path string) error{
-	"entry":   func(path string) error { _, err := settings.LoadEntry(path); return err },
-	"standin": func(path string) error { _, err := settings.LoadStandin(path); return err },
-	"catalog": func(path string) error { _, err := settings.LoadCatalog(path); return err },
+	"entry":       func(path string) error { _, err := settings.LoadEntry(path); return err },
+	"fleet-entry": func(path string) error { _, err := settings.LoadFleetEntry(path); return err },
+	"standin":     func(path string) error { _, err := settings.LoadStandin(path); return err },
+	"catalog":     func(path string) error { _, err := settings.LoadCatalog(path); return err },
 }
--- /dev/null
+++ b/fleetentry/orders_test.go
@@ -0,0 +1,70 @@
+package fleetentry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/scheduler"
+)
+
+// scriptedWorkers answers starts with the errors in turn.
+type scriptedWorkers struct {
+	Workers
+	answers []error
+	calls   int
+}
+
+func (s *scriptedWorkers) Start(context.Context, fleet.Endpoint, fleet.StartOrder) (int64, error) {
+	s.calls++
+	return 0, s.answers[s.calls-1]
+}
+
+// TestTrySend_OutcomeOfTwoTries replays starts whose first try had no answer: a
+// refusal of the second says nothing of the first (TWICE on the grown quiet day).
+func TestTrySend_OutcomeOfTwoTries(t *testing.T) {
+	fail := func(outcome provider.Outcome, code provider.Code) error {
+		return &provider.Error{Op: "worker.start", Outcome: outcome, Code: code}
+	}
+	silent := fail(provider.Unknown, provider.CodeTimeout)
+	cases := []struct {
+		name    string
+		answers []error
+		want    provider.Outcome
+		calls   int
+	}{
+		{"done at once", []error{nil}, "", 1},
+		{"refused at once", []error{fail(provider.Refused, provider.CodeNoRoom)}, provider.Refused, 1},
+		{"silent, then done", []error{silent, nil}, "", 2},
+		{"silent, then no connection", []error{silent, fail(provider.Refused, provider.CodeUnreachable)}, provider.Unknown, 2},
+		{"silent, then no room", []error{silent, fail(provider.Refused, provider.CodeNoRoom)}, provider.Unknown, 2},
+		{"silent, then another life", []error{silent, fail(provider.Refused, provider.CodeOtherLife)}, provider.Refused, 2},
+		{"silent twice", []error{silent, silent}, provider.Unknown, 2},
+	}
+	for _, c := range cases {
+		workers := &scriptedWorkers{answers: c.answers}
+		journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
+		now := time.Now()
+		journal.provenAt.Store(&now)
+		o := &Owner{workers: workers, journal: journal, metrics: NewMetrics()}
+		err := o.trySend(scheduler.Start{})
+		if c.want == "" {
+			require.NoError(t, err, c.name)
+		} else {
+			require.Equal(t, c.want, provider.OutcomeOf(err), c.name)
+		}
+		require.Equal(t, c.calls, workers.calls, c.name)
+	}
+	journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
+	long := time.Now().Add(-2 * authority)
+	journal.provenAt.Store(&long)
+	workers := &scriptedWorkers{}
+	o := &Owner{workers: workers, journal: journal, metrics: NewMetrics()}
+	require.Equal(t, provider.Refused, provider.OutcomeOf(o.trySend(scheduler.Start{})), "an owner without proof sends")
+	require.Zero(t, workers.calls)
+}
