Let a new owner move VMs at once that the last one left alone

Ruled out: the takeover itself (35 ms). Change: the lease holds for each VM; a worker born before it proves that its VM had no order. Orders on VMs end 0.75 s after the owner's last stored append, before another entry can claim; silence 0.9 s.

--- a/fleetentry/claim.go
+++ b/fleetentry/claim.go
@@ -17,7 +17,7 @@
 	// ownerSilence is how long the owner may be silent before another entry
 	// claims the fleet. The owner tells of itself every heartbeatEvery, and an
 	// append takes up to a quarter of a second on the store's slow days.
-	ownerSilence = 1100 * time.Millisecond
+	ownerSilence = 900 * time.Millisecond
 	// claimSpread spreads the claims of several entries.
 	claimSpread = 100 * time.Millisecond
 	// ownerShare is the part of a processor from which an entry can own a fleet
--- a/fleetentry/fleetvms.go
+++ b/fleetentry/fleetvms.go
@@ -92,7 +92,7 @@
 	o.mu.Lock()
 	now := time.Now()
 	o.followWaves()
-	if now.Before(o.vmOrdersFrom) || !o.journal.Authorized(now) || now.Sub(o.listedAt) > freshList {
+	if !o.journal.AuthorizedForVMs(now) || now.Sub(o.listedAt) > freshList {
 		o.mu.Unlock()
 		return
 	}
@@ -114,7 +114,7 @@
 	defer cancel()
 	var err error
 	switch {
-	case !o.journal.Authorized(time.Now()):
+	case !o.journal.AuthorizedForVMs(time.Now()):
 		err = &provider.Error{Op: "vms.order", Outcome: provider.Refused, Code: provider.CodeLeaseLapsed, Message: "the owner cannot prove that it still is"}
 	case order.Kind == scheduler.VMMove:
 		err = f.vms.Move(callCtx, order.VM, order.Pool, o.token)
--- a/fleetentry/journal.go
+++ b/fleetentry/journal.go
@@ -24,6 +24,9 @@
 	// orders and extend leases. The store may be gone for it alone, and another
 	// entry may have taken over.
 	authority = 2500 * time.Millisecond
+	// vmAuthority is the same for orders on VMs, which no fence stops: it ends
+	// before another entry can have claimed.
+	vmAuthority = 750 * time.Millisecond
 )
 
 // Journal appends the owner's records in order under its token.
@@ -89,6 +92,12 @@
 	return at != nil && !j.fenced.Load() && bothclocks.Most(now, *at) < authority
 }
 
+// AuthorizedForVMs reports whether the owner may still give orders on VMs.
+func (j *Journal) AuthorizedForVMs(now time.Time) bool {
+	at := j.provenAt.Load()
+	return at != nil && !j.fenced.Load() && bothclocks.Most(now, *at) < vmAuthority
+}
+
 // Pending returns how many entries wait to be stored.
 func (j *Journal) Pending() int64 { return j.pending.Load() }
 
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -15,7 +15,7 @@
 
 const (
 	// heartbeatEvery is how often the owner tells of itself.
-	heartbeatEvery = 300 * time.Millisecond
+	heartbeatEvery = 250 * time.Millisecond
 	// tickEvery is how often what time alone brings is handled.
 	tickEvery = 100 * time.Millisecond
 	// planPause lets events that come together be decided on together.
@@ -46,9 +46,6 @@
 	log      hclog.Logger
 	metrics  *Metrics
 	config   scheduler.Config
-	// vmOrdersFrom is when the owner may first order moves and maintenance: an
-	// earlier owner's orders are then over.
-	vmOrdersFrom time.Time
 	// keepState is for how long callers may ask for an ended job.
 	keepState time.Duration
 	// orderLease is how long an earlier owner's orders may be under way.
@@ -152,9 +149,8 @@
 	o.config.Token = o.token
 	o.config.Lease = leaseFor
 	now := time.Now()
-	o.vmOrdersFrom = now
 	if !o.graceful {
-		o.vmOrdersFrom = now.Add(o.orderLease)
+		o.config.PriorOrders = o.orderLease
 	}
 	o.config.PriorLease = authority + leaseFor
 	sched := scheduler.New(o.config, now)
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -11,6 +11,9 @@
 	// PriorLease is the longest that a lease given by an earlier owner may run
 	// from the moment this owner took over.
 	PriorLease time.Duration
+	// PriorOrders is for how long after the takeover an order of the last owner on
+	// a VM may count against a new one; 0 after one that stopped by itself.
+	PriorOrders time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
 	// MaintenanceTime and MoveTime are how long a VM is away.
@@ -35,6 +38,9 @@
 	refusedPause = 700 * time.Millisecond
 	// avoidAfterFailure keeps a task off the worker on which it failed.
 	avoidAfterFailure = 1500 * time.Millisecond
+	// bornMargin is how much older than PriorOrders a worker must be to prove that
+	// the last owner gave no order on its VM lately: an order takes two seconds.
+	bornMargin = time.Second
 	// failuresToQuarantine is how many runs in a row must fail on a worker, of
 	// two jobs or more, before it gets no new work for a while.
 	failuresToQuarantine = 3
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -243,7 +243,7 @@
 
 // movable reports whether the VM is up and empty and no order is under way.
 func (s *Scheduler) movable(v *vm, now time.Time) bool {
-	if !v.settled(now) || v.draining != VMNoOrder || v.emptySince.IsZero() {
+	if !s.orderable(v, now) || v.draining != VMNoOrder || v.emptySince.IsZero() {
 		return false
 	}
 	if w := s.workerOf(v); w != nil && (w.info.Draining || !w.looked || w.missed > 0) {
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -104,9 +104,21 @@
 	return s.workers[v.info.WorkerID]
 }
 
-// settle is whether the VM is up and no order for it is under way.
-func (v *vm) settled(now time.Time) bool {
-	return v.info.State == fleet.VMUp && v.ordered == nil && !now.Before(v.holdOff)
+// orderable reports whether the VM is up, no order for it is under way, and the
+// last owner has given none lately: every order begins a new life of the worker.
+func (s *Scheduler) orderable(v *vm, now time.Time) bool {
+	if v.info.State != fleet.VMUp || v.ordered != nil || now.Before(v.holdOff) {
+		return false
+	}
+	if now.Sub(s.tookAt) >= s.cfg.PriorOrders {
+		return true
+	}
+	w := s.workerOf(v)
+	if w == nil || w.info.BornMillis == 0 {
+		return false
+	}
+	age := time.Duration(now.UnixMilli()-w.info.BornMillis) * time.Millisecond
+	return age > s.cfg.PriorOrders+bornMargin
 }
 
 // order decides an order for the VM.
--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -174,3 +174,32 @@
 	b.s.SetWave(fleet.Wave{Number: 1, VMs: []string{"a1", "a2", "a3"}, Within: 2 * time.Second, MaxDown: 3}, b.now, nil)
 	require.Len(t, b.planFor(time.Second), 1, "the wave is late, and its VMs are drained together")
 }
+
+// TestTakeover_LeavesVMsOfRecentOrders replays the start of a turn just after a
+// takeover: VMs that the last owner may have ordered lately are left alone, the
+// others move at once.
+func TestTakeover_LeavesVMsOfRecentOrders(t *testing.T) {
+	b := newBench(t)
+	old := b.now.Add(-time.Minute).UnixMilli()
+	for name, born := range map[string]int64{"a1": old, "o1": old, "o2": old, "o3": old, "o4": old, "o5": b.now.UnixMilli() - 500} {
+		pool := testPool
+		if name[0] == 'o' {
+			pool = otherPool
+		}
+		b.addVM(name, pool, 4)
+		w := b.fleet["w-"+name]
+		w.BornMillis = born
+		b.fleet["w-"+name] = w
+	}
+	b.s = b.newOwner(2)
+	b.s.cfg.PriorOrders = 3 * time.Second
+	for i := range 12 {
+		b.s.Submit(b.job(jobID(i), fleet.Step{Count: 2, EstimateMillis: 900}), b.now)
+	}
+	moved := map[string]bool{}
+	for _, o := range b.planFor(time.Second) {
+		moved[o.VM] = true
+	}
+	require.NotEmpty(t, moved, "no VM moves until the last owner's orders are over")
+	require.NotContains(t, moved, "o5", "the last owner may have ordered this VM a moment ago")
+}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -138,14 +138,14 @@
 			busy++
 		case v.draining == VMMaintain && v.wave == w.def.Number:
 			draining = append(draining, v)
-		case v.settled(now) && v.draining == VMNoOrder:
+		case s.orderable(v, now) && v.draining == VMNoOrder:
 			waiting = append(waiting, v)
 		}
 	}
 	pressed := s.pressed(w, now)
 	sort.Slice(draining, func(i, k int) bool { return s.runsOn(draining[i]) < s.runsOn(draining[k]) })
 	for _, v := range draining {
-		if busy < w.def.MaxDown && v.settled(now) && s.mayMaintain(v, pressed, now) {
+		if busy < w.def.MaxDown && s.orderable(v, now) && s.mayMaintain(v, pressed, now) {
 			s.order(v, VMOrder{Kind: VMMaintain, VM: v.info.Name, Wave: w.def.Number}, now)
 			busy++
 		} else if worker := s.workerOf(v); worker != nil {
