Size pools without a margin, by the arrivals of 0.6 s

Ruled out: lasting tasks, which hold three to five VMs a pool. Change: no margin over the demand, a longer window.

--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -9,7 +9,7 @@
 
 const (
 	// moveMargin is how much more room than its demand a pool gets.
-	moveMargin = 1.15
+	moveMargin = 1.0
 	// idleBeforeMove is how long a VM must be empty before it is given away.
 	idleBeforeMove = 250 * time.Millisecond
 	// idleBeforeSpare is how long a VM must be empty before it is switched off.
@@ -21,7 +21,7 @@
 	unplacedFor = 500 * time.Millisecond
 	// arrivalWindow is over how long the rate of arriving work is measured: at the
 	// start of a turn the backlog shows the need half a second later.
-	arrivalWindow = 400 * time.Millisecond
+	arrivalWindow = 600 * time.Millisecond
 	// hotShare is the use of a pool's room from which it counts as hot.
 	hotShare = 0.85
 )
