--- a/fleetentry/fleetvms.go
+++ b/fleetentry/fleetvms.go
@@ -5,6 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/periodic"
+
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/scheduler"
@@ -39,16 +43,7 @@
 func (f *FleetVMs) run(o *Owner) func(context.Context) {
 	return func(ctx context.Context) {
 		o.spawn(ctx, func(ctx context.Context) { f.list(ctx, o) })
-		timer := time.NewTicker(planVMsEvery)
-		defer timer.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-timer.C:
-				f.plan(ctx, o)
-			}
-		}
+		periodic.Run(ctx, clockwork.NewRealClock(), planVMsEvery, func(ctx context.Context) { f.plan(ctx, o) })
 	}
 }
 
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -69,12 +69,6 @@
 	listedAt time.Time
 }
 
-// workersRead is the platform's list of workers, or why it could not be read.
-type workersRead struct {
-	list fleet.Records
-	err  error
-}
-
 // Run owns the fleet until the context ends or the term is lost.
 func (o *Owner) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -115,88 +109,6 @@
 	}()
 }
 
-// takeOver fences earlier owners and builds the state from the ledger.
-func (o *Owner) takeOver(ctx context.Context) error {
-	term := ctx
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	offset, err := o.journal.Begin(ctx, ledger.OwnerRecord(o.self(time.Now(), false)))
-	if err != nil {
-		return err
-	}
-	// The others must hear of the owner while it reads the ledger.
-	o.spawn(term, o.journal.Run)
-	o.spawn(term, o.heartbeat)
-	listed := make(chan workersRead, 1)
-	o.spawn(ctx, func(ctx context.Context) {
-		list, err := o.store.WorkerRecords(ctx)
-		listed <- workersRead{list: list, err: err}
-	})
-	for {
-		if err := o.follower.CatchUp(ctx); err != nil && ctx.Err() != nil {
-			return err
-		}
-		reached := false
-		o.follower.Read(func(v *ledger.View) { reached = v.OwnerOffset >= offset })
-		if reached {
-			break
-		}
-		sleep(ctx, planPause)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	o.config.Token = o.token
-	o.config.Lease = leaseFor
-	now := time.Now()
-	if !o.graceful {
-		o.config.PriorOrders = o.orderLease
-	}
-	o.config.PriorLease = authority + leaseFor
-	sched := scheduler.New(o.config, now)
-	if m := o.operator.Manifest(); m != nil {
-		sched.SetManifest(m)
-	}
-	read := <-listed
-	if read.err != nil {
-		return read.err
-	}
-	o.listed = newWorkerList(o.decoder, o.log)
-	o.listed.take(read.list)
-	sched.SetWorkers(o.listed.workers, now)
-	o.follower.Read(func(v *ledger.View) {
-		for _, j := range v.Jobs {
-			sched.Restore(j, now)
-		}
-	})
-	o.mu.Lock()
-	o.sched = sched
-	o.mu.Unlock()
-	return nil
-}
-
-// catchUp takes in what reached the ledger between the takeover and Listen.
-func (o *Owner) catchUp() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	o.follower.Read(func(v *ledger.View) {
-		for _, j := range v.Jobs {
-			if j.Submission != nil && j.Result.Outcome == ledger.OutcomeNone {
-				o.sched.Submit(j.Submission, now)
-				if j.Cancelled {
-					o.sched.Cancel(j.Submission.ID, now)
-				}
-			}
-		}
-	})
-	if m := o.operator.Manifest(); m != nil {
-		o.sched.SetManifest(m)
-	}
-	o.flush(now)
-	o.nudge()
-}
-
 // heard takes in new records of entries.
 func (o *Owner) heard(records []fleet.Record) {
 	o.mu.Lock()
@@ -348,39 +260,3 @@
 		o.mu.Unlock()
 	}
 }
-
-// heartbeat tells the entries that there is an owner.
-func (o *Owner) heartbeat(ctx context.Context) {
-	timer := time.NewTicker(heartbeatEvery)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		o.mu.Lock()
-		now := time.Now()
-		self := o.self(now, false)
-		if o.sched != nil {
-			self.Load = o.sched.Loads(now)
-		}
-		o.mu.Unlock()
-		// While the store is away, one waiting heartbeat is as good as many.
-		if o.journal.Pending() < maxWaitingEntries {
-			o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(self)})
-		}
-	}
-}
-
-// Release ends the term so that another entry can claim the fleet at once.
-func (o *Owner) Release(ctx context.Context) {
-	o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(o.self(time.Now(), true))})
-	for ctx.Err() == nil && !o.journal.Fenced() && o.journal.Pending() > 0 {
-		sleep(ctx, planPause)
-	}
-}
-
-func (o *Owner) self(now time.Time, released bool) ledger.Owner {
-	return ledger.Owner{Token: o.token, Node: o.node, Released: released, AtMillis: now.UnixMilli()}
-}
--- a/fleetentry/sweep.go
+++ b/fleetentry/sweep.go
@@ -4,6 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"github.com/anvilcourse/anvilcourse/periodic"
+
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
 )
@@ -21,17 +25,10 @@
 // sweep forgets jobs some time after their end. Entries' records go first: a job
 // whose result alone is left is not known to anyone.
 func (o *Owner) sweep(ctx context.Context) {
-	timer := time.NewTicker(sweepEvery)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	periodic.Run(ctx, clockwork.NewRealClock(), sweepEvery, func(ctx context.Context) {
 		ended := o.endedBefore(time.Now().Add(-o.keepState - sweepMargin))
 		if len(ended) == 0 || !o.journal.Authorized(time.Now()) {
-			continue
+			return
 		}
 		var entries, own []fleet.Record
 		for _, id := range ended {
@@ -44,14 +41,14 @@
 		cancel()
 		if err != nil {
 			o.log.Info("old jobs could not be forgotten", "jobs", len(ended), "error", err)
-			continue
+			return
 		}
 		o.journal.Put(0, own)
 		o.mu.Lock()
 		o.sched.Forget(ended)
 		o.mu.Unlock()
 		o.log.Info("old jobs are forgotten", "jobs", len(ended))
-	}
+	})
 }
 
 func (o *Owner) endedBefore(limit time.Time) []string {
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -9,6 +9,3 @@
 	kindOwner        = 'o'
 	kindWave         = 'w'
 )
-
-// ownerKey is the key of the owner's record, of which there is one.
-const ownerKey = "o"
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -33,7 +33,6 @@
 	s       *Scheduler
 	batches []Batch
 	fenced  bool
-	dead    bool
 }
 
 type modelWorker struct {
