Take back the refusal by expected wait

Cause: jobs that cannot be on time are served late or never; refusing them at once was tried, with the owner's backlog in its heartbeat. Change: the trial and what only it needed are removed. Conclusion: refused work hides the arrivals by which pools grow; a refusal must count as an arrival before it is tried again.

--- a/fleet/call.go
+++ b/fleet/call.go
@@ -50,15 +50,13 @@
 	ReplyTooLarge
 	// ReplyNotRun tells that the job was not accepted and will not run.
 	ReplyNotRun
-	// ReplyBusy is ReplyNotRun for want of room.
-	ReplyBusy
 	// ReplyUnknown tells that the call may have taken effect.
 	ReplyUnknown
 )
 
 // String returns the name for logs.
 func (k ReplyKind) String() string {
-	return [...]string{"accepted", "state", "pending", "gone", "no_queue", "no_key", "forbidden", "bad", "too_large", "not_run", "busy", "unknown"}[k]
+	return [...]string{"accepted", "state", "pending", "gone", "no_queue", "no_key", "forbidden", "bad", "too_large", "not_run", "unknown"}[k]
 }
 
 // Reply is the answer to a call.
--- a/fleetentry/callers.go
+++ b/fleetentry/callers.go
@@ -136,19 +136,14 @@
 		return fleet.Reply{Kind: fleet.ReplyBad, Message: err.Error()}
 	}
 	known := false
-	var owner ledger.Owner
 	c.follower.Read(func(v *ledger.View) {
 		if j, there := v.Jobs[id]; there && j.Submission != nil {
 			known = true
 		}
-		owner = v.Owner
 	})
 	if known {
 		return fleet.Reply{Kind: fleet.ReplyAccepted}
 	}
-	if wait, busy := refuse(&sub, q, owner.Load[q.Name]); busy {
-		return fleet.Reply{Kind: fleet.ReplyBusy, RetryAfter: wait, Message: "the queue's backlog is longer than the job's objective"}
-	}
 	sub.ID, sub.Queue, sub.Team, sub.ArrivedMillis = id, q.Name, team, time.Now().UnixMilli()
 	return c.store(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, until)
 }
--- a/fleetentry/heartbeat.go
+++ b/fleetentry/heartbeat.go
@@ -15,13 +15,7 @@
 // heartbeat tells the entries that there is an owner.
 func (o *Owner) heartbeat(ctx context.Context) {
 	periodic.Run(ctx, clockwork.NewRealClock(), heartbeatEvery, func(context.Context) {
-		o.mu.Lock()
-		now := time.Now()
-		self := o.self(now, false)
-		if o.sched != nil {
-			self.Load = o.sched.Loads(now)
-		}
-		o.mu.Unlock()
+		self := o.self(time.Now(), false)
 		// While the store is away, one waiting heartbeat is as good as many.
 		if o.journal.Pending() < maxWaitingEntries {
 			o.journal.Put(0, []fleet.Record{ledger.OwnerRecord(self)})
