Hand out no free port twice

Ports were drawn at random, and one that nobody listened on yet could be drawn again. Ruled out: load; the log shows the same port in both settings.

--- a/fleetentry/harness_test.go
+++ b/fleetentry/harness_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/emulator"
+	"github.com/anvilcourse/anvilcourse/freeport"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
@@ -73,10 +73,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := freeport.Addresses(1)
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return addresses[0]
 }
 
 // startEntry starts one more entry.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/emulator"
+	"github.com/anvilcourse/anvilcourse/freeport"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -57,10 +57,9 @@
 }
 
 func address(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := freeport.Addresses(1)
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return addresses[0]
 }
 
 func build(t *testing.T) string {
