Check watches that heard nothing; look states up when they are asked for

Ruled out: a slow owner (its lines go on), a lost store (no such line), a trial whose owner did not wait in its reads: it heard of jobs all the while. Change: a read that waited in vain is followed by one that does not wait; if that one brings records, reads do not wait for 1.2 s. Entries that stand by read rarely, and a question for a state that may still change makes a read at once. What a pool has and needs is logged once a second. The claim looks at the age of the owner's stream alone.

--- a/emulator/read.go
+++ b/emulator/read.go
@@ -20,7 +20,9 @@
 			return
 		}
 		changed := s.changed
-		if from < t.end() || number(r, "wait-ms", 0) == 0 {
+		waits := number(r, "wait-ms", 0) > 0
+		deaf := waits && time.Now().Before(s.deafUntil)
+		if !deaf && from < t.end() || !waits {
 			out := t.read(from)
 			s.mu.Unlock()
 			_, _ = w.Write(out)
@@ -33,6 +35,9 @@
 			return
 		case <-deadline:
 			s.mu.Lock()
+			if time.Now().Before(s.deafUntil) {
+				from = t.end()
+			}
 			out := t.read(from)
 			s.mu.Unlock()
 			_, _ = w.Write(out)
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -35,7 +35,9 @@
 	fault func(r *http.Request) StoreFault
 	// delay is added to each answer.
 	delay time.Duration
-	calls map[string]int
+	// deafUntil is until when reads that wait hear of no record.
+	deafUntil time.Time
+	calls     map[string]int
 }
 
 type record struct {
@@ -85,6 +87,21 @@
 	s.delay = d
 }
 
+// Deafen lets reads that wait hear of no record for the span; those that do not
+// wait are answered in full.
+func (s *Store) Deafen(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deafUntil = time.Now().Add(span)
+}
+
+// Calls returns how many calls of the path have been made.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
 // Put writes a record as the operator or a worker does.
 func (s *Store) Put(topicName, key string, value any) {
 	raw, err := json.Marshal(value)
--- a/fleetentry/callers.go
+++ b/fleetentry/callers.go
@@ -20,6 +20,10 @@
 	// staleState is the age from which the state no longer proves that a job
 	// does not exist.
 	staleState = 2 * time.Second
+	// refreshPatience bounds how long a question for a job's state waits for the
+	// store; after it the entry tells what it knows. The store answers in 4 ms as a
+	// rule and is up to sixty times slower on bad days.
+	refreshPatience = 300 * time.Millisecond
 	// storeLostRetry is when to come back to an entry that has lost the store.
 	storeLostRetry = time.Second
 	// idDigits is the length of a job's ID.
@@ -84,7 +88,7 @@
 	case fleet.CallSubmit:
 		return c.submit(ctx, m, q, team, id, call, until), q.Name, id
 	case fleet.CallState:
-		return c.state(id), q.Name, id
+		return c.state(ctx, id), q.Name, id
 	case fleet.CallCancel:
 		return c.cancel(ctx, id, until), q.Name, id
 	default:
@@ -161,13 +165,16 @@
 	}
 }
 
-func (c *Callers) state(id string) fleet.Reply {
-	state := ledger.StateUnknown
-	c.follower.Read(func(v *ledger.View) {
-		if j, known := v.Jobs[id]; known {
-			state = j.State()
-		}
-	})
+// state tells how far a job is. A state that can still change is looked up again
+// in the store: entries read it rarely by themselves.
+func (c *Callers) state(ctx context.Context, id string) fleet.Reply {
+	state := c.known(id)
+	if !state.Final() {
+		refreshCtx, cancel := context.WithTimeout(ctx, refreshPatience)
+		c.follower.Refresh(refreshCtx, state != ledger.StateUnknown)
+		cancel()
+		state = c.known(id)
+	}
 	if state != ledger.StateUnknown {
 		return fleet.Reply{Kind: fleet.ReplyState, State: string(state)}
 	}
@@ -177,16 +184,21 @@
 	return fleet.Reply{Kind: fleet.ReplyGone}
 }
 
-// cancel stores the cancellation, also of a job that is not known yet: its
-// submission may be on its way.
-func (c *Callers) cancel(ctx context.Context, id string, until time.Time) fleet.Reply {
+// known returns the job's state as this entry knows it.
+func (c *Callers) known(id string) ledger.State {
 	state := ledger.StateUnknown
 	c.follower.Read(func(v *ledger.View) {
 		if j, known := v.Jobs[id]; known {
 			state = j.State()
 		}
 	})
-	switch state {
+	return state
+}
+
+// cancel stores the cancellation, also of a job that is not known yet: its
+// submission may be on its way.
+func (c *Callers) cancel(ctx context.Context, id string, until time.Time) fleet.Reply {
+	switch c.known(id) {
 	case ledger.StateCancelled:
 		return fleet.Reply{Kind: fleet.ReplyAccepted}
 	case ledger.StateCompleted, ledger.StateFailed:
--- a/fleetentry/claim.go
+++ b/fleetentry/claim.go
@@ -79,7 +79,7 @@
 
 // due reports whether the fleet has no owner that is heard.
 func (c *Claimer) due(now time.Time) (bool, string) {
-	age, known := c.follower.Age(now)
+	age, known := c.follower.LedgerAge(now)
 	if !known || age > freshFollow {
 		return false, ""
 	}
--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -14,14 +14,19 @@
 )
 
 const (
-	// followPause is the pause between two reads of an entry that stands by: a
-	// state may be that old when it is shown, and each read is priced.
-	followPause = 90 * time.Millisecond
+	// ledgerPause is the pause of an entry that stands by between two reads of the
+	// owner's stream, jobPause that of the entries' stream. Each read is priced, and
+	// callers that ask for a job's state end the pause.
+	ledgerPause = 220 * time.Millisecond
+	jobPause    = 500 * time.Millisecond
 	// ownerFollowPause is the pause of the owner, for which new jobs wait.
 	ownerFollowPause = 12 * time.Millisecond
 	// followWait is how long a read waits for the first record. The owner's
 	// heartbeat ends it earlier as a rule.
-	followWait = 600 * time.Millisecond
+	followWait = 350 * time.Millisecond
+	// ownerFollowWait is the same for the owner's read of new jobs: watches that
+	// hear of nothing are found out that soon.
+	ownerFollowWait = 150 * time.Millisecond
 	// readTimeout bounds a read beyond its wait: the store answers in 4 ms and
 	// is up to sixty times slower on bad days.
 	readTimeout = 1200 * time.Millisecond
@@ -45,23 +50,11 @@
 	listener func([]fleet.Record)
 }
 
-// followed is one stream and how far it has been read.
-type followed struct {
-	name string
-	// step lets one read at a time be under way.
-	step sync.Mutex
-	// next is the offset to read from; -1 before the first read.
-	next int64
-	// readAt is when the last successful read was sent.
-	readAt time.Time
-	lost   bool
-}
-
 // NewFollower returns a follower that has read nothing.
 func NewFollower(store Store, log hclog.Logger) *Follower {
 	return &Follower{
 		store: store, log: log.Named("follower"), view: ledger.NewView(),
-		streams: [2]*followed{{name: jobStream, next: -1}, {name: ledgerStream, next: -1}},
+		streams: [2]*followed{newFollowed(jobStream), newFollowed(ledgerStream)},
 	}
 }
 
@@ -80,25 +73,57 @@
 
 func (f *Follower) follow(ctx context.Context, s *followed) {
 	for ctx.Err() == nil {
-		err := f.read(ctx, s, followWait)
-		pause := followPause
-		f.mu.RLock()
-		if f.listener != nil && s.name == jobStream {
-			pause = ownerFollowPause
+		wait, pause := f.rhythm(s)
+		again, err := f.read(ctx, s, wait)
+		if again {
+			continue
 		}
-		f.mu.RUnlock()
 		if err != nil {
 			pause = readRetry
 		}
-		sleep(ctx, pause)
+		s.pause(ctx, pause)
+	}
+}
+
+// rhythm returns how long a read of the stream waits and the pause after it.
+func (f *Follower) rhythm(s *followed) (wait, pause time.Duration) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	switch {
+	case s.name == ledgerStream:
+		return followWait, ledgerPause
+	case f.listener != nil:
+		return ownerFollowWait, ownerFollowPause
+	default:
+		return followWait, jobPause
 	}
 }
 
+// Refresh makes the state as new as the store can tell, as far as the context
+// allows. The ledger tells how far a job is, the entries' stream whether it exists.
+func (f *Follower) Refresh(ctx context.Context, known bool) {
+	var group sync.WaitGroup
+	for _, s := range f.streams {
+		if known && s.name == jobStream {
+			continue
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s.refresh(ctx)
+		}()
+	}
+	group.Wait()
+}
+
 // CatchUp reads both streams up to their ends.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	results := make(chan error, len(f.streams))
 	for _, s := range f.streams {
-		go func() { results <- f.read(ctx, s, 0) }()
+		go func() {
+			_, err := f.read(ctx, s, 0)
+			results <- err
+		}()
 	}
 	var failed error
 	for range f.streams {
@@ -109,18 +134,19 @@
 	return failed
 }
 
-// read makes one read of the stream and applies what it brings.
-func (f *Follower) read(ctx context.Context, s *followed, wait time.Duration) error {
+// read makes one read of the stream, which waits for a record up to wait, and
+// applies what it brings. Another read should follow at once if again is true.
+func (f *Follower) read(ctx context.Context, s *followed, wait time.Duration) (again bool, err error) {
 	s.step.Lock()
 	defer s.step.Unlock()
 	sent := time.Now()
+	wait = s.pace.wait(sent, wait)
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	f.mu.RLock()
 	next := s.next
 	f.mu.RUnlock()
 	var got fleet.Records
-	var err error
 	fresh := next < 0
 	if !fresh {
 		got, err = f.store.Tail(ctx, s.name, next, wait)
@@ -135,10 +161,11 @@
 	}
 	if err != nil {
 		f.failed(s, err)
-		return err
+		return false, err
 	}
 	f.apply(s, got, sent, fresh)
-	return nil
+	s.pace.took(time.Now(), wait, len(got.Items) > 0)
+	return s.pace.checks(), nil
 }
 
 func (f *Follower) failed(s *followed, err error) {
@@ -205,9 +232,18 @@
 
 // Age returns how old the state may be; ok is false before the first read.
 func (f *Follower) Age(now time.Time) (age time.Duration, ok bool) {
+	return f.age(now, f.streams[:])
+}
+
+// LedgerAge returns how old what the owner has written may be.
+func (f *Follower) LedgerAge(now time.Time) (age time.Duration, ok bool) {
+	return f.age(now, f.streams[1:])
+}
+
+func (f *Follower) age(now time.Time, streams []*followed) (age time.Duration, ok bool) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	for _, s := range f.streams {
+	for _, s := range streams {
 		if s.readAt.IsZero() {
 			return 0, false
 		}
--- a/fleetentry/workerlist.go
+++ b/fleetentry/workerlist.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// workersWait is how long a read of the workers' reports waits.
-	workersWait = 500 * time.Millisecond
+	// workersWait is how long a read of the workers' reports waits: new workers are
+	// wanted soon, also while watches hear of nothing.
+	workersWait = 250 * time.Millisecond
 	// workersPause is the pause between two reads.
 	workersPause = 100 * time.Millisecond
 )
@@ -23,6 +24,7 @@
 	log     hclog.Logger
 	workers map[string]fleet.Worker
 	next    int64
+	pace    watchPace
 }
 
 func newWorkerList(decoder Decoder, log hclog.Logger) *workerList {
@@ -50,8 +52,9 @@
 // watchWorkers follows the platform's list of workers.
 func (o *Owner) watchWorkers(ctx context.Context) {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, workersWait+readTimeout)
-		got, err := o.store.TailWorkers(callCtx, o.listed.next, workersWait)
+		wait := o.listed.pace.wait(time.Now(), workersWait)
+		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+		got, err := o.store.TailWorkers(callCtx, o.listed.next, wait)
 		if code := provider.CodeOf(err); code == provider.CodeTrimmed || code == provider.CodeNotFound {
 			got, err = o.store.WorkerRecords(callCtx)
 			if err == nil {
@@ -65,6 +68,10 @@
 			continue
 		}
 		o.listed.take(got)
+		o.listed.pace.took(time.Now(), wait, len(got.Items) > 0)
+		if o.listed.pace.checks() {
+			continue
+		}
 		o.mu.Lock()
 		now := time.Now()
 		o.sched.SetWorkers(o.listed.workers, now)
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -29,6 +29,11 @@
 	StateCancelled State = "cancelled"
 )
 
+// Final reports whether the state is one that does not change any more.
+func (s State) Final() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
 // State returns the job's state.
 func (j *Job) State() State {
 	switch {
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -16,10 +16,10 @@
 	Attempt int
 }
 
-// Subject names what the ID is of: a request, a worker or a VM.
+// Subject names what the ID is of: a request, a worker, a VM or a pool.
 func (e *Event) Subject() string {
 	switch about, _, _ := strings.Cut(e.What, "."); about {
-	case "worker", "vm":
+	case "worker", "vm", "pool":
 		return about
 	default:
 		return "request"
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -36,6 +36,9 @@
 	// taken and asked for. Both in thousandths of a core.
 	capacity int64
 	demand   int64
+	// running, waiting and arriving are the parts of the demand: what runs, what
+	// waits and can be on time, and what it takes to keep up with arrivals.
+	running, waiting, arriving int64
 	// perVM is the room of one VM.
 	perVM int64
 	// apart is how many VMs a step needs whose tasks must not share one.
@@ -104,7 +107,7 @@
 	for _, w := range s.workers {
 		for _, t := range w.tasks {
 			if !t.step.def.Filling {
-				at(w.info.Pool).demand += t.step.def.Need.MilliCPU
+				at(w.info.Pool).running += t.step.def.Need.MilliCPU
 			}
 		}
 	}
@@ -122,8 +125,10 @@
 		}
 	}
 	for name, rate := range s.arrivalRates(now) {
-		p := at(name)
-		p.demand = max(p.demand, rate)
+		at(name).arriving = rate
+	}
+	for _, p := range out {
+		p.demand = max(p.running, p.arriving)
 	}
 	for st := range s.ready {
 		if p := at(st.run.job.queue.Pool); st.waitingSince(now) > unplacedFor && p.demand < p.capacity {
@@ -132,7 +137,9 @@
 		if st.def.Filling || rankOf(st, now).class > 1 {
 			continue
 		}
-		at(st.run.job.queue.Pool).demand += int64(st.waiting) * st.def.Need.MilliCPU
+		p := at(st.run.job.queue.Pool)
+		p.waiting += int64(st.waiting) * st.def.Need.MilliCPU
+		p.demand += int64(st.waiting) * st.def.Need.MilliCPU
 	}
 	return out
 }
@@ -191,6 +198,7 @@
 		}
 	}
 	s.switchOff(names, now)
+	s.reportPools(now)
 }
 
 // moveTo orders the VM to the pool and keeps the counts.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,13 +31,14 @@
 	waves    map[int64]*wave
 	pools    map[string]*poolState
 	// arrivals holds the work that has come lately, oldest first.
-	arrivals []arrival
-	batch    Batch
-	inFlight map[int64]*Batch
-	number   int64
-	events   []Event
-	deposed  bool
-	tookAt   time.Time
+	arrivals        []arrival
+	poolsReportedAt time.Time
+	batch           Batch
+	inFlight        map[int64]*Batch
+	number          int64
+	events          []Event
+	deposed         bool
+	tookAt          time.Time
 }
 
 // New returns a scheduler that has taken over at the time.
