Try lost looks and orders again soon

Starts without an answer cost 0.5 s. Change: a look may take 0.25 s beyond its wait and is tried once more before its worker counts as unreachable; while looks are lost, those at workers with tasks that end wait for 0.25 s only. Orders get three tries of 0.15, 0.25 and 0.5 s.

--- a/fleetentry/lookloop.go
+++ b/fleetentry/lookloop.go
@@ -5,14 +5,10 @@
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 const (
-	// lookWait is how long a look at a worker with runs waits for an end. Each
-	// look is priced; an end ends the wait.
-	lookWait = 900 * time.Millisecond
-	// lookTimeout bounds a look beyond its wait.
-	lookTimeout = 700 * time.Millisecond
 	// lookGap is the pause between two looks, so that ends that come together
 	// are taken together.
 	lookGap = 20 * time.Millisecond
@@ -79,46 +75,77 @@
 // look makes one look, which waits for an end if it is patient; ok is false once
 // there is nothing to look at. Two looks may be under way at once.
 func (l *lookLoop) look(ctx context.Context, patient bool) (pause time.Duration, unstored, ok bool) {
-	o := l.owner
-	id := l.to.WorkerID
-	o.mu.Lock()
-	sent := time.Now()
-	authorized := o.journal.Authorized(sent)
-	order, known := o.sched.PrepareLook(id, sent, authorized)
-	busy, _ := o.sched.Busy(id)
-	o.mu.Unlock()
-	if !known {
-		return 0, false, false
-	}
-	wait := time.Duration(0)
-	if order.DeadlineMillis > 0 && patient {
-		wait = lookWait
+	a := l.try(ctx, patient, lookAnswer)
+	if a.known && a.err != nil && provider.OutcomeOf(a.err) == provider.Unknown {
+		a = l.tryAgain(ctx, a)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+lookTimeout)
-	look, err := o.workers.Look(callCtx, l.to, order, wait)
-	cancel()
-	if ctx.Err() != nil {
+	if !a.known || ctx.Err() != nil {
 		return 0, false, false
 	}
-	o.metrics.Add("looks", 1)
+	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
-	if err != nil {
-		o.sched.LookFailed(id, err, now)
+	if a.err != nil {
+		o.sched.LookFailed(l.to.WorkerID, a.err, now)
 		o.flush(now)
 		return missedLook, false, true
 	}
-	o.sched.Looked(id, &look, sent, now)
+	o.sched.Looked(l.to.WorkerID, &a.look, a.sent, now)
 	o.flush(now)
 	o.nudge()
-	still, unstored := o.sched.Busy(id)
-	switch {
-	case still || busy:
+	still, unstored := o.sched.Busy(l.to.WorkerID)
+	if still || a.busy {
 		return lookGap, unstored, true
-	default:
-		return idleLook, unstored, true
 	}
+	return idleLook, unstored, true
+}
+
+// lookAnswered is what became of one try of a look.
+type lookAnswered struct {
+	look fleet.Look
+	err  error
+	sent time.Time
+	// known tells that the worker is one to look at, busy that it had runs.
+	known, busy bool
+}
+
+// tryAgain makes the second try after one without an answer.
+func (l *lookLoop) tryAgain(ctx context.Context, first lookAnswered) lookAnswered {
+	second := l.try(ctx, false, lookAgain)
+	if second.known && second.err == nil && ctx.Err() == nil {
+		o := l.owner
+		o.metrics.Add("looks_lost", 1)
+		o.mu.Lock()
+		now := time.Now()
+		o.lookPace.answeredAgain(now, now.Sub(second.sent))
+		o.mu.Unlock()
+		second.busy = second.busy || first.busy
+	}
+	return second
+}
+
+// try sends one look and waits for its answer up to the time beyond its own wait.
+func (l *lookLoop) try(ctx context.Context, patient bool, beyond time.Duration) lookAnswered {
+	o := l.owner
+	o.mu.Lock()
+	out := lookAnswered{sent: time.Now()}
+	order, known := o.sched.PrepareLook(l.to.WorkerID, out.sent, o.journal.Authorized(out.sent))
+	out.busy, _ = o.sched.Busy(l.to.WorkerID)
+	wait := time.Duration(0)
+	if order.DeadlineMillis > 0 && patient {
+		wait = o.lookPace.wait(out.sent, o.sched.Ending(l.to.WorkerID))
+	}
+	o.mu.Unlock()
+	out.known = known
+	if !known {
+		return out
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+beyond)
+	defer cancel()
+	out.look, out.err = o.workers.Look(callCtx, l.to, order, wait)
+	o.metrics.Add("looks", 1)
+	return out
 }
 
 // followWorkers keeps one look loop for each worker. The lock is held.
--- a/fleetentry/orders.go
+++ b/fleetentry/orders.go
@@ -9,18 +9,15 @@
 )
 
 const (
-	// orderTimeout bounds one order to a worker, which answers in a few ms.
-	orderTimeout = 500 * time.Millisecond
-	// startTries is how often a start without an answer is sent: the worker
-	// takes a repeat of the same run as the same run.
-	startTries = 2
-	// stopTries is how often a stop without an answer is sent at once; the
-	// scheduler repeats it later.
-	stopTries = 2
 	// askTimeout bounds a question to the advice service.
 	askTimeout = 3 * time.Second
 )
 
+// orderTimeouts bound the tries of one order to a worker, which answers in a few
+// ms as a rule: the first is over soon, the last leaves time for a slow one. The
+// worker takes a repeat of a start as the same run; the scheduler repeats stops.
+var orderTimeouts = [...]time.Duration{150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond}
+
 // start sends one start and takes the answer in.
 func (o *Owner) start(s scheduler.Start) {
 	err := o.trySend(s)
@@ -41,11 +38,11 @@
 	}
 }
 
-// trySend sends the start, and once more if there is no answer. A refusal of the
-// second try says nothing of the first, which may still be carried out.
+// trySend sends the start, and again if there is no answer. A refusal of a later
+// try says nothing of the earlier ones, which may still be carried out.
 func (o *Owner) trySend(s scheduler.Start) error {
 	var unknown error
-	for range startTries {
+	for _, timeout := range orderTimeouts {
 		now := time.Now()
 		if !o.journal.Authorized(now) {
 			if unknown != nil {
@@ -53,7 +50,7 @@
 			}
 			return &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseLapsed, Message: "the owner cannot prove that it still is"}
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		_, err := o.workers.Start(ctx, s.To, s.Order)
 		cancel()
 		o.metrics.Observe("start", time.Since(now))
@@ -86,8 +83,8 @@
 		return
 	}
 	var err error
-	for range stopTries {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	for _, timeout := range orderTimeouts {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		_, err = o.workers.Stop(ctx, s.To, s.Task, s.Attempt, o.token)
 		cancel()
 		if err == nil || provider.OutcomeOf(err) != provider.Unknown {
@@ -107,7 +104,7 @@
 
 // pace sends one order to let a run work at a share of its speed.
 func (o *Owner) pace(p scheduler.Pace) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeouts[len(orderTimeouts)-1])
 	defer cancel()
 	if _, err := o.workers.Pace(ctx, p.To, p.Task, p.Attempt, p.Percent, o.token); err != nil {
 		o.log.Info("pace failed", "request", p.Task.String(), "worker", p.To.WorkerID, "percent", p.Percent, "error", err)
--- a/fleetentry/orders_test.go
+++ b/fleetentry/orders_test.go
@@ -25,9 +25,9 @@
 	return 0, s.answers[s.calls-1]
 }
 
-// TestTrySend_OutcomeOfTwoTries replays starts whose first try had no answer: a
-// refusal of the second says nothing of the first (TWICE on the grown quiet day).
-func TestTrySend_OutcomeOfTwoTries(t *testing.T) {
+// TestTrySend_OutcomeOfTries replays starts whose first tries had no answer: a
+// refusal of a later one says nothing of them (TWICE on the grown quiet day).
+func TestTrySend_OutcomeOfTries(t *testing.T) {
 	fail := func(outcome provider.Outcome, code provider.Code) error {
 		return &provider.Error{Op: "worker.start", Outcome: outcome, Code: code}
 	}
@@ -44,7 +44,9 @@
 		{"silent, then no connection", []error{silent, fail(provider.Refused, provider.CodeUnreachable)}, provider.Unknown, 2},
 		{"silent, then no room", []error{silent, fail(provider.Refused, provider.CodeNoRoom)}, provider.Unknown, 2},
 		{"silent, then another life", []error{silent, fail(provider.Refused, provider.CodeOtherLife)}, provider.Refused, 2},
-		{"silent twice", []error{silent, silent}, provider.Unknown, 2},
+		{"silent twice, then done", []error{silent, silent, nil}, "", 3},
+		{"silent twice, then no room", []error{silent, silent, fail(provider.Refused, provider.CodeNoRoom)}, provider.Unknown, 3},
+		{"silent", []error{silent, silent, silent}, provider.Unknown, len(orderTimeouts)},
 	}
 	for _, c := range cases {
 		workers := &scriptedWorkers{answers: c.answers}
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -55,10 +55,12 @@
 	sched   *scheduler.Scheduler
 	journal *Journal
 	looks   map[string]*lookLoop
-	kick    chan struct{}
-	group   sync.WaitGroup
-	cancel  context.CancelFunc
-	began   time.Time
+	// lookPace is guarded by mu.
+	lookPace lookPace
+	kick     chan struct{}
+	group    sync.WaitGroup
+	cancel   context.CancelFunc
+	began    time.Time
 	// owns tells that the takeover is over.
 	owns atomic.Bool
 	// graceful terms begin after the last owner has stopped by itself, or as the
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -111,3 +111,17 @@
 	}
 	return len(w.tasks) > 0, w.handled > w.recorded
 }
+
+// Ending reports whether the worker has runs that end by themselves.
+func (s *Scheduler) Ending(id string) bool {
+	w, known := s.workers[id]
+	if !known {
+		return false
+	}
+	for _, t := range w.tasks {
+		if !t.step.def.Lasting {
+			return true
+		}
+	}
+	return false
+}
