Write jobs aside while the store is slow; answer calls within their time

Cause: the store does the appends of a stream one after the other. An append under way was also not given up when its caller's time was over. Ruled out: too few VMs (205 were switched off meanwhile); the owner (one token all the time). Change: an entry whose last append was slow or refused as unavailable writes to one of five other streams for two seconds. The owner follows all and tells in its heartbeat which are in use; the others read those only. An entry notes what it has stored itself. A call that has not been sent when its time is over has not run; one that has been sent is unknown.

--- a/fleetentry/appender.go
+++ b/fleetentry/appender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -25,8 +26,11 @@
 type Appender struct {
 	store Store
 	queue chan *appendCall
-	// patience is used by Run alone.
+	// stored runs after records have been stored, with the stream's index.
+	stored func(index int, records []fleet.Record)
+	// patience and choice are used by Run alone.
 	patience appendPatience
+	choice   streamChoice
 }
 
 type appendCall struct {
@@ -38,11 +42,21 @@
 	result       chan error
 	// unknown tells that an earlier try may have taken effect.
 	unknown bool
+	// phase settles whether the call is sent or its caller has given up before.
+	phase atomic.Int32
 }
 
-// NewAppender returns an appender; Run must run for it to work.
-func NewAppender(store Store) *Appender {
-	return &Appender{store: store, queue: make(chan *appendCall, 4*maxGroup)}
+// Phases of a call.
+const (
+	callWaits int32 = iota
+	callSent
+	callWithdrawn
+)
+
+// NewAppender returns an appender of the node; Run must run for it to work. The
+// follower learns at once of what has been stored.
+func NewAppender(store Store, follower *Follower, node string) *Appender {
+	return &Appender{store: store, stored: follower.Note, choice: newStreamChoice(node), queue: make(chan *appendCall, 4*maxGroup)}
 }
 
 // Append returns once the records are stored. The error's outcome is Refused
@@ -58,12 +72,25 @@
 	default:
 		return &provider.Error{Op: "ledger.append", Outcome: provider.Refused, Code: provider.CodeFull, Message: "too many calls wait for the store"}
 	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
 	select {
 	case err := <-call.result:
 		return err
 	case <-ctx.Done():
-		return &provider.Error{Op: "ledger.append", Outcome: provider.Unknown, Code: provider.CodeTimeout, Message: "the caller left"}
+		return call.giveUp("the caller left")
+	case <-timer.C:
+		return call.giveUp("the store has not answered in time")
+	}
+}
+
+// giveUp ends the wait of the call's caller: what has not been sent never will be.
+func (c *appendCall) giveUp(why string) error {
+	outcome := provider.Unknown
+	if c.phase.CompareAndSwap(callWaits, callWithdrawn) {
+		outcome = provider.Refused
 	}
+	return &provider.Error{Op: "ledger.append", Outcome: outcome, Code: provider.CodeTimeout, Message: why}
 }
 
 // Run serves calls until the context ends. One group is under way at a time:
@@ -92,6 +119,7 @@
 
 // storeGroup appends one group, again and again while its callers wait.
 func (a *Appender) storeGroup(ctx context.Context, group []*appendCall) {
+	group = sendable(group)
 	for len(group) > 0 {
 		var records []fleet.Record
 		for _, call := range group {
@@ -99,22 +127,37 @@
 		}
 		sent := time.Now()
 		tryCtx, cancel := context.WithTimeout(ctx, a.patience.timeout())
-		_, _, err := a.store.Append(tryCtx, jobStream, records, fleet.AppendTerms{})
+		index := a.choice.pick(sent)
+		_, _, err := a.store.Append(tryCtx, jobStreams[index], records, fleet.AppendTerms{})
 		cancel()
-		a.patience.learn(time.Since(sent), err)
+		now := time.Now()
+		a.patience.learn(now.Sub(sent), err)
+		a.choice.learn(now, now.Sub(sent), err)
 		if err == nil {
+			a.stored(index, records)
 			for _, call := range group {
 				call.result <- nil
 			}
 			return
 		}
-		group = remaining(group, err, time.Now())
+		group = remaining(group, err, now)
 		if len(group) > 0 {
 			sleep(ctx, appendRetry)
 		}
 	}
 }
 
+// sendable returns the calls whose callers still wait, and marks them as sent.
+func sendable(group []*appendCall) []*appendCall {
+	var out []*appendCall
+	for _, call := range group {
+		if call.phase.CompareAndSwap(callWaits, callSent) {
+			out = append(out, call)
+		}
+	}
+	return out
+}
+
 // remaining answers the calls whose time is up and returns the others.
 func remaining(group []*appendCall, err error, now time.Time) []*appendCall {
 	var left []*appendCall
--- a/fleetentry/callers.go
+++ b/fleetentry/callers.go
@@ -78,7 +78,7 @@
 		return fleet.Reply{Kind: fleet.ReplyNoKey, Message: "the key is not known"}, q.Name, id
 	}
 	if id == "" {
-		return c.pending(q, call), q.Name, id
+		return c.pending(ctx, q, call), q.Name, id
 	}
 	if !validID(id) {
 		return fleet.Reply{Kind: fleet.ReplyBad, Message: "a job's ID has 16 hexadecimal digits"}, q.Name, id
@@ -119,10 +119,11 @@
 	return true
 }
 
-func (c *Callers) pending(q *fleet.Queue, call fleet.Call) fleet.Reply {
+func (c *Callers) pending(ctx context.Context, q *fleet.Queue, call fleet.Call) fleet.Reply {
 	if call.Kind != fleet.CallState {
 		return fleet.Reply{Kind: fleet.ReplyBad, Message: "the path names no job"}
 	}
+	c.refresh(ctx, false)
 	if age, ok := c.follower.Age(time.Now()); !ok || age > staleState {
 		return fleet.Reply{Kind: fleet.ReplyNotRun, RetryAfter: storeLostRetry, Message: "the state is too old"}
 	}
@@ -170,9 +171,7 @@
 func (c *Callers) state(ctx context.Context, id string) fleet.Reply {
 	state := c.known(id)
 	if !state.Final() {
-		refreshCtx, cancel := context.WithTimeout(ctx, refreshPatience)
-		c.follower.Refresh(refreshCtx, state != ledger.StateUnknown)
-		cancel()
+		c.refresh(ctx, state != ledger.StateUnknown)
 		state = c.known(id)
 	}
 	if state != ledger.StateUnknown {
@@ -184,6 +183,14 @@
 	return fleet.Reply{Kind: fleet.ReplyGone}
 }
 
+// refresh waits some time for the newest state; known tells that whether the job
+// exists is not in question.
+func (c *Callers) refresh(ctx context.Context, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, refreshPatience)
+	defer cancel()
+	c.follower.Refresh(ctx, known)
+}
+
 // known returns the job's state as this entry knows it.
 func (c *Callers) known(id string) ledger.State {
 	state := ledger.StateUnknown
--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -110,7 +110,7 @@
 
 // ready tells the balancer whether the entry can serve.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	age, known := d.follower.Age(time.Now())
+	age, known := d.follower.LedgerAge(time.Now())
 	if d.stopping.Load() || d.operator.Manifest() == nil || !known || age > readyAge {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/fleetentry/followed.go
+++ b/fleetentry/followed.go
@@ -9,6 +9,8 @@
 // followed is one stream and how far it has been read.
 type followed struct {
 	name string
+	// index is the stream's among those of entries, or noJobs.
+	index int
 	// step lets one read at a time be under way.
 	step sync.Mutex
 	// next is the offset to read from; -1 before the first read.
@@ -16,7 +18,9 @@
 	// readAt is when the last successful read was sent.
 	readAt time.Time
 	lost   bool
-	pace   watchPace
+	// written tells that an entry has written of a job to the stream.
+	written bool
+	pace    watchPace
 
 	// pausing tells that no read is under way: what is known is as old as readAt.
 	// It is guarded by turns.
@@ -28,8 +32,11 @@
 	demanded chan struct{}
 }
 
-func newFollowed(name string) *followed {
-	return &followed{name: name, next: -1, finished: make(chan struct{}), demanded: make(chan struct{}, 1)}
+// noJobs is the index of a stream to which entries do not write.
+const noJobs = -1
+
+func newFollowed(name string, index int) *followed {
+	return &followed{name: name, index: index, next: -1, finished: make(chan struct{}), demanded: make(chan struct{}, 1)}
 }
 
 // pause waits for the span or until somebody demands a read.
--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -15,18 +15,21 @@
 
 const (
 	// ledgerPause is the pause of an entry that stands by between two reads of the
-	// owner's stream, jobPause that of the entries' stream. Each read is priced, and
-	// callers that ask for a job's state end the pause.
+	// owner's stream, jobPause that of the entries' streams. Each read is priced, and
+	// callers that ask for a job's state end the pause. The store keeps some twenty
+	// seconds of history.
 	ledgerPause = 220 * time.Millisecond
-	jobPause    = 500 * time.Millisecond
+	jobPause    = 2 * time.Second
 	// ownerFollowPause is the pause of the owner, for which new jobs wait.
 	ownerFollowPause = 12 * time.Millisecond
 	// followWait is how long a read waits for the first record. The owner's
 	// heartbeat ends it earlier as a rule.
 	followWait = 350 * time.Millisecond
 	// ownerFollowWait is the same for the owner's read of new jobs: watches that
-	// hear of nothing are found out that soon.
+	// hear of nothing are found out that soon. ownerAsideWait is that of the streams
+	// that are used on the store's slow days only.
 	ownerFollowWait = 150 * time.Millisecond
+	ownerAsideWait  = time.Second
 	// readTimeout bounds a read beyond its wait: the store answers in 4 ms and
 	// is up to sixty times slower on bad days.
 	readTimeout = 1200 * time.Millisecond
@@ -38,9 +41,10 @@
 // owner write to streams of their own, so that neither waits for the other's
 // appends.
 type Follower struct {
-	store   Store
-	log     hclog.Logger
-	streams [2]*followed
+	store  Store
+	log    hclog.Logger
+	ledger *followed
+	jobs   [len(jobStreams)]*followed
 
 	mu   sync.RWMutex
 	view *ledger.View
@@ -52,16 +56,20 @@
 
 // NewFollower returns a follower that has read nothing.
 func NewFollower(store Store, log hclog.Logger) *Follower {
-	return &Follower{
+	f := &Follower{
 		store: store, log: log.Named("follower"), view: ledger.NewView(),
-		streams: [2]*followed{newFollowed(jobStream), newFollowed(ledgerStream)},
+		ledger: newFollowed(ledgerStream, noJobs),
 	}
+	for i, name := range jobStreams {
+		f.jobs[i] = newFollowed(name, i)
+	}
+	return f
 }
 
-// Run reads both streams until the context ends.
+// Run reads all streams until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, s := range f.streams {
+	for _, s := range f.streams() {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -73,40 +81,31 @@
 
 func (f *Follower) follow(ctx context.Context, s *followed) {
 	for ctx.Err() == nil {
-		wait, pause := f.rhythm(s)
-		again, err := f.read(ctx, s, wait)
-		if again {
-			continue
-		}
-		if err != nil {
-			pause = readRetry
+		wait, pause, due := f.rhythm(s)
+		if due {
+			again, err := f.read(ctx, s, wait)
+			if again {
+				continue
+			}
+			if err != nil {
+				pause = readRetry
+			}
 		}
 		s.pause(ctx, pause)
 	}
 }
 
-// rhythm returns how long a read of the stream waits and the pause after it.
-func (f *Follower) rhythm(s *followed) (wait, pause time.Duration) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	switch {
-	case s.name == ledgerStream:
-		return followWait, ledgerPause
-	case f.listener != nil:
-		return ownerFollowWait, ownerFollowPause
-	default:
-		return followWait, jobPause
-	}
-}
-
 // Refresh makes the state as new as the store can tell, as far as the context
-// allows. The ledger tells how far a job is, the entries' stream whether it exists.
+// allows. The ledger tells how far a job is, the entries' streams whether it exists.
 func (f *Follower) Refresh(ctx context.Context, known bool) {
+	f.mu.RLock()
+	streams := f.used()
+	f.mu.RUnlock()
+	if known {
+		streams = streams[:1]
+	}
 	var group sync.WaitGroup
-	for _, s := range f.streams {
-		if known && s.name == jobStream {
-			continue
-		}
+	for _, s := range streams {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -116,17 +115,28 @@
 	group.Wait()
 }
 
-// CatchUp reads both streams up to their ends.
+// Note takes in records that this entry has appended to the stream of the index, so
+// that it knows of them before it reads them.
+func (f *Follower) Note(index int, records []fleet.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range records {
+		f.take(f.jobs[index], r)
+	}
+}
+
+// CatchUp reads all streams up to their ends.
 func (f *Follower) CatchUp(ctx context.Context) error {
-	results := make(chan error, len(f.streams))
-	for _, s := range f.streams {
+	streams := f.streams()
+	results := make(chan error, len(streams))
+	for _, s := range streams {
 		go func() {
 			_, err := f.read(ctx, s, 0)
 			results <- err
 		}()
 	}
 	var failed error
-	for range f.streams {
+	for range streams {
 		if err := <-results; err != nil {
 			failed = err
 		}
@@ -185,9 +195,7 @@
 	}
 	for _, r := range got.Items {
 		heard = heard || ledger.ByOwner(r)
-		if err := f.view.Apply(r); err != nil {
-			f.log.Warn("a record of the ledger cannot be read", "key", r.Key, "offset", r.Offset, "error", err)
-		}
+		f.take(s, r)
 	}
 	s.next = max(s.next, got.Next)
 	s.readAt = sent
@@ -200,14 +208,26 @@
 	s.lost = false
 	listener := f.listener
 	f.mu.Unlock()
-	if listener != nil && s.name == jobStream && len(got.Items) > 0 {
+	if listener != nil && s.index != noJobs && len(got.Items) > 0 {
 		listener(got.Items)
 	}
 }
 
-// forget drops the jobs that a whole read of the entries' stream no longer has.
+// take applies one record. The lock is held.
+func (f *Follower) take(s *followed, r fleet.Record) {
+	if err := f.view.Apply(r); err != nil {
+		f.log.Warn("a record cannot be read", "stream", s.name, "key", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	if id, kind := ledger.JobOf(r); kind != ledger.RecordOther {
+		s.written = true
+		f.view.WrittenTo(id, s.index)
+	}
+}
+
+// forget drops the jobs that a whole read of an entries' stream no longer has.
 func (f *Follower) forget(s *followed, got fleet.Records) {
-	if s.name != jobStream {
+	if s.index == noJobs {
 		return
 	}
 	there := make(map[string]bool, len(got.Items))
@@ -217,7 +237,7 @@
 		}
 	}
 	for id, j := range f.view.Jobs {
-		if !there[id] && j.Submission != nil && j.EndedAtMillis > 0 {
+		if !there[id] && j.In.Only(s.index) && j.Submission != nil && j.EndedAtMillis > 0 {
 			f.view.Drop(id)
 		}
 	}
@@ -230,28 +250,6 @@
 	do(f.view)
 }
 
-// Age returns how old the state may be; ok is false before the first read.
-func (f *Follower) Age(now time.Time) (age time.Duration, ok bool) {
-	return f.age(now, f.streams[:])
-}
-
-// LedgerAge returns how old what the owner has written may be.
-func (f *Follower) LedgerAge(now time.Time) (age time.Duration, ok bool) {
-	return f.age(now, f.streams[1:])
-}
-
-func (f *Follower) age(now time.Time, streams []*followed) (age time.Duration, ok bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	for _, s := range streams {
-		if s.readAt.IsZero() {
-			return 0, false
-		}
-		age = max(age, bothclocks.Most(now, s.readAt))
-	}
-	return age, true
-}
-
 // Silence returns for how long the owner has not been heard, by both clocks.
 func (f *Follower) Silence(now time.Time) time.Duration {
 	f.mu.RLock()
@@ -262,12 +260,16 @@
 // Listen hands new records to the listener from now on; nil ends that. It
 // returns once no earlier listener runs.
 func (f *Follower) Listen(listener func([]fleet.Record)) {
-	jobs := f.streams[0]
-	jobs.step.Lock()
-	defer jobs.step.Unlock()
+	for _, s := range f.jobs {
+		s.step.Lock()
+		defer s.step.Unlock()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listener = listener
+	for _, s := range f.jobs {
+		signal(s.demanded)
+	}
 }
 
 // sleep waits for the span or the end of the context.
--- a/fleetentry/harness_test.go
+++ b/fleetentry/harness_test.go
@@ -93,7 +93,7 @@
 	metrics := NewMetrics()
 	follower := NewFollower(store, log)
 	operator := NewOperatorWatch(store, platform.Decoder{}, log)
-	appender := NewAppender(store)
+	appender := NewAppender(store, follower, s.Node)
 	callers := NewCallers(follower, operator, appender, platform.Decoder{}, metrics, log)
 	d := newDaemon(s, store, platform.NewWorkers(), platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
 		platform.Decoder{}, log, metrics, follower, operator, appender, callers, platform.NewCallerHandler(callers))
--- a/fleetentry/heartbeat.go
+++ b/fleetentry/heartbeat.go
@@ -32,5 +32,5 @@
 }
 
 func (o *Owner) self(now time.Time, released bool) ledger.Owner {
-	return ledger.Owner{Token: o.token, Node: o.node, Released: released, AtMillis: now.UnixMilli()}
+	return ledger.Owner{Token: o.token, Node: o.node, Released: released, Aside: o.follower.Aside(), AtMillis: now.UnixMilli()}
 }
--- a/fleetentry/module.go
+++ b/fleetentry/module.go
@@ -30,7 +30,7 @@
 			func() Decoder { return platform.Decoder{} },
 			NewFollower,
 			NewOperatorWatch,
-			NewAppender,
+			func(s settings.FleetEntry, store Store, f *Follower) *Appender { return NewAppender(store, f, s.Node) },
 			NewCallers,
 			func(c *Callers) http.Handler { return platform.NewCallerHandler(c) },
 			newDaemon,
--- a/fleetentry/owner.go
+++ b/fleetentry/owner.go
@@ -93,6 +93,7 @@
 	defer o.operator.OnChange(nil)
 	defer o.follower.Listen(nil)
 	o.catchUp()
+	o.spawn(ctx, o.openStreams)
 	o.spawn(ctx, o.watchWorkers)
 	o.spawn(ctx, o.plan)
 	o.spawn(ctx, o.sweep)
--- a/fleetentry/store.go
+++ b/fleetentry/store.go
@@ -9,9 +9,7 @@
 
 // Streams that the product keeps in the store.
 const (
-	// jobStream holds what entries write of jobs, ledgerStream what the owner
-	// writes; see package ledger.
-	jobStream    = "jobs"
+	// ledgerStream holds what the owner writes; see package ledger.
 	ledgerStream = "ledger"
 	// claimStream holds one record a claim on the fleet; the offset behind it is
 	// the claim's fencing token.
--- a/fleetentry/sweep.go
+++ b/fleetentry/sweep.go
@@ -30,33 +30,59 @@
 		if len(ended) == 0 || !o.journal.Authorized(time.Now()) {
 			return
 		}
-		var entries, own []fleet.Record
-		for _, id := range ended {
-			dropped, result := ledger.DropJob(id)
-			entries = append(entries, dropped...)
+		var own []fleet.Record
+		var entries [len(jobStreams)][]fleet.Record
+		for _, job := range ended {
+			dropped, result := ledger.DropJob(job.id)
+			for i := range entries {
+				if job.in.Has(i) {
+					entries[i] = append(entries[i], dropped...)
+				}
+			}
 			own = append(own, result)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, mostPatience)
-		_, _, err := o.store.Append(callCtx, jobStream, entries, fleet.AppendTerms{})
-		cancel()
-		if err != nil {
+		if err := o.drop(ctx, entries); err != nil {
 			o.log.Info("old jobs could not be forgotten", "jobs", len(ended), "error", err)
 			return
 		}
 		o.journal.Put(0, own)
 		o.mu.Lock()
-		o.sched.Forget(ended)
+		for _, job := range ended {
+			o.sched.Forget(job.id)
+		}
 		o.mu.Unlock()
 		o.log.Info("old jobs are forgotten", "jobs", len(ended))
 	})
 }
 
-func (o *Owner) endedBefore(limit time.Time) []string {
-	var out []string
+// drop appends the records that forget jobs to the streams that hold them.
+func (o *Owner) drop(ctx context.Context, entries [len(jobStreams)][]fleet.Record) error {
+	for i, records := range entries {
+		if len(records) == 0 {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, mostPatience)
+		_, _, err := o.store.Append(callCtx, jobStreams[i], records, fleet.AppendTerms{})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// endedJob is a job to forget and the entries' streams that hold it.
+type endedJob struct {
+	id string
+	in ledger.StreamSet
+}
+
+func (o *Owner) endedBefore(limit time.Time) []endedJob {
+	var out []endedJob
 	o.follower.Read(func(v *ledger.View) {
 		for id, j := range v.Jobs {
 			if j.EndedAtMillis > 0 && j.EndedAtMillis < limit.UnixMilli() && len(out) < maxSwept {
-				out = append(out, id)
+				out = append(out, endedJob{id: id, in: j.In})
 			}
 		}
 	})
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -75,6 +75,18 @@
 	return nil
 }
 
+// openStreams makes the streams of entries that nobody has written to yet, so that
+// reads can wait for their first record.
+func (o *Owner) openStreams(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	for _, name := range o.follower.EmptyJobStreams() {
+		if _, _, err := o.store.Append(ctx, name, []fleet.Record{ledger.MarkerRecord()}, fleet.AppendTerms{}); err != nil {
+			o.log.Info("a stream could not be opened", "stream", name, "error", err)
+		}
+	}
+}
+
 // catchUp takes in what reached the ledger between the takeover and Listen.
 func (o *Owner) catchUp() {
 	o.mu.Lock()
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -12,6 +12,8 @@
 	Tasks map[fleet.TaskID]Assignment
 	// Begun tells that a task has been assigned at some time.
 	Begun bool
+	// In is in which of the entries' streams the job has records.
+	In StreamSet
 	// EndedAtMillis is when the job was cancelled or ended; 0 for neither.
 	EndedAtMillis int64
 }
--- a/ledger/jobof.go
+++ b/ledger/jobof.go
@@ -31,3 +31,8 @@
 func ByOwner(r fleet.Record) bool {
 	return r.Key != "" && (r.Key[0] == kindAssignment || r.Key[0] == kindResult || r.Key[0] == kindOwner)
 }
+
+// MarkerRecord returns a record that means nothing: it opens a stream.
+func MarkerRecord() fleet.Record {
+	return fleet.Record{Key: string(rune(kindMarker)), Value: []byte{1}}
+}
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -8,4 +8,5 @@
 	kindResult       = 'r'
 	kindOwner        = 'o'
 	kindWave         = 'w'
+	kindMarker       = '-'
 )
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -94,6 +94,13 @@
 	return nil
 }
 
+// WrittenTo notes that the entries' stream of the index has a record of the job.
+func (v *View) WrittenTo(id string, index int) {
+	if j, known := v.Jobs[id]; known {
+		j.In = j.In.With(index)
+	}
+}
+
 // Drop forgets a job.
 func (v *View) Drop(id string) {
 	if j, known := v.Jobs[id]; known && j.isPending() {
--- a/scheduler/forget.go
+++ b/scheduler/forget.go
@@ -1,12 +1,10 @@
 package scheduler
 
-// Forget drops jobs that have ended and have no runs left.
-func (s *Scheduler) Forget(ids []string) {
-	for _, id := range ids {
-		delete(s.past, id)
-		if j, known := s.jobs[id]; known && j.ended && !j.hasRuns() {
-			delete(s.jobs, id)
-		}
+// Forget drops a job that has ended and has no runs left.
+func (s *Scheduler) Forget(id string) {
+	delete(s.past, id)
+	if j, known := s.jobs[id]; known && j.ended && !j.hasRuns() {
+		delete(s.jobs, id)
 	}
 }
 
