Foresee the arrivals of a turn; leave lives that are over alone

A VM that was moved stays on the platform's list for some heartbeats: its old worker was taken for a new one and looked at in vain. Before the first job 293 VMs idled for two seconds each. Ruled out: the way from a move to the first task (1.5 to 1.75 s, 1.5 of it the move itself). Change: the rate is the largest over 0.6, 0.3 and 0.15 s, the shorter ones less their uncertainty, with the growth since the 0.6 s before. The births of lives that are over are remembered while the platform lists them. VMs are switched off at once before the first job.

--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -19,9 +19,6 @@
 	// unplacedFor is how long a task may wait in a pool that seems to have room
 	// before the pool gets another VM.
 	unplacedFor = 500 * time.Millisecond
-	// arrivalWindow is over how long the rate of arriving work is measured: at the
-	// start of a turn the backlog shows the need half a second later.
-	arrivalWindow = 600 * time.Millisecond
 	// hotShare is the use of a pool's room from which it counts as hot.
 	hotShare = 0.85
 )
@@ -124,7 +121,7 @@
 			}
 		}
 	}
-	for name, rate := range s.arrivalRates(now) {
+	for name, rate := range s.arrivals.rates(now) {
 		at(name).arriving = rate
 	}
 	for _, p := range out {
@@ -144,26 +141,6 @@
 	return out
 }
 
-// arrival is the work of one job that has come.
-type arrival struct {
-	at          time.Time
-	pool        string
-	coreSeconds float64
-}
-
-// arrivalRates returns the cores that it takes to keep up with what has come
-// lately, by pool, in thousandths.
-func (s *Scheduler) arrivalRates(now time.Time) map[string]int64 {
-	for len(s.arrivals) > 0 && now.Sub(s.arrivals[0].at) > arrivalWindow {
-		s.arrivals = s.arrivals[1:]
-	}
-	out := map[string]int64{}
-	for _, a := range s.arrivals {
-		out[a.pool] += int64(a.coreSeconds * 1e3 / arrivalWindow.Seconds())
-	}
-	return out
-}
-
 // hot reports whether the pool had little room at the last look at all pools.
 func (s *Scheduler) hot(pool string) bool {
 	p, known := s.pools[pool]
@@ -260,6 +237,15 @@
 	return s.isSpare(v.info.Pool) || now.Sub(v.emptySince) >= idleBeforeMove
 }
 
+// idleBeforeSpare returns how long a VM must be empty before it is switched off.
+// Before the first job nothing tells that a VM will be needed soon.
+func (s *Scheduler) idleBeforeSpare() time.Duration {
+	if len(s.jobs) == 0 && len(s.past) == 0 {
+		return 0
+	}
+	return idleBeforeSpare
+}
+
 // switchOff moves VMs that have been idle for long to the spare pool.
 func (s *Scheduler) switchOff(names []string, now time.Time) {
 	spare := ""
@@ -279,7 +265,7 @@
 		for range p.surplus() {
 			var idle *vm
 			for _, v := range p.vms {
-				if s.movable(v, now) && now.Sub(v.emptySince) > idleBeforeSpare && (idle == nil || v.emptySince.Before(idle.emptySince)) {
+				if s.movable(v, now) && now.Sub(v.emptySince) > s.idleBeforeSpare() && (idle == nil || v.emptySince.Before(idle.emptySince)) {
 					idle = v
 				}
 			}
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -223,3 +223,21 @@
 	b.s.blame(w, "third", b.now)
 	require.True(t, w.usable(b.now.Add(maxQuarantine)) || !w.usable(b.now.Add(time.Hour)))
 }
+
+// TestWorkers_LifeThatIsOverStaysOver replays a list that still holds the worker of
+// a VM that has been moved: it is not looked at again, but its next life is.
+func TestWorkers_LifeThatIsOverStaysOver(t *testing.T) {
+	b := newBench(t)
+	b.addWorker("w-1", testPool, 2)
+	b.s.EndLife("w-1", b.now, "its VM is moved")
+	b.s.SetWorkers(b.fleet, b.now)
+	require.Empty(t, b.s.Targets(), "a life that is over is looked at")
+	again := b.fleet["w-1"]
+	again.BornMillis++
+	b.fleet["w-1"] = again
+	b.s.SetWorkers(b.fleet, b.now)
+	require.Len(t, b.s.Targets(), 1)
+	b.s.EndLife("w-1", b.now, "it is gone")
+	b.s.SetWorkers(map[string]fleet.Worker{}, b.now)
+	require.Empty(t, b.s.buried, "lives are remembered that the list has dropped")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,7 +14,10 @@
 	manifest *fleet.Manifest
 	jobs     map[string]*job
 	workers  map[string]*worker
-	teams    map[string]*team
+	// buried holds the birth of workers' lives that are over, while the platform
+	// still lists them.
+	buried map[string]int64
+	teams  map[string]*team
 	// past holds the jobs that had ended when this owner took over: runs of theirs
 	// may still be stopping.
 	past map[string]*fleet.Submission
@@ -24,14 +27,13 @@
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// timed holds the jobs with occurrences to come.
-	timed    map[*job]struct{}
-	vms      map[string]*vm
-	vmsAt    time.Time
-	vmOrders []VMOrder
-	waves    map[int64]*wave
-	pools    map[string]*poolState
-	// arrivals holds the work that has come lately, oldest first.
-	arrivals        []arrival
+	timed           map[*job]struct{}
+	vms             map[string]*vm
+	vmsAt           time.Time
+	vmOrders        []VMOrder
+	waves           map[int64]*wave
+	pools           map[string]*poolState
+	arrivals        arrivals
 	poolsReportedAt time.Time
 	batch           Batch
 	inFlight        map[int64]*Batch
@@ -48,6 +50,7 @@
 		manifest: &fleet.Manifest{},
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
+		buried:   map[string]int64{},
 		teams:    map[string]*team{},
 		queues:   map[string]fleet.Queue{},
 		ready:    map[*step]struct{}{},
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -154,7 +154,7 @@
 	}
 	j := s.add(sub, now)
 	if !j.lasting && !sub.Timed() {
-		s.arrivals = append(s.arrivals, arrival{at: now, pool: j.queue.Pool, coreSeconds: j.work})
+		s.arrivals.add(arrival{at: now, pool: j.queue.Pool, coreSeconds: j.work})
 	}
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -11,6 +11,11 @@
 	for id, info := range list {
 		s.setWorker(id, info, now)
 	}
+	for id := range s.buried {
+		if _, listed := list[id]; !listed {
+			delete(s.buried, id)
+		}
+	}
 	for id, w := range s.workers {
 		if _, listed := list[id]; !listed {
 			w.registered = false
@@ -27,6 +32,9 @@
 	if known && w.info.BornMillis != 0 && info.BornMillis != 0 && info.BornMillis < w.info.BornMillis {
 		return // A look has shown a later life already.
 	}
+	if born, over := s.buried[id]; over && !known && info.BornMillis != 0 && info.BornMillis <= born {
+		return // The list still holds a life that is over, for some heartbeats.
+	}
 	if known && w.info.BornMillis != 0 && info.BornMillis > w.info.BornMillis {
 		s.bury(w, now, "the worker has started again")
 		known = false
@@ -52,6 +60,7 @@
 	}
 	if s.workers[w.info.ID] == w {
 		delete(s.workers, w.info.ID)
+		s.buried[w.info.ID] = max(s.buried[w.info.ID], w.info.BornMillis)
 	}
 	s.note(Event{What: "worker.over", ID: w.info.ID, Why: why})
 }
