Look sooner again while looks are lost

Cause: with 6.7 % of the looks lost a busy worker is not seen for 0.5 s each time. Change: looks at workers with tasks that end wait for 0.15 s while looks are lost, and an answer may take 0.12 s beyond the wait.

--- a/fleetentry/lookpace.go
+++ b/fleetentry/lookpace.go
@@ -8,12 +8,12 @@
 	lookWait = 900 * time.Millisecond
 	// lossyLookWait is the same while workers leave looks unanswered: what a lost
 	// look would have told is known that much later.
-	lossyLookWait = 250 * time.Millisecond
+	lossyLookWait = 150 * time.Millisecond
 	// lossySpan is for how long after a lost look others are expected to be lost.
 	lossySpan = 3 * time.Second
 	// lookAnswer is how long the answer to a look may take beyond its wait: workers
 	// answer in a few ms, and a busy owner reads it somewhat later.
-	lookAnswer = 250 * time.Millisecond
+	lookAnswer = 120 * time.Millisecond
 	// lookAgain is the same for the second try, which decides whether the worker
 	// counts as unreachable.
 	lookAgain = 450 * time.Millisecond
