Finish waves in time: the list of VMs lags, and VMs that leave are replaced

Where a step's budget of two was used up, one task waited 4.3 s for its lease: the list of VMs still showed the worker of a maintained VM, and its order was taken for one without effect. Others waited 0.5 to 1.9 s for a VM: a pool that has just the VMs for tasks that must not share one has none to go to while some are drained. Change: an order that was answered counts as without effect after 1.2 s; VMs that are to leave do not count for tasks apart nor as room; lasting tasks are evicted from a drained VM step by step; looks at workers on which one starts wait for 0.3 s. TestVMOrder_CarriedOutBefore now waits for the lag of the list before it looks at the same outcome.

--- a/fleetentry/lookloop.go
+++ b/fleetentry/lookloop.go
@@ -134,7 +134,8 @@
 	out.busy, _ = o.sched.Busy(l.to.WorkerID)
 	wait := time.Duration(0)
 	if order.DeadlineMillis > 0 && patient {
-		wait = o.lookPace.wait(out.sent, o.sched.Ending(l.to.WorkerID))
+		ends, starts := o.sched.Expecting(l.to.WorkerID)
+		wait = o.lookPace.wait(out.sent, ends, starts)
 	}
 	o.mu.Unlock()
 	out.known = known
--- a/fleetentry/lookpace.go
+++ b/fleetentry/lookpace.go
@@ -9,6 +9,9 @@
 	// lossyLookWait is the same while workers leave looks unanswered: what a lost
 	// look would have told is known that much later.
 	lossyLookWait = 150 * time.Millisecond
+	// startingLookWait is the same while a lasting task has started and is not at
+	// work: it takes about a second.
+	startingLookWait = 300 * time.Millisecond
 	// lossySpan is for how long after a lost look others are expected to be lost.
 	lossySpan = 3 * time.Second
 	// lookAnswer is how long the answer to a look may take beyond its wait: workers
@@ -27,13 +30,18 @@
 // if the next is answered, but others will be lost, too.
 type lookPace struct{ lossyUntil time.Time }
 
-// wait returns how long a look waits for the next end; ending tells that the worker
-// has tasks that end by themselves.
-func (p *lookPace) wait(now time.Time, ending bool) time.Duration {
-	if ending && now.Before(p.lossyUntil) {
+// wait returns how long a look waits for the next end. It is short while looks are
+// lost at a worker whose tasks end by themselves, and at one with lasting tasks that
+// come to be at work: their steps may not miss others until that is seen.
+func (p *lookPace) wait(now time.Time, ends, starts bool) time.Duration {
+	switch {
+	case ends && now.Before(p.lossyUntil):
 		return lossyLookWait
+	case starts:
+		return startingLookWait
+	default:
+		return lookWait
 	}
-	return lookWait
 }
 
 // answeredAgain notes how long the answer to a second try took.
--- a/scheduler/budgets.go
+++ b/scheduler/budgets.go
@@ -32,7 +32,9 @@
 }
 
 // evict stops lasting tasks on a worker that is to lose all its runs, as far as
-// their steps' budgets allow, so that they start elsewhere in good time.
+// their steps' budgets allow, so that they start elsewhere in good time. Each step
+// goes at its own pace: waiting until all steps on a worker may miss their tasks at
+// once takes several times as long.
 func (s *Scheduler) evict(w *worker, now time.Time) {
 	if !w.looked || w.missed > 0 || !s.settled(now) {
 		return
@@ -45,16 +47,13 @@
 		if !st.def.HasDisruptionBudget {
 			continue
 		}
-		if st.here(w) > st.def.MayMiss && st.awayAnywhere() < st.def.MayMiss {
+		if st.awayAnywhere() < st.def.MayMiss {
 			s.note(Event{What: "task.evicted", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Why: "its VM is to be maintained"})
 			s.orderStop(t, now)
 		}
 	}
 }
 
-// here counts the step's tasks on the worker.
-func (s *step) here(w *worker) int { return s.onWorker[w.info.ID] }
-
 // awayAnywhere counts the step's tasks that are not known to be at work.
 func (s *step) awayAnywhere() int { return s.away(nil) }
 
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -20,10 +20,13 @@
 	runs  map[string]map[fleet.TaskID]*fakeRun
 	ended map[string][]fleet.FinishedRun
 	ends  int64
+	// startup is how long a lasting task takes until it is at work.
+	startup time.Duration
 }
 
 type fakeRun struct {
 	attempt int
+	began   time.Time
 	until   time.Time
 	lasting bool
 }
@@ -74,12 +77,14 @@
 }
 
 // listVMs tells the scheduler of the VMs, one for each worker.
-func (b *bench) listVMs() {
+func (b *bench) listVMs() { b.s.SetVMs(b.vms(), b.now, b.now) }
+
+func (b *bench) vms() []fleet.VM {
 	var list []fleet.VM
 	for id, w := range b.fleet {
 		list = append(list, fleet.VM{Name: id[2:], Pool: w.Pool, State: fleet.VMUp, Labels: w.Labels, Capacity: w.Capacity, WorkerID: id})
 	}
-	b.s.SetVMs(list, b.now, b.now)
+	return list
 }
 
 func (b *bench) job(id string, steps ...fleet.Step) *fleet.Submission {
@@ -114,12 +119,19 @@
 		}
 	}
 	for task, run := range b.runs[id] {
-		look.Active = append(look.Active, fleet.ActiveRun{Task: task, Attempt: run.attempt, Percent: 100})
+		look.Active = append(look.Active, fleet.ActiveRun{Task: task, Attempt: run.attempt, Percent: b.percent(run)})
 	}
 	look.Finished = append(look.Finished, b.ended[id]...)
 	b.s.Looked(id, &look, b.now, b.now)
 }
 
+func (b *bench) percent(run *fakeRun) int {
+	if run.lasting && b.now.Sub(run.began) < b.startup {
+		return 50
+	}
+	return 100
+}
+
 func (b *bench) end(id string, task fleet.TaskID, how fleet.RunEnd) {
 	b.ends++
 	b.ended[id] = append(b.ended[id], fleet.FinishedRun{Number: b.ends, Task: task, Attempt: b.runs[id][task].attempt, End: how})
@@ -160,7 +172,7 @@
 		require.False(b.t, there, "%s runs on %s and starts on %s", start.Order.Task, other, id)
 	}
 	t := b.s.find(start.Order.Task)
-	b.runs[id][start.Order.Task] = &fakeRun{attempt: start.Order.Attempt, until: b.now.Add(t.step.def.Estimate()), lasting: t.step.def.Lasting}
+	b.runs[id][start.Order.Task] = &fakeRun{attempt: start.Order.Attempt, began: b.now, until: b.now.Add(t.step.def.Estimate()), lasting: t.step.def.Lasting}
 	used := fleet.Resources{}
 	for task := range b.runs[id] {
 		used = used.Plus(b.s.find(task).need())
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -38,8 +38,10 @@
 	running, waiting, arriving int64
 	// perVM is the room of one VM.
 	perVM int64
-	// apart is how many VMs a step needs whose tasks must not share one.
-	apart int
+	// apart is how many VMs a step needs whose tasks must not share one, leaving is how
+	// many of vms get no new work because they are to be moved or maintained.
+	apart   int
+	leaving int
 	// stuck tells that a task has waited for long though there seems to be room.
 	stuck bool
 }
@@ -57,7 +59,7 @@
 	if p.stuck && p.incoming == 0 {
 		byRoom = max(byRoom, 1)
 	}
-	return max(byRoom, p.apart-len(p.vms)-p.incoming)
+	return max(byRoom, p.apart+p.leaving-len(p.vms)-p.incoming)
 }
 
 // spareVMs returns how many VMs the pool could do without.
@@ -66,7 +68,7 @@
 		return 0
 	}
 	over := (p.capacity - int64(float64(p.demand)*moveMargin)) / p.perVM
-	return max(0, min(int(over), len(p.vms)+p.incoming-max(poolFloor, p.apart)))
+	return max(0, min(int(over), len(p.vms)+p.incoming-p.leaving-max(poolFloor, p.apart)))
 }
 
 // poolStates works out what every pool has and needs.
@@ -96,7 +98,12 @@
 			p.capacity += v.info.Capacity.MilliCPU
 		case v.info.State == fleet.VMUp:
 			p.vms = append(p.vms, v)
-			if w := s.workerOf(v); w != nil && (w.usable(now) || w.cordoned) || s.isSpare(v.info.Pool) {
+			w := s.workerOf(v)
+			switch {
+			case w != nil && w.cordoned:
+				p.leaving++
+				p.capacity += w.used.MilliCPU
+			case w != nil && w.usable(now) || s.isSpare(v.info.Pool):
 				p.capacity += v.info.Capacity.MilliCPU
 			}
 		}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -47,8 +47,11 @@
 }
 
 const (
-	// listLag is how long an order's effect may take to show in the list of VMs.
-	listLag = 2 * time.Second
+	// listLag is how long the effect of an order that was answered with success may
+	// take to show in the list of VMs, which lags by up to 0.8 s; unsureListLag is the
+	// same for an order without an answer, which may also be carried out later.
+	listLag       = 1200 * time.Millisecond
+	unsureListLag = 2 * time.Second
 	// orderHoldOff is the pause after a refused order.
 	orderHoldOff = 500 * time.Millisecond
 )
@@ -83,7 +86,11 @@
 		return
 	}
 	took := listed.State != fleet.VMUp || listed.WorkerID != v.info.WorkerID
-	if !took && v.unsure && now.Sub(v.doneAt) < listLag {
+	lag := listLag
+	if v.unsure {
+		lag = unsureListLag
+	}
+	if !took && now.Sub(v.doneAt) < lag {
 		return
 	}
 	if w := s.workerOf(v); w != nil {
--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,7 +126,13 @@
 	w.BornMillis++
 	b.fleet[id] = w
 	b.s.VMOrdered(o, nil, b.now)
-	b.s.SetVMs([]fleet.VM{{Name: o.VM, Pool: w.Pool, State: fleet.VMInMaintenance}}, b.now.Add(time.Millisecond), b.now)
+	list := b.vms()
+	for i := range list {
+		if list[i].Name == o.VM {
+			list[i].State, list[i].WorkerID = fleet.VMInMaintenance, ""
+		}
+	}
+	b.s.SetVMs(list, b.now.Add(time.Millisecond), b.now)
 	b.s.SetWorkers(b.fleet, b.now)
 }
 
@@ -142,12 +149,63 @@
 	b.s.order(v, order, b.now)
 	b.s.VMOrdered(order, nil, b.now)
 	require.Equal(t, running, b.s.find(taskOf("j", 0)).phase, "the answer alone ends the worker's life")
-	b.pass(100 * time.Millisecond)
+	b.pass(listLag)
 	b.listVMs()
 	require.Nil(t, v.ordered)
 	require.Equal(t, running, b.s.find(taskOf("j", 0)).phase)
 }
 
+// TestVMOrder_ListLags replays an order whose effect the list of VMs shows later: the
+// worker's tasks start elsewhere as soon as it does, and not only when their leases
+// have run out (the last VMs of a wave of the grown sites).
+func TestVMOrder_ListLags(t *testing.T) {
+	b := newBench(t)
+	b.addVM("a1", testPool, 4)
+	b.addVM("a2", testPool, 4)
+	b.planFor(500 * time.Millisecond)
+	b.s.Submit(b.job("j", fleet.Step{EstimateMillis: second(60)}), b.now)
+	b.pass(200 * time.Millisecond)
+	w := b.s.find(taskOf("j", 0)).worker
+	name := w.info.ID[len("w-"):]
+	order := VMOrder{Kind: VMMaintain, VM: name, Wave: 3}
+	b.s.order(b.s.vms[name], order, b.now)
+	b.s.VMOrdered(order, nil, b.now)
+	b.now = b.now.Add(300 * time.Millisecond)
+	b.listVMs()
+	require.NotNil(t, b.s.vms[name].ordered, "a list that lags ends the order")
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.maintain(order)
+	require.True(t, w.dead)
+	b.s.Place(b.now)
+	require.NotNil(t, b.s.find(taskOf("j", 0)).worker, "the task waits for its lease")
+}
+
+// TestPools_ReplaceVMsThatLeave replays a wave in a pool that has just the VMs that a
+// step needs whose tasks must not share one: others are ordered before a task has
+// nowhere to go.
+func TestPools_ReplaceVMsThatLeave(t *testing.T) {
+	b := newBench(t)
+	names := []string{"a1", "a2", "a3", "a4"}
+	for _, name := range names {
+		b.addVM(name, testPool, 8)
+	}
+	for _, name := range []string{"s1", "s2"} {
+		b.addVM(name, sparePool, 8)
+	}
+	step := lasting(4, 1)
+	step.MaxPerWorker = 1
+	b.s.Submit(b.job("apart", step), b.now)
+	require.Empty(t, b.planFor(5*time.Second))
+	b.s.SetWave(fleet.Wave{Number: 1, VMs: names, Within: 20 * time.Second, MaxDown: 2}, b.now, nil)
+	moves := 0
+	for _, o := range b.planFor(200 * time.Millisecond) {
+		if o.Kind == VMMove && o.Pool == testPool {
+			moves++
+		}
+	}
+	require.NotZero(t, moves, "no VM comes for those that leave")
+}
+
 // TestWave_NewOwnerWaits lets what the last owner ordered take effect before it
 // disrupts a lasting task.
 func TestWave_NewOwnerWaits(t *testing.T) {
@@ -215,3 +273,49 @@
 	require.NotEmpty(t, moved, "no VM moves until the last owner's orders are over")
 	require.NotContains(t, moved, "o5", "the last owner may have ordered this VM a moment ago")
 }
+
+// TestWave_StepsGoAtTheirOwnPace replays a wave over VMs that hold tasks of several
+// steps each (the grown sites, where the last VMs were late): a step that may miss one
+// task goes on while another waits.
+func TestWave_StepsGoAtTheirOwnPace(t *testing.T) {
+	const (
+		vms     = 18
+		perVM   = 3
+		most    = 8
+		startup = time.Second
+	)
+	b := newBench(t)
+	b.startup = startup
+	wave := fleet.Wave{Number: 1, Within: 60 * time.Second, MaxDown: vms}
+	for i := range vms {
+		name := fmt.Sprintf("a%02d", i)
+		b.addVM(name, testPool, perVM)
+		wave.VMs = append(wave.VMs, name)
+	}
+	manifest := testManifest()
+	delete(manifest.Pools, sparePool)
+	b.s.SetManifest(manifest)
+	b.planFor(500 * time.Millisecond)
+	for i, left := 0, perVM*vms; left > most; i++ {
+		count := most - 4*(i%2)
+		left -= count
+		step := lasting(count, 1)
+		step.MaxPerWorker = 1
+		b.s.Submit(b.job(jobID(i), step), b.now)
+	}
+	b.planFor(5 * time.Second)
+	for i := range perVM * vms {
+		b.addVM(fmt.Sprintf("z%02d", i), testPool, 1)
+	}
+	b.s.SetWave(wave, b.now, nil)
+	began := b.now
+	for len(b.s.FinishedWaves()) == 0 {
+		require.Less(t, b.now.Sub(began), wave.Within, "the wave does not end")
+		for _, o := range b.planFor(100 * time.Millisecond) {
+			require.Equal(t, VMMaintain, o.Kind)
+			b.maintain(o)
+		}
+	}
+	t.Logf("the wave took %v", b.now.Sub(began))
+	require.Less(t, b.now.Sub(began), (most+2)*(startup+500*time.Millisecond), "steps wait for each other")
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -121,16 +121,20 @@
 	return len(w.tasks) > 0, w.handled > w.recorded
 }
 
-// Ending reports whether the worker has runs that end by themselves.
-func (s *Scheduler) Ending(id string) bool {
+// Expecting tells what a look at the worker may show soon: runs that end by
+// themselves, and lasting tasks that have started and come to be at work.
+func (s *Scheduler) Expecting(id string) (ends, starts bool) {
 	w, known := s.workers[id]
 	if !known {
-		return false
+		return false, false
 	}
 	for _, t := range w.tasks {
-		if !t.step.def.Lasting {
-			return true
+		switch {
+		case !t.step.def.Lasting:
+			ends = true
+		case t.mayRun() && t.percent < 100:
+			starts = true
 		}
 	}
-	return false
+	return ends, starts
 }
