--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -21,7 +21,8 @@
 	draining   VMOrderKind
 	drainingAt time.Time
 	wave       int64
-	// emptySince is when the last run on the VM ended; zero while it has runs.
+	// emptySince is when the last run on the VM ended, or when its worker came to its
+	// pool; zero while it has runs.
 	emptySince time.Time
 	// holdOff keeps orders off a VM whose last order was refused.
 	holdOff time.Time
@@ -68,6 +69,9 @@
 			s.vms[info.Name] = v
 		}
 		s.resolveOrder(v, info, sent, now)
+		if info.Pool != v.info.Pool || info.WorkerID != v.info.WorkerID {
+			v.emptySince = time.Time{} // A new worker has not idled yet.
+		}
 		v.info = info
 	}
 	for name := range s.vms {
@@ -208,6 +212,8 @@
 	for _, v := range s.vms {
 		w := s.workerOf(v)
 		switch {
+		case v.info.State != fleet.VMUp:
+			v.emptySince = time.Time{}
 		case w == nil || len(w.tasks) == 0:
 			if v.emptySince.IsZero() {
 				v.emptySince = now
--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -319,3 +319,25 @@
 	t.Logf("the wave took %v", b.now.Sub(began))
 	require.Less(t, b.now.Sub(began), (most+2)*(startup+500*time.Millisecond), "steps wait for each other")
 }
+
+// TestPools_NewVMsAreNotSwitchedOffAtOnce replays the growth of a pool: a VM that has
+// idled in the spare pool for long has not idled in its new one.
+func TestPools_NewVMsAreNotSwitchedOffAtOnce(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a1", "a2", "a3"} {
+		b.addVM(name, testPool, 8)
+	}
+	b.addVM("s1", sparePool, 8)
+	step := lasting(3, 1)
+	step.MaxPerWorker = 1
+	b.s.Submit(b.job("busy", step), b.now)
+	b.planFor(2 * idleBeforeSpare)
+	w := b.fleet["w-s1"]
+	w.Pool, w.BornMillis = testPool, w.BornMillis+1
+	b.fleet["w-s1"] = w
+	b.s.SetWorkers(b.fleet, b.now)
+	came := b.now
+	for _, o := range b.planFor(idleBeforeSpare) {
+		require.False(t, o.VM == "s1" && b.now.Sub(came) < idleBeforeSpare, "a VM is sent back that has just come")
+	}
+}
