Foresee growth only well beyond chance; switch idle VMs off after a second

Change: growth beyond two deviations, up to 0.3; idle VMs go after 1 s: a move and back costs about what 2.3 VM seconds cost. The test of growth replays a steeper ramp (150 jobs/s more each second): growth within two deviations is not foreseen now.

--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -16,8 +16,11 @@
 	// arrivalMemory is for how long arrivals are kept: the longest window, twice, so
 	// that the rate can be compared with the one before.
 	arrivalMemory = 2 * 600 * time.Millisecond
+	// growthBeyondChance is how many standard deviations of the count growth must
+	// exceed to be foreseen: a VM that comes in vain costs two moves.
+	growthBeyondChance = 2
 	// mostGrowth bounds the growth that is foreseen, as a part of the rate.
-	mostGrowth = 0.5
+	mostGrowth = 0.3
 )
 
 // arrival is the work of one job that has come.
@@ -96,7 +99,7 @@
 	if p.jobs[0] < fewestArrivals {
 		return rate
 	}
-	chance := rate / math.Sqrt(float64(p.jobs[0]))
+	chance := growthBeyondChance * rate / math.Sqrt(float64(p.jobs[0]))
 	growth := rate - p.before/arrivalWindows[0].Seconds() - chance
 	return rate + min(max(0, growth), mostGrowth*rate)
 }
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -13,7 +13,7 @@
 	// idleBeforeMove is how long a VM must be empty before it is given away.
 	idleBeforeMove = 250 * time.Millisecond
 	// idleBeforeSpare is how long a VM must be empty before it is switched off.
-	idleBeforeSpare = 2 * time.Second
+	idleBeforeSpare = time.Second
 	// poolFloor is how many VMs a pool always keeps.
 	poolFloor = 3
 	// unplacedFor is how long a task may wait in a pool that seems to have room
