--- a/fleetentry/faults_test.go
+++ b/fleetentry/faults_test.go
@@ -215,26 +215,40 @@
 }
 
 // TestRecovery_AllEntriesCrash loses all entries with work under way.
+// TestRecovery_AllEntriesCrash crashes all entries while the first steps of jobs run,
+// and once those have ended and their ends are recorded: work that is done is not
+// started again.
 func TestRecovery_AllEntriesCrash(t *testing.T) {
-	t.Parallel()
-	w := newWorld(t, 3)
-	w.owner()
-	var paths []string
-	for range 6 {
-		paths = append(paths, w.submit("books", twoSteps("long")))
-	}
-	time.Sleep(300 * time.Millisecond)
-	w.mu.Lock()
-	old := w.entries
-	w.entries, w.at = nil, nil
-	w.mu.Unlock()
-	for _, d := range old {
-		crash(d)
+	cases := []struct {
+		name  string
+		after time.Duration
+	}{
+		{name: "first steps run", after: 300 * time.Millisecond},
+		{name: "first steps have ended", after: 1100 * time.Millisecond},
 	}
-	w.startEntry()
-	w.startEntry()
-	for _, path := range paths {
-		w.awaitState(path, "completed")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			w.owner()
+			var paths []string
+			for range 6 {
+				paths = append(paths, w.submit("books", twoSteps("long")))
+			}
+			time.Sleep(c.after)
+			w.mu.Lock()
+			old := w.entries
+			w.entries, w.at = nil, nil
+			w.mu.Unlock()
+			for _, d := range old {
+				crash(d)
+			}
+			w.startEntry()
+			w.startEntry()
+			for _, path := range paths {
+				w.awaitState(path, "completed")
+			}
+			require.Empty(t, w.fleet.Violations())
+		})
 	}
-	require.Empty(t, w.fleet.Violations())
 }
