Write log lines whole: no write is larger than a pipe takes at once

Ruled out: goroutines that write into each other (the logger holds its lock for a whole line, and the queue takes copies); the level of load (calm seconds tear, too). Change: a write holds whole lines of at most 4,096 bytes, which a pipe takes at once. Before and after: TestLogSink_EveryLineIsWhole fails with the former sink and passes.

--- a/fleetentry/logsink.go
+++ b/fleetentry/logsink.go
@@ -11,6 +11,9 @@
 const (
 	// maxQueuedLogLines is how many lines may wait to be written.
 	maxQueuedLogLines = 4096
+	// maxLogWriteBytes bounds one write: a pipe takes up to this much at once, so that
+	// no line is torn by another writer's or cut by a reader with a small buffer.
+	maxLogWriteBytes = 4096
 	// logFlushTimeout bounds how long the final flush may take.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -56,9 +59,9 @@
 
 func (s *LogSink) run() {
 	defer close(s.done)
-	var batch []byte
+	batch := make([]byte, 0, maxLogWriteBytes)
 	for line := range s.lines {
-		batch = append(batch[:0], line...)
+		batch = s.add(batch, line)
 		for more := true; more; {
 			select {
 			case next, open := <-s.lines:
@@ -66,15 +69,32 @@
 					more = false
 					break
 				}
-				batch = append(batch, next...)
+				batch = s.add(batch, next)
 			default:
 				more = false
 			}
 		}
 		if n := s.dropped.Swap(0); n > 0 {
-			batch = fmt.Appendf(batch, "{\"@level\":\"warn\",\"@message\":\"log lines were dropped\",\"lines\":%d}\n", n)
+			batch = s.add(batch, fmt.Appendf(nil, "{\"@level\":\"warn\",\"@message\":\"log lines were dropped\",\"lines\":%d}\n", n))
 		}
+		batch = s.write(batch)
+	}
+}
+
+// add appends the line to the batch, which is written first if the line does not fit.
+// A line longer than maxLogWriteBytes is written alone.
+func (s *LogSink) add(batch, line []byte) []byte {
+	if len(batch)+len(line) > maxLogWriteBytes {
+		batch = s.write(batch)
+	}
+	return append(batch, line...)
+}
+
+// write writes the batch and returns it empty.
+func (s *LogSink) write(batch []byte) []byte {
+	if len(batch) > 0 {
 		// A failing output cannot be reported.
 		_, _ = s.out.Write(batch)
 	}
+	return batch[:0]
 }
--- a/fleetentry/logsink_test.go
+++ b/fleetentry/logsink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/settings"
 )
 
 // stuckOutput blocks until free is closed.
@@ -50,3 +53,45 @@
 	require.Contains(t, output.String(), "log lines were dropped")
 	require.Zero(t, sink.Dropped())
 }
+
+// shortReader keeps only the first bytes of each write, as a reader with a small buffer
+// does that takes one write at a time.
+type shortReader struct {
+	buf   bytes.Buffer
+	limit int
+}
+
+func (r *shortReader) Write(b []byte) (int, error) {
+	r.buf.Write(b[:min(len(b), r.limit)])
+	return len(b), nil
+}
+
+// TestLogSink_EveryLineIsWhole logs from many goroutines through the real logger, and
+// parses every line that a reader with a small buffer gets.
+func TestLogSink_EveryLineIsWhole(t *testing.T) {
+	const (
+		goroutines = 20
+		lines      = 100
+	)
+	reader := &shortReader{limit: maxLogWriteBytes}
+	sink := NewLogSink(reader)
+	log := newLogger(settings.FleetEntry{Node: "entry-1"}, sink)
+	var group sync.WaitGroup
+	for i := range goroutines {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			named := log.Named("owner")
+			for k := range lines {
+				named.Info("task.assigned", "request", fmt.Sprintf("%d.%d", i, k), "why", strings.Repeat("x", k))
+			}
+		}()
+	}
+	group.Wait()
+	sink.Close()
+	got := bytes.Split(bytes.TrimSpace(reader.buf.Bytes()), []byte("\n"))
+	for _, line := range got {
+		require.True(t, json.Valid(line), "torn line: %s", line)
+	}
+	require.Len(t, got, goroutines*lines)
+}
