Order waiting work with a margin, vacate VMs for the next turn, and bound lost reads

(2) Seconds 9 to 12: the last turn's pool holds 162 to 260 VMs with work for 59 while the next queue waits; its tasks are spread, and its late work fills each gap. Ruled out: (1) by a model of the load, shortest work first (starves large jobs), arrival order, last come first served, slack by remaining work: all below the margin. Change: (1) a class for jobs that are on time only if their estimate holds, after those with half of it to spare. (2) VMs of a pool with a surplus of work that can be on time take no new tasks until they are empty, and then move.

--- a/emulator/fixtures.go
+++ b/emulator/fixtures.go
@@ -12,6 +12,7 @@
 	PollPath  = "/hold"
 	// AppendPath is the store's, the others a worker's.
 	AppendPath = "/log-append"
+	NewestPath = "/log-newest"
 )
 
 // LeaderAppend is the query parameter that only the leader's appends have.
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -29,8 +29,7 @@
 	l.spawn(termCtx, l.sendHeartbeats)
 	results := make(chan workersResult, 1)
 	l.spawn(ctx, func(ctx context.Context) {
-		list, err := l.store.WorkerRecords(ctx)
-		results <- workersResult{list: list, err: err}
+		results <- l.readWorkers(ctx)
 	})
 	for {
 		if err := l.follower.CatchUp(ctx); err != nil && ctx.Err() != nil {
@@ -75,6 +74,19 @@
 	return nil
 }
 
+// readWorkers reads the platform's list of workers, again if a response is lost, until
+// the context ends.
+func (l *Leader) readWorkers(ctx context.Context) workersResult {
+	for {
+		list, err := l.store.WorkerRecords(ctx)
+		if err == nil || ctx.Err() != nil {
+			return workersResult{list: list, err: err}
+		}
+		l.log.Info("reading the list of workers failed", "error", err)
+		sleep(ctx, planDelay)
+	}
+}
+
 // createStreams creates the streams of entries without records, so that reads can
 // wait for their first record.
 func (l *Leader) createStreams(ctx context.Context) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -83,6 +83,7 @@
 		t.step.rack = w.info.Rack()
 	}
 	t.ticket = t.step.tickets.byWorker[w.info.ID]
+	t.placedLate = rankOf(t.step, now).class >= classLate
 	s.emit(Event{Kind: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: t.assignmentReason(w, now)})
 	s.reserveResources(t, w)
 	s.recordAssignment(t)
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -36,6 +36,9 @@
 	// running, waiting and arriving are the parts of the demand: running tasks, waiting
 	// tasks that can be on time, and the load offered by arrivals.
 	running, waiting, arriving int64
+	// runningLate is the part of running whose jobs could only be late when it was
+	// placed.
+	runningLate int64
 	// vmCapacity is the CPU of one VM.
 	vmCapacity int64
 	// minSeparateVMs is how many VMs a step needs whose tasks must not share one;
@@ -112,8 +115,13 @@
 	}
 	for _, w := range s.workers {
 		for _, t := range w.tasks {
-			if !t.step.def.BestEffort {
-				state(w.info.Pool).running += t.step.def.Need.MilliCPU
+			if t.step.def.BestEffort {
+				continue
+			}
+			p := state(w.info.Pool)
+			p.running += t.step.def.Need.MilliCPU
+			if t.placedLate {
+				p.runningLate += t.step.def.Need.MilliCPU
 			}
 		}
 	}
@@ -140,7 +148,7 @@
 		if p := state(st.occurrence.job.queue.Pool); st.waitingFor(now) > placementStallTime && p.demand < p.capacity {
 			p.placementStalled = true
 		}
-		if st.def.BestEffort || rankOf(st, now).class > 1 {
+		if st.def.BestEffort || rankOf(st, now).class > classTight {
 			continue
 		}
 		p := state(st.occurrence.job.queue.Pool)
@@ -176,13 +184,17 @@
 	for _, name := range names {
 		need := s.pools[name]
 		for range need.shortage() {
-			v := s.donor(name, now)
+			v := s.vacated(name, now)
+			if v == nil {
+				v = s.donor(name, now)
+			}
 			if v == nil {
 				break
 			}
 			s.moveTo(v, name, now)
 		}
 	}
+	s.vacate(now)
 	s.switchOffIdleVMs(names, now)
 	s.reportPools(now)
 }
@@ -190,9 +202,13 @@
 // moveTo moves the VM to the pool and updates the counts.
 func (s *Scheduler) moveTo(v *vm, pool string, now time.Time) {
 	from, to := s.pools[v.info.Pool], s.pools[pool]
+	if v.drainFor == VMMove {
+		from.draining-- // Its capacity is not counted any more.
+	} else {
+		from.capacity -= v.info.Capacity.MilliCPU
+	}
 	s.drain(v, VMMove, now)
 	s.startOperation(v, VMOperation{Kind: VMMove, VM: v.info.Name, Pool: pool}, now)
-	from.capacity -= v.info.Capacity.MilliCPU
 	to.capacity += v.info.Capacity.MilliCPU
 	to.incoming++
 	for i, other := range from.vms {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -2,15 +2,36 @@
 
 import "time"
 
-// lateValueFactor is the multiple of its objective up to which a late job has value.
-const lateValueFactor = 3
+const (
+	// lateValueFactor is the multiple of its objective up to which a late job has value.
+	lateValueFactor = 3
+	// estimateMargin is how much longer than estimated the remaining work of a job may
+	// take, as a fraction: clients' estimates are off by up to half, and a step takes as
+	// long as its slowest task.
+	estimateMargin = 0.5
+)
+
+// rankClass is the coarse order of the work that waits, most urgent first.
+type rankClass int
+
+const (
+	// classLongRunning is work that runs until it is cancelled.
+	classLongRunning rankClass = iota
+	// classOnTime is work of jobs that will be on time even if they take longer than
+	// estimated.
+	classOnTime
+	// classTight is work of jobs that are on time only if the estimate holds.
+	classTight
+	// classLate is work of jobs that can only be late.
+	classLate
+	// classWorthless is work of jobs that end too late to be of use.
+	classWorthless
+)
 
 // rank orders the steps that have tasks to place.
 type rank struct {
 	priority int
-	// class is 0 for long-running work, 1 for jobs that can be on time, 2 for jobs that
-	// can only be late and 3 for jobs without any value left.
-	class int
+	class    rankClass
 	// score is smaller for what comes first within its class.
 	score float64
 	due   time.Time
@@ -38,6 +59,10 @@
 // rankOf ranks a step. When more work waits than a pool can finish in time, jobs that
 // can still be on time come before those that cannot, and among them those with the
 // least slack come first.
+//
+// A queue's surge for some seconds is the load that the margin answers. With no margin,
+// every job waits until its slack is used up, then takes longer than estimated, and
+// nearly all of them are late; with it, those that the pool can serve are on time.
 func rankOf(st *step, now time.Time) rank {
 	o := st.occurrence
 	r := rank{priority: o.job.queue.Priority, due: o.due, id: o.job.sub.ID, index: st.index}
@@ -47,20 +72,27 @@
 		}
 		return r
 	}
-	finish := now.Add(o.remainingCriticalPath())
+	remaining := o.remainingCriticalPath()
 	deadline := o.deadline()
-	allowed := deadline.Sub(o.due)
+	r.class = classOf(now.Add(remaining), time.Duration(estimateMargin*float64(remaining)), o.due, deadline)
+	if r.class != classWorthless {
+		r.score = float64(deadline.Add(-remaining).UnixMilli())
+	}
+	return r
+}
+
+// classOf returns the class of a job that is estimated to finish at the given time, and
+// may take longer by the margin.
+func classOf(finish time.Time, margin time.Duration, due, deadline time.Time) rankClass {
+	withMargin := finish.Add(margin)
 	switch {
+	case !withMargin.After(deadline):
+		return classOnTime
 	case !finish.After(deadline):
-		r.class = 1
-	case !finish.After(o.due.Add(lateValueFactor * allowed)):
-		r.class = 2
+		return classTight
+	case !withMargin.After(due.Add(lateValueFactor * deadline.Sub(due))):
+		return classLate
 	default:
-		r.class = 3
+		return classWorthless
 	}
-	r.score = float64(deadline.Add(-o.remainingCriticalPath()).UnixMilli())
-	if r.class == 3 {
-		r.score = 0
-	}
-	return r
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -25,6 +25,8 @@
 	restored bool
 	// startedByPreviousLeader is set if an earlier leader started the run.
 	startedByPreviousLeader bool
+	// placedLate reports that the job could only be late when the run was placed.
+	placedLate bool
 	// movedFromSlowWorker reports that the task has been moved off a slow worker.
 	movedFromSlowWorker bool
 	// confirmedAt is when the worker confirmed the run.
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -21,6 +21,8 @@
 	drainFor       VMOperationKind
 	drainStartedAt time.Time
 	wave           int64
+	// vacateFor is the pool that gets the VM once it is empty.
+	vacateFor string
 	// emptySince is when the last run on the VM ended, or when its worker joined its
 	// pool; zero while it has runs.
 	emptySince time.Time
@@ -104,7 +106,7 @@
 		}
 	}
 	v.operation, v.inDoubt = nil, false
-	v.drainFor = VMNoOperation
+	v.drainFor, v.vacateFor = VMNoOperation, ""
 }
 
 // workerOf returns the worker that runs on the VM, or nil.
@@ -191,7 +193,7 @@
 }
 
 func (s *Scheduler) undrain(v *vm) {
-	v.drainFor = VMNoOperation
+	v.drainFor, v.vacateFor = VMNoOperation, ""
 	if w := s.workerOf(v); w != nil {
 		w.cordoned = false
 	}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -200,7 +200,7 @@
 	size, down := map[string]int{}, map[string]int{}
 	for _, v := range s.vms {
 		size[v.info.Pool]++
-		if v.drainFor != VMNoOperation || v.operation != nil || v.info.State != fleet.VMUp {
+		if v.drainFor == VMMaintain || v.operation != nil || v.info.State != fleet.VMUp {
 			down[v.info.Pool]++
 		}
 	}
