Share a full pool among teams by weight, and take arrival times from the leader's clock

And a job's arrival was compared between the wall clocks of two entries: one that jumped back by two seconds made its jobs look late on arrival. Ruled out: shares over a window of time (the surge lasts seconds); refusing the surge (it can be served where room is left). Change: max-min fair shares by weight of the CPU of a pool whose waiting work does not fit, within each class of urgency; what they leave is used by all. A full pool is searched once a round, not for each waiting step.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -13,6 +13,8 @@
 	// criticalPath and coreSeconds are computed once.
 	criticalPath time.Duration
 	coreSeconds  float64
+	// arrivedAt is when the job arrived, by the leader's clock.
+	arrivedAt time.Time
 	// longRunning jobs run until they are cancelled.
 	longRunning bool
 	// finished jobs get no more starts.
@@ -63,9 +65,17 @@
 	return longest
 }
 
+// due returns when the occurrence may start.
+func (j *job) due(occurrence int) time.Time {
+	if j.sub.HasSchedule() {
+		return j.sub.Due(occurrence)
+	}
+	return j.arrivedAt
+}
+
 // newOccurrence creates the steps and tasks of one occurrence.
 func newOccurrence(j *job, number int) *occurrence {
-	o := &occurrence{job: j, number: number, due: j.sub.Due(number)}
+	o := &occurrence{job: j, number: number, due: j.due(number)}
 	for i := range j.sub.Steps {
 		def := &j.sub.Steps[i]
 		s := &step{def: def, occurrence: o, index: i, tasksByWorker: map[string]int{}, pendingDependencies: len(def.DependsOn)}
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -147,3 +147,55 @@
 		require.Greater(t, all.onTimeShare(), wanted*fits)
 	}
 }
+
+// TestOverload_SurgeOfOneTeam plays a surge of one team, which sends as much as the pool
+// can do while nine others send seven tenths of that. The others ask for less than their
+// shares, and must be served nearly as well as without the surge.
+func TestOverload_SurgeOfOneTeam(t *testing.T) {
+	const (
+		quietTeams = 9
+		surging    = "surging"
+		perSecond  = 11.5
+	)
+	quietTeam := func(r *rand.Rand) string { return "team-" + jobID(r.IntN(quietTeams)) }
+	withSurge := func(r *rand.Rand) string {
+		if r.Float64() < 1/1.7 {
+			return surging
+		}
+		return quietTeam(r)
+	}
+	play := func(perSecond float64, teamOf func(*rand.Rand) string) (quiet, surge outcome) {
+		for seed := range uint64(4) {
+			_, byTeam := outcomes(overload{workers: 20, cores: 16, perSecond: perSecond, length: 8 * time.Second, teamOf: teamOf}.play(t, seed))
+			for team, o := range byTeam {
+				to := &quiet
+				if team == surging {
+					to = &surge
+				}
+				to.onTime += o.onTime
+				to.total += o.total
+			}
+		}
+		return quiet, surge
+	}
+	alone, _ := play(perSecond, quietTeam)
+	beside, surge := play(1.7/0.7*perSecond, withSurge)
+	t.Logf("on time: %.2f of the quiet teams' jobs alone, %.2f beside a surge, %.2f of the surge",
+		alone.onTimeShare(), beside.onTimeShare(), surge.onTimeShare())
+	require.Greater(t, beside.onTimeShare(), 0.85*alone.onTimeShare(), "the surge of one team delays the others")
+	require.Positive(t, surge.onTime, "room that the others leave is not used")
+}
+
+// TestComputeShares divides a full pool by max-min fairness.
+func TestComputeShares(t *testing.T) {
+	small, middle, large := &team{name: "small", weight: 1}, &team{name: "middle", weight: 1}, &team{name: "large", weight: 2}
+	demands := func(s, m, l int64) []teamDemand {
+		return []teamDemand{{large, l}, {small, s}, {middle, m}}
+	}
+	require.Nil(t, computeShares(100, demands(30, 30, 40)).millicores, "a pool that is not full needs no shares")
+	require.Equal(t, map[*team]int64{small: 25, middle: 25, large: 50}, computeShares(100, demands(90, 90, 90)).millicores)
+	require.Equal(t, map[*team]int64{small: 10, middle: 30, large: 60}, computeShares(100, demands(10, 90, 90)).millicores)
+	require.Equal(t, map[*team]int64{small: 60, middle: 30, large: 10}, computeShares(100, demands(90, 30, 10)).millicores)
+	withoutTeam := computeShares(100, []teamDemand{{nil, 90}, {small, 90}}).millicores
+	require.Equal(t, map[*team]int64{nil: 50, small: 50}, withoutTeam)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -13,65 +13,99 @@
 	if len(s.ready) == 0 {
 		return
 	}
-	byPool := map[string][]*worker{}
-	for _, w := range s.workers {
-		if w.schedulable(now) {
-			byPool[w.info.Pool] = append(byPool[w.info.Pool], w)
-		}
-	}
-	for _, st := range s.rankedSteps(now) {
-		if workers := byPool[st.occurrence.job.queue.Pool]; len(workers) > 0 {
-			s.placeStep(st, workers, now)
-		}
+	pools := s.newRound(now)
+	steps := s.rankedSteps(now)
+	s.computePoolShares(steps, pools)
+	for len(steps) > 0 {
+		group := equalUrgency(steps)
+		steps = steps[len(group):]
+		s.placeGroup(group, pools, now)
 	}
 }
 
+// rankedStep is a step with its rank.
+type rankedStep struct {
+	step *step
+	rank rank
+}
+
 // rankedSteps returns the steps that have tasks to place, most urgent first.
-func (s *Scheduler) rankedSteps(now time.Time) []*step {
-	type ranked struct {
-		step *step
-		rank rank
-	}
-	all := make([]ranked, 0, len(s.ready))
+func (s *Scheduler) rankedSteps(now time.Time) []rankedStep {
+	out := make([]rankedStep, 0, len(s.ready))
 	for st := range s.ready {
-		all = append(all, ranked{step: st, rank: rankOf(st, now)})
-	}
-	sort.Slice(all, func(i, k int) bool { return all[i].rank.before(all[k].rank) })
-	out := make([]*step, len(all))
-	for i := range all {
-		out[i] = all[i].step
+		out = append(out, rankedStep{step: st, rank: rankOf(st, now)})
 	}
+	sort.Slice(out, func(i, k int) bool { return out[i].rank.before(out[k].rank) })
 	return out
 }
 
-// placeStep places as many tasks of the step as there is capacity for.
-func (s *Scheduler) placeStep(st *step, workers []*worker, now time.Time) {
+// equalUrgency returns the first steps that have the same class and priority.
+func equalUrgency(steps []rankedStep) []rankedStep {
+	n := 1
+	for n < len(steps) && steps[n].rank.class == steps[0].rank.class && steps[n].rank.priority == steps[0].rank.priority {
+		n++
+	}
+	return steps[:n]
+}
+
+// placeGroup places steps of equal urgency: first those of teams within their share of
+// the pool, then the others where there is room left.
+func (s *Scheduler) placeGroup(group []rankedStep, pools map[string]*poolRound, now time.Time) {
+	var deferred []*step
+	for _, r := range group {
+		pool := pools[r.step.occurrence.job.queue.Pool]
+		if pool != nil && !s.placeStep(r.step, pool, pool.shares, now) {
+			deferred = append(deferred, r.step)
+		}
+	}
+	for _, st := range deferred {
+		s.placeStep(st, pools[st.occurrence.job.queue.Pool], poolShares{}, now)
+	}
+}
+
+// placeStep places as many tasks of the step as there is capacity for, and as its team
+// may start within its share of the pool; done is false if the share kept tasks back.
+func (s *Scheduler) placeStep(st *step, pool *poolRound, shares poolShares, now time.Time) (done bool) {
+	workers := pool.workers
 	if st.occurrence.job.queue.NeedsTicket {
 		s.requestAdvice(st, workers, now)
 	}
+	use := poolTeam{st.occurrence.job.queue.Pool, st.occurrence.job.team}
+	limited := !st.def.LongRunning
+	if limited && shares.exceeded(use.team, s.shortUse[use]) {
+		return false
+	}
 	if st.def.Gang {
 		s.placeGang(st, workers, now)
-		return
+		return true
 	}
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
-			return
+			return true
 		}
 		if t.phase != waiting {
 			continue
 		}
+		if limited && shares.exceeded(use.team, s.shortUse[use]) {
+			return false
+		}
 		if !st.occurrence.job.team.hasCapacityFor(st.def.Need) {
-			return
+			return true
+		}
+		if !pool.mayFit(t.resources()) {
+			return true
 		}
 		w := s.chooseWorker(t, workers, now)
 		if w == nil {
 			if t.avoid != "" {
 				continue
 			}
-			return
+			pool.updateLargestFree()
+			return true
 		}
 		s.assign(t, w, now)
 	}
+	return true
 }
 
 // assign assigns the task to the worker; its start is requested once that is stored.
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -67,6 +67,7 @@
 	o := st.occurrence
 	r := rank{priority: o.job.queue.Priority, due: o.due, id: o.job.sub.ID, index: st.index}
 	if o.job.longRunning {
+		r.class = classLongRunning
 		if st.def.BestEffort {
 			r.score = 1
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -23,6 +23,9 @@
 	// queues keeps the last known definition of each queue, also of those that the
 	// manifest no longer has.
 	queues map[string]fleet.Queue
+	// shortUse is what each team uses of each pool with tasks that end by themselves, in
+	// millicores.
+	shortUse map[poolTeam]int64
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// scheduledJobs holds the jobs with occurrences to come.
@@ -52,6 +55,7 @@
 		endedIncarnations:  map[string]int64{},
 		teams:              map[string]*team{},
 		queues:             map[string]fleet.Queue{},
+		shortUse:           map[poolTeam]int64{},
 		ready:              map[*step]struct{}{},
 		scheduledJobs:      map[*job]struct{}{},
 		previouslyFinished: map[string]*fleet.Submission{},
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -52,7 +52,7 @@
 		s.previouslyFinished[stored.Submission.ID] = stored.Submission
 		return
 	}
-	j := s.addJob(stored.Submission, now)
+	j := s.addJob(stored.Submission, now.Add(-ageOf(stored.Submission, now)))
 	for id, a := range stored.Tasks {
 		s.restoreTask(j, id, a)
 	}
@@ -147,20 +147,26 @@
 	}
 }
 
-// Submit adds an accepted job; a duplicate has no effect.
+// Submit adds a job that has just been accepted; a duplicate has no effect.
 func (s *Scheduler) Submit(sub *fleet.Submission, now time.Time) {
 	if _, known := s.jobs[sub.ID]; known {
 		return
 	}
-	j := s.addJob(sub, now)
+	j := s.addJob(sub, now.Add(-min(ageOf(sub, now), maxSubmissionAge)))
 	if !j.longRunning && !sub.HasSchedule() {
 		s.arrivals.add(arrival{at: now, pool: j.queue.Pool, coreSeconds: j.coreSeconds})
 	}
 }
 
-func (s *Scheduler) addJob(sub *fleet.Submission, now time.Time) *job {
+// ageOf returns how long ago the job arrived. The accepting entry's wall clock tells,
+// which may be seconds ahead.
+func ageOf(sub *fleet.Submission, now time.Time) time.Duration {
+	return max(0, time.Duration(now.UnixMilli()-sub.ArrivedMillis)*time.Millisecond)
+}
+
+func (s *Scheduler) addJob(sub *fleet.Submission, arrivedAt time.Time) *job {
 	j := &job{
-		sub: sub, criticalPath: sub.CriticalPath(), coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
+		sub: sub, arrivedAt: arrivedAt, criticalPath: sub.CriticalPath(), coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
 		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
 	}
 	j.queue = s.queues[sub.Queue]
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -15,8 +15,10 @@
 	phase phase
 	// attempt is the number of the last run.
 	attempt int
-	// worker has the run; nil while the task waits or is done.
+	// worker has the run; nil while the task waits or is done. pool was the worker's
+	// when the run was assigned.
 	worker *worker
+	pool   string
 	// failures counts the failed runs.
 	failures   int
 	checkpoint string
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -9,8 +9,9 @@
 
 // reserveResources reserves the task's capacity.
 func (s *Scheduler) reserveResources(t *task, w *worker) {
-	t.worker = w
+	t.worker, t.pool = w, w.info.Pool
 	w.tasks[t.id] = t
+	s.countShortUse(t, t.pool, t.step.def.Need.MilliCPU)
 	need := t.resources()
 	w.used = w.used.Plus(need)
 	t.step.tasksByWorker[w.info.ID]++
@@ -26,6 +27,7 @@
 		return
 	}
 	delete(w.tasks, t.id)
+	s.countShortUse(t, t.pool, -t.step.def.Need.MilliCPU)
 	w.used = w.used.Minus(t.resources())
 	if n := t.step.tasksByWorker[w.info.ID]; n > 1 {
 		t.step.tasksByWorker[w.info.ID] = n - 1
