--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -13,7 +13,7 @@
 // testFleet drives a scheduler in simulated time. Its workers execute requests at once
 // and respond to every poll.
 type testFleet struct {
-	t             *testing.T
+	t             testing.TB
 	s             *Scheduler
 	now           time.Time
 	workers       map[string]fleet.Worker
@@ -51,7 +51,7 @@
 	}
 }
 
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t testing.TB) *testFleet {
 	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{},
 		runs: map[string]map[fleet.TaskID]*fakeRun{}, finished: map[string][]fleet.FinishedRun{}}
 	f.s = f.newLeader(1)
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -38,7 +38,7 @@
 func (o outcome) onTimeShare() float64 { return float64(o.onTime) / float64(o.total) }
 
 // play runs the load and returns its jobs once the last has ended or the time is over.
-func (l overload) play(t *testing.T, seed uint64) []*overloadJob {
+func (l overload) play(t testing.TB, seed uint64) []*overloadJob {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 1))
 	f := newTestFleet(t)
