--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,10 @@
 	// maxPendingBatches is how many of the leader's batches may wait for the store
 	// before no more heartbeats are added.
 	maxPendingBatches = 32
+	// leaderGCPercent is the garbage collector's target while the entry leads: calls
+	// to workers leave much garbage beside little state. The daemon's memory limit
+	// holds regardless.
+	leaderGCPercent = 300
 	// takeoverTimeout bounds what a leader does before its first decision.
 	takeoverTimeout = 3 * time.Second
 )
@@ -76,6 +81,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l.cancel = cancel
 	defer cancel()
+	defer debug.SetGCPercent(debug.SetGCPercent(leaderGCPercent))
 	l.startedAt = time.Now()
 	l.wake = make(chan struct{}, 1)
 	l.pollers = map[string]*workerPoller{}
--- a/fleetentry/requests.go
+++ b/fleetentry/requests.go
@@ -37,7 +37,7 @@
 // a retry says nothing of earlier attempts, which may still be executed.
 func (l *Leader) startWithRetries(s scheduler.StartRequest) error {
 	var inDoubt error
-	for i, timeout := range l.attemptTimeouts() {
+	for _, timeout := range l.attemptTimeouts() {
 		now := time.Now()
 		if !l.journal.LeaderLeaseValid(now) {
 			if inDoubt != nil {
@@ -48,7 +48,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		_, err := l.workers.Start(ctx, s.Endpoint, s.Request)
 		cancel()
-		l.recordAttempt(i, time.Since(now), err)
+		l.recordAttempt(inDoubt, time.Since(now), err)
 		l.metrics.Observe("start", time.Since(now))
 		if err == nil || resolvesEarlierAttempts(err) {
 			return err
@@ -71,10 +71,10 @@
 	return l.callTimeouts.attemptTimeouts(time.Now())
 }
 
-// recordAttempt records the result of an attempt: a prompt response to a retry shows
-// that calls are lost.
-func (l *Leader) recordAttempt(attempt int, latency time.Duration, err error) {
-	if attempt == 0 || err != nil {
+// recordAttempt records the result of an attempt: a prompt response after one that timed
+// out shows that calls are lost. A connection that the worker has closed shows nothing.
+func (l *Leader) recordAttempt(previous error, latency time.Duration, err error) {
+	if provider.CodeOf(previous) != provider.CodeTimeout || err != nil {
 		return
 	}
 	l.mu.Lock()
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -118,7 +118,9 @@
 		l.metrics.Add("looks_lost", 1)
 		l.mu.Lock()
 		now := time.Now()
-		l.callTimeouts.recordRetryResponse(now, now.Sub(second.sent))
+		if provider.CodeOf(first.err) == provider.CodeTimeout {
+			l.callTimeouts.recordRetryResponse(now, now.Sub(second.sent))
+		}
 		l.mu.Unlock()
 		second.busy = second.busy || first.busy
 	}
