--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -113,6 +113,16 @@
 	f.register(m, "draining")
 }
 
+// RemoveVM removes the VM and its worker from the platform's lists. The worker's address
+// still answers, as one does that another service has taken over.
+func (f *Fleet) RemoveVM(vm string) {
+	f.mu.Lock()
+	id := f.vms[vm].worker.id
+	delete(f.vms, vm)
+	f.mu.Unlock()
+	f.store.PutRaw("keyed.servers", id, nil)
+}
+
 // Disconnect makes the VM's worker unreachable; its runs continue.
 func (f *Fleet) Disconnect(vm string) { f.setUnreachable(vm, true) }
 
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -22,10 +23,16 @@
 	WorkerHangs
 	// WorkerRejects rejects the request without effect.
 	WorkerRejects
+	// WorkerRepliesLate executes the request and responds later.
+	WorkerRepliesLate
 )
 
-// executionDelay is the delay before a delayed request executes.
-const executionDelay = 1500 * time.Millisecond
+const (
+	// executionDelay is the delay before a delayed request executes.
+	executionDelay = 1500 * time.Millisecond
+	// lateReplyDelay is the delay before a late response.
+	lateReplyDelay = 700 * time.Millisecond
+)
 
 // Violation is an invariant violation seen by a worker.
 type Violation struct {
@@ -146,6 +153,13 @@
 	case WorkerDelayed:
 		time.AfterFunc(executionDelay, func() { w.serve(discardResponse{header: http.Header{}}, r, req) })
 		<-r.Context().Done()
+	case WorkerRepliesLate:
+		late := httptest.NewRecorder()
+		w.serve(late, r, req)
+		time.Sleep(lateReplyDelay)
+		rw.WriteHeader(late.Code)
+		// A disconnected client needs no response.
+		_, _ = rw.Write(late.Body.Bytes())
 	case WorkerDropsReply:
 		w.serve(discardResponse{header: http.Header{}}, r, req)
 		<-r.Context().Done()
--- a/fleetentry/calltimeouts.go
+++ b/fleetentry/calltimeouts.go
@@ -22,6 +22,8 @@
 	// pollRetryTimeout is the same for the retry, which decides whether the worker
 	// counts as unreachable.
 	pollRetryTimeout = 450 * time.Millisecond
+	// maxPollResponseTimeout bounds the timeout of polls after missed ones.
+	maxPollResponseTimeout = 1600 * time.Millisecond
 	// promptResponse is how soon the retry must be answered for the first poll to
 	// count as lost: a slow leader reads both late, and more polls would make it
 	// slower.
@@ -78,3 +80,12 @@
 		t.lossyUntil = now.Add(lossyPeriod)
 	}
 }
+
+// afterMissedPolls returns the timeout of a poll after missed ones: a worker that only
+// reports late is heard before its leases expire.
+func afterMissedPolls(timeout time.Duration, missed int) time.Duration {
+	for ; missed > 0 && timeout < maxPollResponseTimeout; missed-- {
+		timeout *= 2
+	}
+	return min(timeout, maxPollResponseTimeout)
+}
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -29,6 +30,8 @@
 	cancel   context.CancelFunc
 	wake     chan struct{}
 	stored   chan struct{}
+	// missed counts the consecutive polls without a response.
+	missed atomic.Int32
 }
 
 // notifyStart signals that the worker has got a run.
@@ -87,10 +90,12 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	if result.err != nil {
+		p.missed.Add(1)
 		l.sched.HandlePollFailure(p.endpoint.WorkerID, result.err, now)
 		l.flush(now)
 		return failedPollInterval, false, true
 	}
+	p.missed.Store(0)
 	l.sched.HandleStatus(p.endpoint.WorkerID, &result.status, result.sent, now)
 	l.flush(now)
 	l.wakePlanner()
@@ -143,6 +148,7 @@
 	if timeout == 0 {
 		timeout = l.callTimeouts.responseTimeout(result.sent)
 	}
+	timeout = afterMissedPolls(timeout, int(p.missed.Load()))
 	l.mu.Unlock()
 	result.known = known
 	if !known {
