Count old statuses as unavailable, and let wide tasks of teams within their share go first

(2) While a step within its team's share finds no room, teams beyond theirs get no gaps, unless that step can fit on no worker or only on some. Before and after: TestWave_OldStatusesCountAsUnavailable fails before.

--- a/scheduler/budgets.go
+++ b/scheduler/budgets.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	for st, n := range affected {
-		if st.unavailableExcept(w)+n > st.def.MaxUnavailable {
+		if st.unavailableExcept(w, now)+n > st.def.MaxUnavailable {
 			return false
 		}
 	}
@@ -46,7 +46,7 @@
 		if !st.def.HasDisruptionBudget {
 			continue
 		}
-		if st.unavailable() < st.def.MaxUnavailable {
+		if st.unavailable(now) < st.def.MaxUnavailable {
 			s.emit(Event{Kind: "task.evicted", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: "its VM is due for maintenance"})
 			s.requestStop(t, now)
 		}
@@ -54,16 +54,18 @@
 }
 
 // unavailable counts the step's tasks that are not known to be running and ready.
-func (s *step) unavailable() int { return s.unavailableExcept(nil) }
+func (s *step) unavailable(now time.Time) int { return s.unavailableExcept(nil, now) }
 
-// unavailableExcept counts the unavailable tasks, without those on the given worker.
-func (s *step) unavailableExcept(excluded *worker) int {
+// unavailableExcept counts the unavailable tasks, without those on the given worker. A
+// status proves little once it is old: a leader that is short of processor time polls
+// late, and leases expire meanwhile.
+func (s *step) unavailableExcept(excluded *worker, now time.Time) int {
 	n := 0
 	for _, t := range s.tasks {
 		if t.worker == excluded && t.worker != nil {
 			continue
 		}
-		if t.phase != running || t.progress < 100 || t.worker.missedPolls > 0 || t.worker.operationPending {
+		if t.phase != running || t.progress < 100 || t.worker.missedPolls > 0 || t.worker.operationPending || now.Sub(t.worker.lastPollAt) >= statusFreshFor {
 			n++
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -49,7 +49,9 @@
 }
 
 // placeGroup places steps of equal urgency: first those of teams within their share of
-// the pool, then the others where there is room left.
+// the pool, then the others where there is room left. While a step within its team's
+// share finds no room, the others do not get the smaller gaps, or a task that needs much
+// of a VM would wait until they have all ended.
 func (s *Scheduler) placeGroup(group []rankedStep, pools map[string]*poolRound, now time.Time) {
 	var deferred []*step
 	for _, r := range group {
@@ -59,7 +61,9 @@
 		}
 	}
 	for _, st := range deferred {
-		s.placeStep(st, pools[st.occurrence.job.queue.Pool], poolShares{}, now)
+		if pool := pools[st.occurrence.job.queue.Pool]; !pool.blocked {
+			s.placeStep(st, pool, poolShares{}, now)
+		}
 	}
 }
 
@@ -93,6 +97,7 @@
 			return true
 		}
 		if !pool.mayFit(t.resources()) {
+			pool.recordNoRoom(st)
 			return true
 		}
 		w := s.chooseWorker(t, workers, now)
@@ -101,6 +106,7 @@
 				continue
 			}
 			pool.updateLargestFree()
+			pool.recordNoRoom(st)
 			return true
 		}
 		s.assign(t, w, now)
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -103,3 +103,21 @@
 	f.advance(200 * time.Millisecond)
 	require.Len(t, f.running("small gang"), 1, "the gang is on more than one rack")
 }
+
+// TestPlace_ImpossibleTaskHoldsNobodyUp submits a task that no worker can hold: a team
+// beyond its share still gets the room that is left.
+func TestPlace_ImpossibleTaskHoldsNobodyUp(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	submit := func(id, team string, count int, milliCPU int64) {
+		job := f.newJob(id, fleet.Step{Count: count, EstimateMillis: 1000, Need: fleet.Resources{MilliCPU: milliCPU}})
+		job.Team = team
+		f.s.Submit(job, f.now)
+	}
+	submit("impossible", "small", 1, 5000)
+	submit("surge", "large", 8, 1000)
+	f.advance(100 * time.Millisecond)
+	require.Equal(t, 4, total(f.running("surge")))
+	require.Zero(t, total(f.running("impossible")))
+}
--- a/scheduler/poolround.go
+++ b/scheduler/poolround.go
@@ -14,6 +14,10 @@
 	// largestFree bounds the free CPU of each worker, in millicores: a full pool is
 	// not searched once more for each of many waiting steps.
 	largestFree int64
+	// largest is the most that a worker holds when it is empty, by each resource.
+	largest fleet.Resources
+	// blocked is set once a step of a team within its share finds no room.
+	blocked bool
 }
 
 // newRound returns the pools with workers that may get new tasks.
@@ -30,6 +34,12 @@
 		}
 		p.workers = append(p.workers, w)
 		p.largestFree = max(p.largestFree, w.free().MilliCPU)
+		capacity := w.info.Capacity
+		p.largest = fleet.Resources{
+			MilliCPU: max(p.largest.MilliCPU, capacity.MilliCPU),
+			MemMB:    max(p.largest.MemMB, capacity.MemMB),
+			GPU:      max(p.largest.GPU, capacity.GPU),
+		}
 	}
 	return out
 }
@@ -44,3 +54,13 @@
 		p.largestFree = max(p.largestFree, w.free().MilliCPU)
 	}
 }
+
+// recordNoRoom marks the pool as blocked by the step, unless it waits for more than room:
+// one that no worker can hold, or that only some workers may run, holds nobody up.
+func (p *poolRound) recordNoRoom(st *step) {
+	def := st.def
+	constrained := def.LongRunning || def.Label != "" || def.MaxPerWorker > 0 || def.RackLocal || st.occurrence.job.queue.NeedsTicket
+	if !constrained && p.largest.Fits(def.Need) {
+		p.blocked = true
+	}
+}
--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -408,3 +408,34 @@
 	}
 	require.Equal(t, 1, maintained)
 }
+
+// TestWave_OldStatusesCountAsUnavailable simulates a leader that is short of processor
+// time and polls late (seen on benchmark day trouble-3 of a further deployment): tasks
+// that it has not heard of lately may be gone, and no other one may be evicted.
+func TestWave_OldStatusesCountAsUnavailable(t *testing.T) {
+	f := newTestFleet(t)
+	f.removeSparePool()
+	for i := range 4 {
+		f.addVM(fmt.Sprintf("a%d", i), testPool, 8)
+	}
+	f.advance(3 * time.Second)
+	step := longRunningStep(4, 1)
+	step.MaxPerWorker = 1
+	f.s.Submit(f.newJob("serve", step), f.now)
+	f.advanceAndPlan(time.Second)
+	require.Equal(t, 4, total(f.running("serve")))
+	f.s.SetWave(fleet.Wave{Number: 1, VMs: []string{"a0"}, MaxDuration: 20 * time.Second, MaxUnavailable: 1}, f.now, nil)
+	f.now = f.now.Add(statusFreshFor + 100*time.Millisecond)
+	f.poll("w-a0") // The only worker whose status is new.
+	f.listVMs()
+	for range 3 {
+		f.s.PlanVMs(f.now)
+	}
+	require.Empty(t, f.s.TakeBatch().Stops, "a task is evicted by old statuses")
+	require.Empty(t, f.s.TakeVMOperations())
+	for _, id := range []string{"w-a1", "w-a2", "w-a3"} {
+		f.poll(id)
+	}
+	f.s.PlanVMs(f.now)
+	require.Len(t, f.s.TakeVMOperations(), 1, "new statuses do not let the wave go on")
+}
