Scale the margin over estimates by the pressure on a pool, VMs on their way included

Change: the margin grows from none where the demand fits in the pool and the VMs on their way to all of it at 1.5 times that, and shares apply only where it does not fit. VMs due for maintenance are vacated last.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -14,8 +14,8 @@
 		return
 	}
 	pools := s.newRound(now)
-	steps := s.rankedSteps(now)
-	s.computePoolShares(steps, pools)
+	s.computePressures(pools, now)
+	steps := s.rankedSteps(pools, now)
 	for len(steps) > 0 {
 		group := equalUrgency(steps)
 		steps = steps[len(group):]
@@ -30,10 +30,12 @@
 }
 
 // rankedSteps returns the steps that have tasks to place, most urgent first.
-func (s *Scheduler) rankedSteps(now time.Time) []rankedStep {
+func (s *Scheduler) rankedSteps(pools map[string]*poolRound, now time.Time) []rankedStep {
 	out := make([]rankedStep, 0, len(s.ready))
 	for st := range s.ready {
-		out = append(out, rankedStep{step: st, rank: rankOf(st, now)})
+		if pool := pools[st.occurrence.job.queue.Pool]; pool != nil {
+			out = append(out, rankedStep{step: st, rank: rankOf(st, estimateMargin(pool.pressure), now)})
+		}
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].rank.before(out[k].rank) })
 	return out
@@ -56,7 +58,7 @@
 	var deferred []*step
 	for _, r := range group {
 		pool := pools[r.step.occurrence.job.queue.Pool]
-		if pool != nil && !s.placeStep(r.step, pool, pool.shares, now) {
+		if !s.placeStep(r.step, pool, pool.shares, now) {
 			deferred = append(deferred, r.step)
 		}
 	}
@@ -123,7 +125,7 @@
 		t.step.rack = w.info.Rack()
 	}
 	t.ticket = t.step.tickets.byWorker[w.info.ID]
-	t.placedLate = rankOf(t.step, now).class >= classLate
+	t.placedLate = rankOf(t.step, 0, now).class >= classLate
 	s.emit(Event{Kind: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: t.assignmentReason(w, now)})
 	s.reserveResources(t, w)
 	s.recordAssignment(t)
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -41,8 +41,10 @@
 	f.s.Submit(late, f.now)
 	f.s.Submit(tight, f.now)
 	f.s.Submit(f.newJob("new", step), f.now)
+	pools := f.s.newRound(f.now)
+	pools[testPool].pressure = fullMarginPressure
 	var order []string
-	for _, r := range f.s.rankedSteps(f.now) {
+	for _, r := range f.s.rankedSteps(pools, f.now) {
 		order = append(order, r.step.occurrence.job.sub.ID)
 	}
 	require.Equal(t, []string{"new", "tight", "late"}, order)
--- a/scheduler/poolround.go
+++ b/scheduler/poolround.go
@@ -11,6 +11,10 @@
 	// workers may get new tasks.
 	workers []*worker
 	shares  poolShares
+	// incoming is the CPU of VMs that are on their way to the pool, in millicores.
+	incoming int64
+	// pressure is the demand that can be on time as a multiple of the capacity.
+	pressure float64
 	// largestFree bounds the free CPU of each worker, in millicores: a full pool is
 	// not searched once more for each of many waiting steps.
 	largestFree int64
@@ -30,6 +34,9 @@
 		p, known := out[w.info.Pool]
 		if !known {
 			p = &poolRound{}
+			if planned, known := s.pools[w.info.Pool]; known {
+				p.incoming = int64(planned.incoming) * planned.vmCapacity
+			}
 			out[w.info.Pool] = p
 		}
 		p.workers = append(p.workers, w)
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -148,7 +148,7 @@
 		if p := state(st.occurrence.job.queue.Pool); st.waitingFor(now) > placementStallTime && p.demand < p.capacity {
 			p.placementStalled = true
 		}
-		if st.def.BestEffort || rankOf(st, now).class > classTight {
+		if st.def.BestEffort || rankOf(st, 0, now).class > classTight {
 			continue
 		}
 		p := state(st.occurrence.job.queue.Pool)
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -5,12 +5,22 @@
 const (
 	// lateValueFactor is the multiple of its objective up to which a late job has value.
 	lateValueFactor = 3
-	// estimateMargin is how much longer than estimated the remaining work of a job may
-	// take, as a fraction: clients' estimates are off by up to half, and a step takes as
-	// long as its slowest task.
-	estimateMargin = 0.5
+	// maxEstimateMargin is how much longer than estimated the remaining work of a job
+	// may take, as a fraction: clients' estimates are off by up to half, and a step takes
+	// as long as its slowest task.
+	maxEstimateMargin = 0.5
+	// fullMarginPressure is the pressure on a pool from which the whole margin applies.
+	fullMarginPressure = 1.5
 )
 
+// estimateMargin returns the margin under a pressure on the pool, its demand as a
+// multiple of its capacity: none where all can be served, as at the start of a turn
+// whose VMs are on their way.
+func estimateMargin(pressure float64) float64 {
+	part := (pressure - 1) / (fullMarginPressure - 1)
+	return maxEstimateMargin * min(1, max(0, part))
+}
+
 // rankClass is the coarse order of the work that waits, most urgent first.
 type rankClass int
 
@@ -56,14 +66,14 @@
 	}
 }
 
-// rankOf ranks a step. When more work waits than a pool can finish in time, jobs that
+// rankOf ranks a step, whose job may take longer than estimated by the margin. When more work waits than a pool can finish in time, jobs that
 // can still be on time come before those that cannot, and among them those with the
 // least slack come first.
 //
 // A queue's surge for some seconds is the load that the margin answers. With no margin,
 // every job waits until its slack is used up, then takes longer than estimated, and
 // nearly all of them are late; with it, those that the pool can serve are on time.
-func rankOf(st *step, now time.Time) rank {
+func rankOf(st *step, margin float64, now time.Time) rank {
 	o := st.occurrence
 	r := rank{priority: o.job.queue.Priority, due: o.due, id: o.job.sub.ID, index: st.index}
 	if o.job.longRunning {
@@ -75,7 +85,7 @@
 	}
 	remaining := o.remainingCriticalPath()
 	deadline := o.deadline()
-	r.class = classOf(now.Add(remaining), time.Duration(estimateMargin*float64(remaining)), o.due, deadline)
+	r.class = classOf(now.Add(remaining), time.Duration(margin*float64(remaining)), o.due, deadline)
 	if r.class != classWorthless {
 		r.score = float64(deadline.Add(-remaining).UnixMilli())
 	}
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // poolShares says how much of a full pool each team may use before others that have
 // less. It answers the surge of one team, which would otherwise delay all teams of the
@@ -68,18 +71,20 @@
 	team *team
 }
 
-// computePoolShares computes the shares of the teams in every pool that is full: its
-// waiting work that can be on time does not fit. Long-running tasks are left out: they
-// run until they are cancelled, however full the pool is.
-func (s *Scheduler) computePoolShares(steps []rankedStep, pools map[string]*poolRound) {
+// computePressures computes the pressure on every pool, and the shares of the teams in
+// those whose waiting work that can be on time does not fit, VMs on their way included.
+// Long-running tasks are left out: they run until they are cancelled, however full the
+// pool is.
+func (s *Scheduler) computePressures(pools map[string]*poolRound, now time.Time) {
 	demands := map[poolTeam]int64{}
-	for _, r := range steps {
-		if st := r.step; r.rank.class == classOnTime || r.rank.class == classTight {
+	for st := range s.ready {
+		if class := rankOf(st, 0, now).class; class == classOnTime || class == classTight {
 			demands[poolTeam{st.occurrence.job.queue.Pool, st.occurrence.job.team}] += int64(st.waiting) * st.def.Need.MilliCPU
 		}
 	}
 	capacity := map[string]int64{}
 	for name, pool := range pools {
+		capacity[name] = pool.incoming
 		for _, w := range pool.workers {
 			capacity[name] += max(0, w.free().MilliCPU)
 		}
@@ -88,14 +93,14 @@
 		demands[key] += used
 		capacity[key.pool] += used
 	}
-	byTeam := map[string][]teamDemand{}
+	byTeam, total := map[string][]teamDemand{}, map[string]int64{}
 	for key, demand := range demands {
 		byTeam[key.pool] = append(byTeam[key.pool], teamDemand{team: key.team, demand: demand})
+		total[key.pool] += demand
 	}
-	for name, teams := range byTeam {
-		if pool, known := pools[name]; known {
-			pool.shares = computeShares(capacity[name], teams)
-		}
+	for name, pool := range pools {
+		pool.pressure = float64(total[name]) / float64(max(1, capacity[name]))
+		pool.shares = computeShares(capacity[name], byTeam[name])
 	}
 }
 
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -73,26 +73,45 @@
 }
 
 // vacatable returns the VM of a pool with a surplus that will be empty soonest, or nil.
+// One that is due for maintenance comes last: its wave has little time.
 func (s *Scheduler) vacatable(to string, now time.Time) *vm {
 	var best *vm
-	bestUse := int64(0)
 	for name, p := range s.pools {
 		if name == to || s.isSpare(name) || p.surplusOnTime() == 0 {
 			continue
 		}
 		for _, v := range p.vms {
-			w := s.workerOf(v)
-			if w == nil || len(w.tasks) == 0 || v.drainFor != VMNoOperation || !s.acceptsOperation(v, now) || !w.polled || w.missedPolls > 0 || w.info.Draining || s.longRunningCount(v) > 0 {
-				continue
-			}
-			if best == nil || w.used.MilliCPU < bestUse || w.used.MilliCPU == bestUse && v.info.Name < best.info.Name {
-				best, bestUse = v, w.used.MilliCPU
+			if s.canVacate(v, now) && (best == nil || s.vacatesBefore(v, best)) {
+				best = v
 			}
 		}
 	}
 	return best
 }
 
+// canVacate reports whether the VM has only tasks that end by themselves, and nothing
+// else is planned for it.
+func (s *Scheduler) canVacate(v *vm, now time.Time) bool {
+	w := s.workerOf(v)
+	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining {
+		return false
+	}
+	return v.drainFor == VMNoOperation && s.acceptsOperation(v, now) && s.longRunningCount(v) == 0
+}
+
+// vacatesBefore reports whether a is the better one to vacate. Both have workers.
+func (s *Scheduler) vacatesBefore(a, b *vm) bool {
+	wa, wb := s.workerOf(a), s.workerOf(b)
+	switch {
+	case wa.maintenanceDue != wb.maintenanceDue:
+		return wb.maintenanceDue
+	case wa.used.MilliCPU != wb.used.MilliCPU:
+		return wa.used.MilliCPU < wb.used.MilliCPU
+	default:
+		return a.info.Name < b.info.Name
+	}
+}
+
 // startVacating keeps new tasks off the VM and updates the counts of its pool.
 func (s *Scheduler) startVacating(v *vm, pool string, now time.Time) {
 	p := s.pools[v.info.Pool]
