Leave VMs that are due to their wave, and apply the whole margin from a pressure of 1.25

Change: VMs that are due are not vacated; the whole margin applies from 1.25. Crashing all entries stands once in the tests.

--- a/fleetentry/faults_test.go
+++ b/fleetentry/faults_test.go
@@ -235,13 +235,7 @@
 				paths = append(paths, p.submit("books", twoSteps("long")))
 			}
 			time.Sleep(c.after)
-			p.mu.Lock()
-			crashed := p.entries
-			p.entries, p.addresses = nil, nil
-			p.mu.Unlock()
-			for _, d := range crashed {
-				crash(d)
-			}
+			p.crashAll()
 			p.startEntry()
 			p.startEntry()
 			for _, path := range paths {
--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// crashAll crashes all entries and forgets them.
+func (p *testPlatform) crashAll() {
+	p.mu.Lock()
+	crashed := p.entries
+	p.entries, p.addresses = nil, nil
+	p.mu.Unlock()
+	for _, d := range crashed {
+		crash(d)
+	}
+}
+
 // leader waits until an entry leads the fleet and returns it.
 func (p *testPlatform) leader() *Daemon {
 	var found *Daemon
--- a/fleetentry/operatorstories_test.go
+++ b/fleetentry/operatorstories_test.go
@@ -29,13 +29,7 @@
 		if trimmed {
 			p.store.TrimHistory()
 		}
-		p.mu.Lock()
-		crashed := p.entries
-		p.entries, p.addresses = nil, nil
-		p.mu.Unlock()
-		for _, d := range crashed {
-			crash(d)
-		}
+		p.crashAll()
 		p.startEntry()
 		p.leader()
 		require.Never(t, func() bool { return !refused() }, time.Second, 20*time.Millisecond, "a withdrawn key is in use again")
@@ -50,13 +44,7 @@
 	p.leader()
 	gone := p.fleet.Worker("vm-a0")
 	p.fleet.RemoveVM("vm-a0")
-	p.mu.Lock()
-	crashed := p.entries
-	p.entries, p.addresses = nil, nil
-	p.mu.Unlock()
-	for _, d := range crashed {
-		crash(d)
-	}
+	p.crashAll()
 	requests := make(chan string, 100)
 	gone.SetFault(func(path string) emulator.WorkerFault {
 		requests <- path
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -10,7 +10,7 @@
 	// as long as its slowest task.
 	maxEstimateMargin = 0.5
 	// fullMarginPressure is the pressure on a pool from which the whole margin applies.
-	fullMarginPressure = 1.5
+	fullMarginPressure = 1.25
 )
 
 // estimateMargin returns the margin under a pressure on the pool, its demand as a
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -73,7 +73,6 @@
 }
 
 // vacatable returns the VM of a pool with a surplus that will be empty soonest, or nil.
-// One that is due for maintenance comes last: its wave has little time.
 func (s *Scheduler) vacatable(to string, now time.Time) *vm {
 	var best *vm
 	for name, p := range s.pools {
@@ -90,10 +89,11 @@
 }
 
 // canVacate reports whether the VM has only tasks that end by themselves, and nothing
-// else is planned for it.
+// else is planned for it. VMs that are due for maintenance are left to their wave, which
+// has little time.
 func (s *Scheduler) canVacate(v *vm, now time.Time) bool {
 	w := s.workerOf(v)
-	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining {
+	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining || w.maintenanceDue {
 		return false
 	}
 	return v.drainFor == VMNoOperation && s.acceptsOperation(v, now) && s.longRunningCount(v) == 0
@@ -102,14 +102,10 @@
 // vacatesBefore reports whether a is the better one to vacate. Both have workers.
 func (s *Scheduler) vacatesBefore(a, b *vm) bool {
 	wa, wb := s.workerOf(a), s.workerOf(b)
-	switch {
-	case wa.maintenanceDue != wb.maintenanceDue:
-		return wb.maintenanceDue
-	case wa.used.MilliCPU != wb.used.MilliCPU:
+	if wa.used.MilliCPU != wb.used.MilliCPU {
 		return wa.used.MilliCPU < wb.used.MilliCPU
-	default:
-		return a.info.Name < b.info.Name
 	}
+	return a.info.Name < b.info.Name
 }
 
 // startVacating keeps new tasks off the VM and updates the counts of its pool.
