--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -13,14 +13,6 @@
 	fullMarginPressure = 1.25
 )
 
-// estimateMargin returns the margin under a pressure on the pool, its demand as a
-// multiple of its capacity: none where all can be served, as at the start of a turn
-// whose VMs are on their way.
-func estimateMargin(pressure float64) float64 {
-	part := (pressure - 1) / (fullMarginPressure - 1)
-	return maxEstimateMargin * min(1, max(0, part))
-}
-
 // rankClass is the coarse order of the work that waits, most urgent first.
 type rankClass int
 
@@ -92,6 +84,14 @@
 	return r
 }
 
+// estimateMargin returns the margin under a pressure on the pool, its demand as a
+// multiple of its capacity: none where all can be served, as at the start of a turn
+// whose VMs are on their way.
+func estimateMargin(pressure float64) float64 {
+	part := (pressure - 1) / (fullMarginPressure - 1)
+	return maxEstimateMargin * min(1, max(0, part))
+}
+
 // classOf returns the class of a job that is estimated to finish at the given time, and
 // may take longer by the margin.
 func classOf(finish time.Time, margin time.Duration, due, deadline time.Time) rankClass {
