Vacate VMs that are due for maintenance until their wave ends soon

Since VMs that are due for maintenance are not vacated, half of the fleet stays with the last turn. Change: due VMs are vacated last, and not once their wave ends within two rounds.

--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -89,19 +89,23 @@
 }
 
 // canVacate reports whether the VM has only tasks that end by themselves, and nothing
-// else is planned for it. VMs that are due for maintenance are left to their wave, which
-// has little time.
+// else is planned for it. VMs that are due for maintenance are left to their wave once
+// it ends soon.
 func (s *Scheduler) canVacate(v *vm, now time.Time) bool {
 	w := s.workerOf(v)
-	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining || w.maintenanceDue {
+	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining || w.maintenanceUrgent {
 		return false
 	}
 	return v.drainFor == VMNoOperation && s.acceptsOperation(v, now) && s.longRunningCount(v) == 0
 }
 
-// vacatesBefore reports whether a is the better one to vacate. Both have workers.
+// vacatesBefore reports whether a is the better one to vacate: one that is not due for
+// maintenance, then one that will be empty sooner. Both have workers.
 func (s *Scheduler) vacatesBefore(a, b *vm) bool {
 	wa, wb := s.workerOf(a), s.workerOf(b)
+	if wa.maintenanceDue != wb.maintenanceDue {
+		return wb.maintenanceDue
+	}
 	if wa.used.MilliCPU != wb.used.MilliCPU {
 		return wa.used.MilliCPU < wb.used.MilliCPU
 	}
--- a/scheduler/vacate_test.go
+++ b/scheduler/vacate_test.go
@@ -80,3 +80,36 @@
 		}
 	}
 }
+
+// TestVacate_DuringAWave replays the change of turns while every VM of the last turn's
+// pool is due for maintenance: the next turn gets VMs as long as the wave has time, and
+// none once it ends soon.
+func TestVacate_DuringAWave(t *testing.T) {
+	const deskVMs = 20
+	for _, c := range []struct {
+		left  time.Duration
+		moves bool
+	}{{40 * time.Second, true}, {3 * time.Second, false}} {
+		f := newTurnChange(t, deskVMs)
+		var due []string
+		for _, v := range f.s.vms {
+			if v.info.Pool == testPool {
+				due = append(due, v.info.Name)
+			}
+		}
+		const length = time.Minute
+		f.s.SetWave(fleet.Wave{Number: 1, VMs: due, MaxDuration: length, MaxUnavailable: 1}, f.now.Add(c.left-length), nil)
+		f.submitBooks(2 * deskVMs)
+		moved := 0
+		for _, o := range f.advanceAndPlan(1500 * time.Millisecond) {
+			if o.Kind == VMMove && o.Pool == otherPool {
+				moved++
+			}
+		}
+		if c.moves {
+			require.GreaterOrEqual(t, moved, deskVMs/2, "a wave with much time left holds the VMs")
+		} else {
+			require.Zero(t, moved, "VMs of a wave that ends soon are moved")
+		}
+	}
+}
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -27,6 +27,9 @@
 	lateDrainTimeout = 300 * time.Millisecond
 	// maxPoolShareDown is the fraction of a pool that a wave on schedule takes at once.
 	maxPoolShareDown = 0.25
+	// urgentRounds is the number of rounds of maintenance before its end from which a
+	// wave needs all its VMs.
+	urgentRounds = 2
 	// waveReserve is the fraction of the wave's time reserved for delays.
 	waveReserve = 0.3
 )
@@ -102,7 +105,7 @@
 	}
 	sort.Slice(numbers, func(i, k int) bool { return numbers[i] < numbers[k] })
 	for _, w := range s.workers {
-		w.maintenanceDue = false
+		w.maintenanceDue, w.maintenanceUrgent = false, false
 	}
 	for _, number := range numbers {
 		if w := s.waves[number]; !w.completed {
@@ -113,6 +116,7 @@
 
 func (s *Scheduler) planWave(w *wave, now time.Time) {
 	down := 0
+	urgent := s.endsSoon(w, now)
 	var waiting, draining []*vm
 	for _, name := range w.def.VMs {
 		v, listed := s.vms[name]
@@ -126,7 +130,7 @@
 			continue
 		}
 		if worker := s.workerOf(v); worker != nil {
-			worker.maintenanceDue = true
+			worker.maintenanceDue, worker.maintenanceUrgent = true, urgent
 		}
 		switch {
 		case v.operation != nil, v.info.State == fleet.VMInMaintenance:
@@ -166,6 +170,12 @@
 	return v.operation != nil && v.operation.Kind == VMMaintain
 }
 
+// endsSoon reports whether the wave's time is over in a few rounds of maintenance.
+func (s *Scheduler) endsSoon(w *wave, now time.Time) bool {
+	left := w.def.MaxDuration - now.Sub(w.firstSeenAt)
+	return left < urgentRounds*(s.cfg.MaintenanceTime+drainTimeout)
+}
+
 // behindSchedule reports whether the wave risks missing its time limit.
 func (s *Scheduler) behindSchedule(w *wave, now time.Time) bool {
 	rounds := (s.pendingVMs(w) + w.def.MaxUnavailable - 1) / w.def.MaxUnavailable
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -46,8 +46,10 @@
 	cordoned bool
 	// operationPending reports a pending VM operation that ends all runs there.
 	operationPending bool
-	// maintenanceDue is set while the VM awaits maintenance.
-	maintenanceDue bool
+	// maintenanceDue is set while the VM awaits maintenance, maintenanceUrgent once its
+	// wave ends soon.
+	maintenanceDue    bool
+	maintenanceUrgent bool
 	// ended incarnations get no updates.
 	ended bool
 }
