Let the leader go on, and larger entries go first, after an outage of the store

After an outage every heartbeat is old, so the first entry that reads the ledger again claims, however small; the order by processor share counts from the last heartbeat. Ruled out: VMs that are due and not vacated (v9 vacates them: the same). Change: an entry campaigns only once it has read the ledger without a gap for as long as a live leader's heartbeat takes, and its own delay.

--- a/fleetentry/candidate.go
+++ b/fleetentry/candidate.go
@@ -58,6 +58,9 @@
 	startedAt time.Time
 	// backoffUntil delays campaigns after another entry's claim.
 	backoffUntil time.Time
+	// freshSince is since when the ledger has been read without a gap; zero while it is
+	// stale.
+	freshSince time.Time
 }
 
 // NewCandidate returns a candidate of the node.
@@ -81,8 +84,12 @@
 func (c *Candidate) shouldCampaign(now time.Time) (bool, string) {
 	staleness, known := c.follower.LedgerStaleness(now)
 	if !known || staleness > maxLedgerStaleness {
+		c.freshSince = time.Time{}
 		return false, ""
 	}
+	if c.freshSince.IsZero() {
+		c.freshSince = now
+	}
 	var leader ledger.Leader
 	neverLed := false
 	c.follower.Read(func(v *ledger.View) { leader, neverLed = v.Leader, v.LeaderOffset < 0 })
@@ -97,7 +104,9 @@
 	case now.Sub(c.startedAt) < startupPeriod && now.UnixMilli()-leader.AtMillis > staleHeartbeatAge.Milliseconds() && sinceHeartbeat > missedHeartbeatTimeout+delay:
 		return true, "the leader's last heartbeat is old"
 	default:
-		return sinceHeartbeat > electionTimeout+delay, "the leader's heartbeats have stopped"
+		// After an outage of the store every heartbeat is old: the leader may go on, and
+		// entries with more of a processor go first.
+		return sinceHeartbeat > electionTimeout+delay && now.Sub(c.freshSince) > missedHeartbeatTimeout+delay, "the leader's heartbeats have stopped"
 	}
 }
 
--- /dev/null
+++ b/fleetentry/candidate_test.go
@@ -0,0 +1,42 @@
+package fleetentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+)
+
+// TestCandidate_AfterStoreOutage ends an outage of the store that was longer than the
+// election timeout: the first entry to read again must not claim at once. The leader may
+// go on, and an entry with little of a processor leaves the others time (seen on
+// benchmark day trouble-3 of a further deployment).
+func TestCandidate_AfterStoreOutage(t *testing.T) {
+	start := time.Now()
+	candidate := func(cpuShare float64) *Candidate {
+		f := NewFollower(nil, hclog.NewNullLogger())
+		f.view.LeaderOffset, f.view.Leader.FencingToken = 1, 1
+		f.lastLeaderRecordAt, f.ledger.lastReadAt = start, start
+		c := NewCandidate(nil, f, "entry", cpuShare, hclog.NewNullLogger())
+		c.startedAt = start.Add(-time.Minute)
+		return c
+	}
+	campaigns := func(c *Candidate, at time.Time, read bool) bool {
+		if read {
+			c.follower.ledger.lastReadAt = at
+		}
+		due, _ := c.shouldCampaign(at)
+		return due
+	}
+	large, small := candidate(0.8), candidate(0.2)
+	back := start.Add(4 * time.Second)
+	for _, c := range []*Candidate{large, small} {
+		require.False(t, campaigns(c, back, false), "campaigns without the store")
+		require.False(t, campaigns(c, back, true), "campaigns before the leader could send a heartbeat")
+	}
+	later := back.Add(missedHeartbeatTimeout + electionJitter + 10*time.Millisecond)
+	require.True(t, campaigns(large, later, true))
+	require.False(t, campaigns(small, later, true), "an entry with little of a processor goes first")
+	require.True(t, campaigns(small, later.Add(smallEntryDelay), true))
+}
