Take over only once the submission of every assigned job is read

What callers saw: a task that had succeeded started again, and its first success had been acknowledged (TWICE).

Cause: takeOver went on after a failed CatchUp as soon as the ledger itself was read. Standby entries read the entries' streams every two seconds, so a new leader knows a job of the last two seconds only by its assignments if that one read fails. RestoreJob passes over a job without submission; the ends of its runs are then handled without a record and acknowledged, its running tasks are stopped, and when the submission arrives the job is scheduled from its first attempt.

Change: readLedgerUpTo goes on reading until every job with a stored assignment has its submission, or all streams have been read whole. A stream that no assigned job needs may stay unread. One line is logged when a takeover waits for a submission and one when it goes on.

Conclusion: waiting costs the fleet a leader for as long as such a stream cannot be read by anybody; starting without the job would break both its promise and its team's limit, which cannot be counted.

--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -31,19 +31,8 @@
 	l.spawn(ctx, func(ctx context.Context) {
 		results <- l.readWorkers(ctx)
 	})
-	for {
-		if err := l.follower.CatchUp(ctx); err != nil && ctx.Err() != nil {
-			return err
-		}
-		caughtUp := false
-		l.follower.Read(func(v *ledger.View) { caughtUp = v.LeaderOffset >= offset })
-		if caughtUp {
-			break
-		}
-		sleep(ctx, planDelay)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+	if err := l.readLedgerUpTo(ctx, offset); err != nil {
+		return err
 	}
 	l.config.FencingToken = l.fencingToken
 	l.config.LeaseDuration = workerLeaseDuration
@@ -74,6 +63,33 @@
 	return nil
 }
 
+// readLedgerUpTo reads all streams until the state holds the ledger up to the offset and
+// the submission of every job with a stored assignment: without that job, its runs could
+// be neither counted nor kept, and would start again. A stream that cannot be read does
+// not matter if no such job is on it.
+func (l *Leader) readLedgerUpTo(ctx context.Context, offset int64) error {
+	waited := false
+	for {
+		readErr := l.follower.CatchUp(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		caughtUp, unread := false, ""
+		l.follower.Read(func(v *ledger.View) { caughtUp, unread = v.LeaderOffset >= offset, v.AssignedWithoutSubmission() })
+		if caughtUp && (readErr == nil || unread == "") {
+			if readErr != nil || unread != "" || waited {
+				l.log.Info("the ledger is read", "token", l.fencingToken, "waited", waited, "request", unread, "error", readErr)
+			}
+			return nil
+		}
+		if !waited && unread != "" {
+			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", unread, "error", readErr)
+			waited = true
+		}
+		sleep(ctx, planDelay)
+	}
+}
+
 // readWorkers reads the platform's list of workers, again if a response is lost, until
 // the context ends.
 func (l *Leader) readWorkers(ctx context.Context) workersResult {
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -54,6 +54,17 @@
 	return nil
 }
 
+// AssignedWithoutSubmission returns a job that has assignments although its submission
+// has not been read, or "".
+func (v *View) AssignedWithoutSubmission() string {
+	for id, j := range v.Jobs {
+		if j.Submission == nil && len(j.Tasks) > 0 && j.Result.Outcome == OutcomeNone {
+			return id
+		}
+	}
+	return ""
+}
+
 // updateJob changes one job and maintains the counts of pending jobs.
 func (v *View) updateJob(id string, fn func(j *Job)) {
 	j, known := v.Jobs[id]
--- a/ledger/view_test.go
+++ b/ledger/view_test.go
@@ -72,6 +72,20 @@
 	require.Equal(t, 1, v.Pending("q"))
 }
 
+// TestView_AssignedWithoutSubmission reads the ledger before the entries' streams.
+func TestView_AssignedWithoutSubmission(t *testing.T) {
+	v := ledger.NewView()
+	task := fleet.TaskID{Job: "a"}
+	apply(t, v, ledger.CancellationRecord("b", 3))
+	require.Empty(t, v.AssignedWithoutSubmission())
+	apply(t, v, ledger.AssignmentRecord(task, ledger.Assignment{Phase: ledger.PhaseDone, Attempt: 1}))
+	require.Equal(t, "a", v.AssignedWithoutSubmission())
+	apply(t, v, ledger.SubmissionRecord(submission("a")))
+	require.Empty(t, v.AssignedWithoutSubmission())
+	apply(t, v, ledger.AssignmentRecord(fleet.TaskID{Job: "c"}, ledger.Assignment{Attempt: 1}), ledger.ResultRecord("c", ledger.Result{Outcome: ledger.OutcomeCompleted}))
+	require.Empty(t, v.AssignedWithoutSubmission(), "a job that has finished needs no submission")
+}
+
 func FuzzView_Apply(f *testing.F) {
 	f.Add("ja", []byte(`{"q":"x","p":[{"n":1}]}`))
 	f.Add("ta.0.0.0", []byte(`{"p":1}`))
