Let no stream that a takeover does not need delay it

What callers saw: a second without a leader whenever one of the six streams of entries did not answer at a takeover, also one that held nothing of use.

Cause: readLedgerUpTo read all streams side by side and waited for the slowest; a read that gets no answer takes 1.2 s.

Change: the ledger is read first; the other streams only if a job with assignments lacks its submission. Jobs without assignments follow through the listener, as they did before when they came late.

Ruled out: that a job without assignments needs to be there at the start; its cancellation, if that is unread, arrives the same way.

--- a/fleetentry/followerstreams.go
+++ b/fleetentry/followerstreams.go
@@ -101,6 +101,11 @@
 // CatchUp reads all streams up to their ends.
 func (f *Follower) CatchUp(ctx context.Context) error { return f.catchUp(ctx, f.allStreams()) }
 
+// CatchUpLedger reads the leader's stream up to its end.
+func (f *Follower) CatchUpLedger(ctx context.Context) error {
+	return f.catchUp(ctx, []*followedStream{f.ledger})
+}
+
 // CatchUpUnusedStreams reads the streams not known to be in use up to their ends.
 func (f *Follower) CatchUpUnusedStreams(ctx context.Context) error {
 	var unused []*followedStream
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -63,31 +63,43 @@
 	return nil
 }
 
-// readLedgerUpTo reads all streams until the state holds the ledger up to the offset and
-// the submission of every job with a stored assignment: without that job, its runs could
-// be neither counted nor kept, and would start again. A stream that cannot be read does
-// not matter if no such job is on it.
+// readLedgerUpTo reads until the state holds the ledger up to the offset and the
+// submission of every job with a stored assignment: without that job, its runs could be
+// neither counted nor kept, and would start again. Other jobs may be read later, so that
+// a stream that cannot be read delays no takeover that does not need it.
 func (l *Leader) readLedgerUpTo(ctx context.Context, offset int64) error {
-	waited := false
-	for {
-		readErr := l.follower.CatchUp(ctx)
-		if ctx.Err() != nil {
-			return ctx.Err()
+	waiting := ""
+	for ctx.Err() == nil {
+		err := l.follower.CatchUpLedger(ctx)
+		caughtUp, missing := l.ledgerReadUpTo(offset)
+		wholeRead := false
+		if caughtUp && missing != "" {
+			err = l.follower.CatchUp(ctx)
+			wholeRead = err == nil
+			_, missing = l.ledgerReadUpTo(offset)
 		}
-		caughtUp, unread := false, ""
-		l.follower.Read(func(v *ledger.View) { caughtUp, unread = v.LeaderOffset >= offset, v.AssignedWithoutSubmission() })
-		if caughtUp && (readErr == nil || unread == "") {
-			if readErr != nil || unread != "" || waited {
-				l.log.Info("the ledger is read", "token", l.fencingToken, "waited", waited, "request", unread, "error", readErr)
+		if caughtUp && (missing == "" || wholeRead) {
+			if missing != "" || waiting != "" {
+				l.log.Info("takeover goes on", "token", l.fencingToken, "request", missing)
 			}
 			return nil
 		}
-		if !waited && unread != "" {
-			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", unread, "error", readErr)
-			waited = true
+		if missing != "" && waiting == "" {
+			waiting = missing
+			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", missing, "error", err)
 		}
 		sleep(ctx, planDelay)
 	}
+	return ctx.Err()
+}
+
+// ledgerReadUpTo reports whether the ledger is read up to the offset, and which job has
+// assignments and no submission.
+func (l *Leader) ledgerReadUpTo(offset int64) (caughtUp bool, missing string) {
+	l.follower.Read(func(v *ledger.View) {
+		caughtUp, missing = v.LeaderOffset >= offset, v.AssignedWithoutSubmission()
+	})
+	return caughtUp, missing
 }
 
 // readWorkers reads the platform's list of workers, again if a response is lost, until
--- a/fleetentry/takeover_test.go
+++ b/fleetentry/takeover_test.go
@@ -52,6 +52,25 @@
 	p.awaitState(p.submit("desk", twoSteps("short")), "completed")
 }
 
+// TestTakeover_SilentStreamDelaysUnrelatedJobs lets a stream without assigned jobs leave
+// reads unanswered: the next leader must not wait for it.
+func TestTakeover_SilentStreamDelaysUnrelatedJobs(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t, 2)
+	previous := p.leader()
+	path := p.submit("desk", longRunningJob(2, 0))
+	require.Eventually(t, func() bool { return p.fleet.Running(jobIDOf(path)) == 2 }, 5*time.Second, 10*time.Millisecond)
+	p.store.SetFault(func(r *http.Request) emulator.StoreFault {
+		if r.Method == http.MethodGet && r.URL.Query().Get("topic") == "keyed.jobs-3" {
+			return emulator.StoreHangs
+		}
+		return emulator.StoreOK
+	})
+	crash(previous)
+	next := p.leader().leader.Load()
+	require.Less(t, time.Since(next.startedAt), readTimeout/2)
+}
+
 // rejectReads makes reads of the topics with the prefix fail for the duration.
 func (p *testPlatform) rejectReads(prefix string, duration time.Duration) {
 	until := time.Now().Add(duration)
