Log a takeover that waits when the wait begins

Change: the line comes before that read, a failed read is logged once each, and a submission that no stream has is an error line of its own, since a corrupt record must not keep the fleet without a leader. Evidence: the takeover tests pass as before. Conclusion: no change of what is decided.

--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -68,27 +68,30 @@
 // neither counted nor kept, and would start again. Other jobs may be read later, so that
 // a stream that cannot be read delays no takeover that does not need it.
 func (l *Leader) readLedgerUpTo(ctx context.Context, offset int64) error {
-	waiting := ""
+	waited := false
 	for ctx.Err() == nil {
-		err := l.follower.CatchUpLedger(ctx)
+		ledgerErr := l.follower.CatchUpLedger(ctx)
 		caughtUp, missing := l.ledgerReadUpTo(offset)
-		wholeRead := false
-		if caughtUp && missing != "" {
-			err = l.follower.CatchUp(ctx)
-			wholeRead = err == nil
-			_, missing = l.ledgerReadUpTo(offset)
-		}
-		if caughtUp && (missing == "" || wholeRead) {
-			if missing != "" || waiting != "" {
-				l.log.Info("takeover goes on", "token", l.fencingToken, "request", missing)
-			}
+		switch {
+		case !caughtUp:
+			l.log.Debug("takeover reads the ledger again", "token", l.fencingToken, "error", ledgerErr)
+			sleep(ctx, planDelay)
+			continue
+		case missing == "":
 			return nil
+		case !waited:
+			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", missing)
+			waited = true
 		}
-		if missing != "" && waiting == "" {
-			waiting = missing
-			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", missing, "error", err)
+		if err := l.follower.CatchUp(ctx); err != nil {
+			l.log.Info("takeover cannot read all streams", "token", l.fencingToken, "error", err)
+			sleep(ctx, readRetryDelay)
+			continue
 		}
-		sleep(ctx, planDelay)
+		if _, missing = l.ledgerReadUpTo(offset); missing != "" {
+			l.log.Error("no stream has the submission of a job with assignments", "token", l.fencingToken, "request", missing)
+		}
+		return nil
 	}
 	return ctx.Err()
 }
