Request a start only for the assignment that its batch stored

What callers would see: a task runs twice after the loss of a leader.

Cause: a batch that waits for the store holds the tasks to start, not their attempts. If an assignment is withdrawn meanwhile (its worker has ended) and the task is assigned again, the first batch's return starts the second assignment, whose record still waits. A leader that dies then leaves a run that no record names, and its successor starts the task elsewhere.

TestStart_BeforeItsOwnAssignmentIsStored fails on the code before: storing the withdrawn batch returns a start of attempt 2.

Ruled out elsewhere: outcomes are acknowledged by the number that their own batch handled; stops need no record; starts of waves are stored before they count.

Change: a pending start names its attempt and is passed over if the task has another.

Conclusion: no start precedes its record.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -127,7 +127,7 @@
 	s.emit(Event{Kind: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: t.assignmentReason(w, now)})
 	s.reserveResources(t, w)
 	s.recordAssignment(t)
-	s.batch.pendingStarts = append(s.batch.pendingStarts, t)
+	s.batch.pendingStarts = append(s.batch.pendingStarts, pendingStart{task: t, attempt: t.attempt})
 	s.updateReady(t.step)
 }
 
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -45,6 +45,25 @@
 	require.Empty(t, f.s.HandleBatchPersisted(batch.Number, f.now), "a batch returns its starts twice")
 }
 
+// TestStart_BeforeItsOwnAssignmentIsStored stores the batch of a withdrawn assignment
+// while the next one of the same task still waits for the store.
+func TestStart_BeforeItsOwnAssignmentIsStored(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.addWorker("w-2", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	f.s.Submit(f.newJob("j", fleet.Step{}), f.now)
+	f.s.Place(f.now)
+	withdrawn := f.s.TakeBatch()
+	f.s.EndIncarnation(f.s.findTask(taskOf("j", 0)).worker.info.ID, f.now, "it has ended")
+	f.s.Place(f.now)
+	assigned := f.s.TakeBatch()
+	require.Empty(t, f.s.HandleBatchPersisted(withdrawn.Number, f.now), "a start is requested that no stored record names")
+	starts := f.s.HandleBatchPersisted(assigned.Number, f.now)
+	require.Len(t, starts, 1)
+	require.Equal(t, 2, starts[0].Request.Attempt)
+}
+
 // TestStart_InDoubt keeps the task until a stop and a later poll prove that the run
 // does not exist.
 func TestStart_InDoubt(t *testing.T) {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -31,6 +31,13 @@
 	Workers []string
 }
 
+// pendingStart is an assignment that is not stored yet. The task may have been withdrawn
+// and assigned again when it is.
+type pendingStart struct {
+	task    *task
+	attempt int
+}
+
 // Batch holds one round of decisions. The records are stored first;
 // HandleBatchPersisted then returns the starts.
 type Batch struct {
@@ -43,7 +50,7 @@
 	// PollSoon names workers whose next poll should not wait.
 	PollSoon []string
 	// pendingStarts and handledOutcomes take effect once the batch is stored.
-	pendingStarts   []*task
+	pendingStarts   []pendingStart
 	handledOutcomes map[*worker]int64
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -103,8 +103,11 @@
 		w.lastRecordedOutcome = max(w.lastRecordedOutcome, outcome)
 	}
 	var out []StartRequest
-	for _, t := range b.pendingStarts {
-		if start, ok := s.buildStartRequest(t, now); ok {
+	for _, pending := range b.pendingStarts {
+		if pending.task.attempt != pending.attempt {
+			continue
+		}
+		if start, ok := s.buildStartRequest(pending.task, now); ok {
 			out = append(out, start)
 		}
 	}
