Overlap the soak's faults with outages of a part of the store

Cause: the soak injected one fault at a time and took the store away whole or not at all, so that no leader was lost while one of the streams could not be read; the fault of takeovers could not show in it. Ruled out: new draws in the existing sequence, which would have changed what the kept seeds do; the outages have a generator of their own. Change: in half of the faults reads of some of the store's topics are refused or left unanswered, and in half of these that outlasts the other fault. Conclusion: the takeover is now among what the soak covers.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,16 +38,20 @@
 	key               = "key-of-team"
 	entryCount        = 3
 	completionTimeout = 40 * time.Second
+	// outageTail is longer than it takes the fleet to notice the loss of a leader.
+	outageTail = 1500 * time.Millisecond
 )
 
 // testFleet is the emulated platform in this process and the entries as processes.
 type testFleet struct {
-	t       *testing.T
-	rng     *rand.Rand
-	binary  string
-	store   *emulator.Store
-	fleet   *emulator.Fleet
-	entries []*entry
+	t   *testing.T
+	rng *rand.Rand
+	// outageRNG draws the store's partial outages, which overlap the other faults.
+	outageRNG *rand.Rand
+	binary    string
+	store     *emulator.Store
+	fleet     *emulator.Fleet
+	entries   []*entry
 }
 
 type entry struct {
@@ -72,7 +76,7 @@
 }
 
 func newTestFleet(t *testing.T, binary string, seed uint64) *testFleet {
-	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), binary: binary, store: emulator.NewStore()}
+	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: emulator.NewStore()}
 	f.fleet = emulator.NewFleet(f.store)
 	storeServer, vmServer := httptest.NewServer(f.store), httptest.NewServer(f.fleet)
 	t.Cleanup(storeServer.CloseClientConnections)
@@ -163,6 +167,26 @@
 	}
 }
 
+// injectPartialOutage makes reads of some of the store's topics fail in half of its
+// calls, and returns a function that clears that.
+func (f *testFleet) injectPartialOutage() func() {
+	if f.outageRNG.IntN(2) == 0 {
+		return func() {}
+	}
+	fault := []emulator.StoreFault{emulator.StoreUnavailable, emulator.StoreHangs}[f.outageRNG.IntN(2)]
+	down := map[string]bool{}
+	for _, topic := range []string{"keyed.jobs", "keyed.jobs-1", "keyed.jobs-2", "keyed.jobs-3", "keyed.jobs-4", "keyed.jobs-5", "keyed.ledger"} {
+		down[topic] = f.outageRNG.IntN(2) == 0
+	}
+	f.store.SetFault(func(r *http.Request) emulator.StoreFault {
+		if r.Method == http.MethodGet && down[r.URL.Query().Get("topic")] {
+			return fault
+		}
+		return emulator.StoreOK
+	})
+	return func() { f.store.SetFault(nil) }
+}
+
 // request sends one request to the entry; status 0 means no response.
 func (f *testFleet) request(e *entry, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+e.clientAddress+path, bytes.NewBufferString(body))
@@ -188,7 +212,7 @@
 	var accepted, rejected []string
 	deadline := time.Now().Add(*faultDuration)
 	for n := 0; time.Now().Before(deadline); n++ {
-		clearFault := f.injectFault()
+		clearFault, clearOutage := f.injectFault(), f.injectPartialOutage()
 		for end := time.Now().Add(time.Duration(300+f.rng.IntN(1500)) * time.Millisecond); time.Now().Before(end); {
 			path := fmt.Sprintf("/desk/%016x", f.rng.Uint64())
 			spec := []string{"short", "long"}[f.rng.IntN(2)]
@@ -204,6 +228,11 @@
 			time.Sleep(40 * time.Millisecond)
 		}
 		clearFault()
+		if f.outageRNG.IntN(2) == 0 {
+			// The next leader may take over while the outage lasts.
+			time.Sleep(outageTail)
+		}
+		clearOutage()
 	}
 	for _, path := range accepted {
 		f.awaitCompletion(path)
