Carry unconfirmed runs over to a worker's next incarnation

What callers saw or would see: a task that must run once runs twice when its worker restarts under the same ID while the start is in flight. Cause: HandleStatus and setWorker ended an incarnation as a whole when a later one appeared. Starts name only the worker's ID, so one in flight can be executed by the later incarnation, while the task was already started elsewhere. Stops answered by the earlier incarnation were also taken as proof for the later one. Ruled out: waiting for the lease in each case; tasks of a worker that has restarted would then wait for seconds although a status has shown that they ran on the earlier incarnation. Change: a task keeps the incarnation on which a status has shown its run. A later incarnation ends only runs shown on an earlier one, and assignments whose start was not requested. The others are carried over with the bound of their leases; a poll of the later incarnation, the response to the start, or a repeated stop decides. Endpoint names the incarnation that the leader knew, so that a late response to a stop of the earlier one proves nothing. Conclusion: a restart under the same ID no longer gives up a run that it may not have ended. Not proved to be the cause of the report.

--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -4,6 +4,9 @@
 type Endpoint struct {
 	WorkerID string
 	Address  string
+	// StartedAtMillis is the incarnation that the caller knows at the address. The
+	// worker does not check it: a later one under the same ID may respond.
+	StartedAtMillis int64
 }
 
 // StartRequest starts one run of a task.
--- /dev/null
+++ b/scheduler/incarnation_test.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// restart lets the worker start again under its ID, without any runs.
+func (f *testFleet) restart(id string) {
+	w := f.workers[id]
+	w.StartedAtMillis++
+	f.workers[id] = w
+	clear(f.runs[id])
+}
+
+// twoWorkers returns a fleet of two polled workers.
+func twoWorkers(t *testing.T) *testFleet {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.addWorker("w-2", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	return f
+}
+
+// TestRestart_StartInFlightReachesLaterIncarnation guards against a second start of a
+// task whose start reaches the worker after it has restarted under its ID.
+func TestRestart_StartInFlightReachesLaterIncarnation(t *testing.T) {
+	for name, discover := range map[string]func(f *testFleet, id string){
+		"by the list": func(f *testFleet, _ string) { f.s.SetWorkers(f.workers, f.now) },
+		"by a poll":   func(f *testFleet, id string) { f.poll(id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := twoWorkers(t)
+			start := f.placeJob("j")
+			id := start.Endpoint.WorkerID
+			f.restart(id)
+			discover(f, id)
+			f.startRun(start)
+			f.s.Place(f.now)
+			f.applyBatches()
+			f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+			f.advance(100 * time.Millisecond)
+			require.Equal(t, map[string]int{id: 1}, f.running("j"))
+			require.Equal(t, running, f.s.findTask(start.Request.Task).phase)
+		})
+	}
+}
+
+// TestRestart_ConfirmedRunIsAbsentOnLaterIncarnation checks that a run that only the
+// response to its start has confirmed is given up by a poll of the next incarnation.
+func TestRestart_ConfirmedRunIsAbsentOnLaterIncarnation(t *testing.T) {
+	f := twoWorkers(t)
+	start := f.placeJob("j")
+	id := start.Endpoint.WorkerID
+	f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+	f.restart(id)
+	f.s.SetWorkers(f.workers, f.now)
+	require.Equal(t, running, f.s.findTask(start.Request.Task).phase, "no poll has shown on which incarnation the run is")
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, 1, total(f.running("j")))
+	require.Equal(t, 2, f.s.findTask(start.Request.Task).attempt)
+}
+
+// TestRestart_StartInDoubtIsStoppedOnLaterIncarnation guards against a start in doubt
+// that is executed after a restart: the stop that the earlier incarnation has answered
+// does not hold for the later one.
+func TestRestart_StartInDoubtIsStoppedOnLaterIncarnation(t *testing.T) {
+	f := twoWorkers(t)
+	start := f.placeJob("j")
+	id, task := start.Endpoint.WorkerID, f.s.findTask(start.Request.Task)
+	f.s.HandleStartResponse(&start.Request, id, unknownOutcome(), f.now)
+	early := f.s.TakeBatch().Stops
+	require.Len(t, early, 1)
+	f.s.HandleStopResponse(&early[0], nil, f.now)
+	f.restart(id)
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.poll(id)
+	require.Equal(t, stopping, task.phase, "the stop of an earlier incarnation proves nothing")
+	late := f.s.TakeBatch().Stops
+	require.Len(t, late, 1, "no stop is requested of the later incarnation")
+	f.s.HandleStopResponse(&early[0], nil, f.now)
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.poll(id)
+	require.Equal(t, stopping, task.phase, "a late response to the earlier stop proves nothing")
+	f.s.HandleStopResponse(&late[0], nil, f.now)
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.poll(id)
+	require.Equal(t, waiting, task.phase)
+}
+
+// TestRestart_LeaseBoundIsCarriedOver guards against a task that waits forever for, or
+// is started before, the lease on an incarnation that cannot be polled.
+func TestRestart_LeaseBoundIsCarriedOver(t *testing.T) {
+	f := twoWorkers(t)
+	f.advance(4 * time.Second)
+	start := f.placeJob("j")
+	id, task := start.Endpoint.WorkerID, f.s.findTask(start.Request.Task)
+	f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+	f.restart(id)
+	f.s.SetWorkers(f.workers, f.now)
+	f.now = f.now.Add(4 * time.Second)
+	f.s.Tick(f.now)
+	require.Equal(t, running, task.phase, "the lease may still run")
+	f.now = f.now.Add(400 * time.Millisecond)
+	f.s.Tick(f.now)
+	require.Equal(t, waiting, task.phase)
+}
+
+// TestRestart_UsesAreReleased checks the capacity that the tasks of an ended incarnation
+// use: none on the worker, and none of the team's.
+func TestRestart_UsesAreReleased(t *testing.T) {
+	f := twoWorkers(t)
+	sub := f.newJob("j", fleet.Step{Count: 4, EstimateMillis: secondsToMillis(60)})
+	sub.Team = "team"
+	f.s.Submit(sub, f.now)
+	f.s.Place(f.now)
+	batch := f.s.TakeBatch()
+	starts := f.s.HandleBatchPersisted(batch.Number, f.now)
+	require.Len(t, starts, 4)
+	id := starts[0].Endpoint.WorkerID
+	f.restart(id)
+	f.s.SetWorkers(f.workers, f.now)
+	require.Equal(t, int64(4000), f.s.teams["team"].used.MilliCPU)
+	require.Equal(t, int64(4000), f.s.workers[id].used.MilliCPU)
+	for i := range starts {
+		f.s.HandleStartResponse(&starts[i].Request, id, nil, f.now)
+	}
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.poll(id)
+	require.Zero(t, f.s.teams["team"].used.MilliCPU)
+	require.Zero(t, f.s.workers[id].used.MilliCPU)
+	require.Empty(t, f.s.findTask(taskOf("j", 0)).step.tasksByWorker)
+}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -36,13 +36,12 @@
 		if status.StartedAtMillis < w.info.StartedAtMillis {
 			return // A response of an earlier incarnation.
 		}
-		info := w.info
-		info.StartedAtMillis = status.StartedAtMillis
-		wasListed := w.listed
-		s.removeWorker(w, now, "the worker has restarted")
-		s.setWorker(id, info, now)
-		w = s.workers[id]
-		w.listed = wasListed
+		later := w.info
+		later.StartedAtMillis = status.StartedAtMillis
+		w = s.supersede(w, later, now, "the worker has restarted")
+	}
+	if w.info.StartedAtMillis == 0 {
+		w.info.StartedAtMillis = status.StartedAtMillis
 	}
 	if w.missedPolls > 0 {
 		s.emit(Event{Kind: "worker.reachable", ID: id})
@@ -74,6 +73,7 @@
 			s.emit(Event{Kind: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Reason: "not assigned"})
 			continue
 		}
+		t.shownOn = w.info.StartedAtMillis
 		if t.phase == starting {
 			s.confirmRun(t, now)
 		}
@@ -278,7 +278,7 @@
 		return
 	}
 	t := s.findTask(stop.Task)
-	if err != nil || t == nil || t.attempt != stop.Attempt || t.phase != stopping {
+	if err != nil || t == nil || t.attempt != stop.Attempt || t.phase != stopping || t.worker.endpoint() != stop.Endpoint {
 		return
 	}
 	if t.absentAfter.IsZero() {
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -113,8 +113,7 @@
 
 // addUnlistedWorker adds a worker that is not on the list: its runs may still exist.
 func (s *Scheduler) addUnlistedWorker(id string) *worker {
-	w := &worker{info: fleet.Worker{ID: id}, tasks: map[fleet.TaskID]*task{}}
-	w.leaseStart, w.leaseDuration = s.tookOverAt, s.cfg.PreviousLeaderLease
+	w := s.newWorker(fleet.Worker{ID: id})
 	s.workers[id] = w
 	return w
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -33,6 +33,9 @@
 	movedFromSlowWorker bool
 	// confirmedAt is when the worker confirmed the run.
 	confirmedAt time.Time
+	// shownOn is the incarnation of the worker on which a status has shown the run; 0
+	// for none.
+	shownOn int64
 	// inDoubt starts got no response.
 	inDoubt bool
 	// absentAfter is when a stop, or a refusal as superseded, was answered; a poll sent
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -83,5 +83,5 @@
 
 // endpoint returns the address of this incarnation of the worker.
 func (w *worker) endpoint() fleet.Endpoint {
-	return fleet.Endpoint{WorkerID: w.info.ID, Address: w.info.Address}
+	return fleet.Endpoint{WorkerID: w.info.ID, Address: w.info.Address, StartedAtMillis: w.info.StartedAtMillis}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -36,18 +36,17 @@
 		return // The list shows an ended incarnation for some heartbeats.
 	}
 	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis > w.info.StartedAtMillis {
-		s.removeWorker(w, now, "the worker has restarted")
-		known = false
+		w = s.supersede(w, info, now, "the worker has restarted")
 	}
 	if !known {
-		w = &worker{tasks: map[fleet.TaskID]*task{}}
-		w.leaseStart, w.leaseDuration = s.tookOverAt, s.cfg.PreviousLeaderLease
+		w = s.newWorker(info)
 		s.workers[id] = w
 		s.emit(Event{Kind: "worker.listed", ID: id, Reason: info.Pool})
 	}
 	if w.info.Draining != info.Draining && known {
 		s.emit(Event{Kind: "worker.draining", ID: id, Reason: info.Pool})
 	}
+	info.StartedAtMillis = max(info.StartedAtMillis, w.info.StartedAtMillis)
 	w.info = info
 	w.listed = true
 }
