Let the first poll decide on every restored run

What callers saw or would see: after a takeover, a task that must run once runs a second time, also when its first run then ends as done. Cause: restoreTask took any difference between the incarnation in the stored assignment and the listed one for proof that the run had ended. The list of workers lags, while the earlier leader learns of a later incarnation from a poll and assigns runs to it: a new leader whose list still showed the earlier one started the task elsewhere. Ruled out: comparing by order. A record older than the list proves nothing either, as its start may have reached the listed incarnation after a restart under the same ID. Change: the comparison is gone. The task is restored onto the worker, and the first poll decides; the lease bounds the wait for a worker that cannot be polled. Conclusion: the state of the list at a takeover no longer gives a run up.

--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -102,9 +102,8 @@
 		if w == nil {
 			w = s.addUnlistedWorker(a.Worker)
 		}
-		if w.info.StartedAtMillis != a.WorkerStartedAtMillis && w.info.StartedAtMillis != 0 && a.WorkerStartedAtMillis != 0 {
-			return // That incarnation has ended, and the run with it.
-		}
+		// The list lags: the first poll shows whether the run exists, whichever of its
+		// incarnations the worker is listed with.
 		t.phase, t.restored = starting, true
 		t.confirmedAt = time.Time{}
 		s.reserveResources(t, w)
