Let a 421 end only the incarnation that was called

What callers saw or would see: tasks run twice after a worker has come back elsewhere under its ID, or after a takeover whose list of workers is behind. Cause: a response of another worker (421) ended whatever incarnation the leader knew under the ID. A response from the address where the worker was before ended the runs of the one that had come back; and a restored run whose assignment names a later incarnation was given up with the earlier one. Ruled out: comparing the addresses only; an incarnation may come back at an address that another worker had in between. Change: the responses to polls, starts and stops name the endpoint that was called; a 421 is ignored unless the worker is still known there as the same incarnation. A start that was refused so is requeued alone. Restored runs of later incarnations are kept on an unlisted worker, which ignores the ended incarnation on the list; their lease bounds the wait. Conclusion: a 421 gives up the runs of the incarnation that was called, and no others.

--- a/fleetentry/requests.go
+++ b/fleetentry/requests.go
@@ -23,7 +23,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.sched.HandleStartResponse(&s.Request, s.Endpoint.WorkerID, err, now)
+	l.sched.HandleStartResponse(&s.Request, s.Endpoint, err, now)
 	if p, known := l.pollers[s.Endpoint.WorkerID]; known {
 		p.notifyStart()
 	}
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -100,7 +100,7 @@
 	now := time.Now()
 	if result.err != nil {
 		p.missed.Add(1)
-		l.sched.HandlePollFailure(p.endpoint.WorkerID, result.err, now)
+		l.sched.HandlePollFailure(p.endpoint, result.err, now)
 		l.flush(now)
 		return failedPollInterval, false, true
 	}
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -159,7 +159,7 @@
 		}
 		for _, start := range f.s.HandleBatchPersisted(batch.Number, f.now) {
 			f.startRun(start)
-			f.s.HandleStartResponse(&start.Request, start.Endpoint.WorkerID, nil, f.now)
+			f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 		}
 	}
 	return out
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -42,7 +42,7 @@
 			f.startRun(start)
 			f.s.Place(f.now)
 			f.applyBatches()
-			f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+			f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 			f.advance(100 * time.Millisecond)
 			require.Equal(t, map[string]int{id: 1}, f.running("j"))
 			require.Equal(t, running, f.s.findTask(start.Request.Task).phase)
@@ -56,7 +56,7 @@
 	f := twoWorkers(t)
 	start := f.placeJob("j")
 	id := start.Endpoint.WorkerID
-	f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 	f.restart(id)
 	f.s.SetWorkers(f.workers, f.now)
 	require.Equal(t, running, f.s.findTask(start.Request.Task).phase, "no poll has shown on which incarnation the run is")
@@ -72,7 +72,7 @@
 	f := twoWorkers(t)
 	start := f.placeJob("j")
 	id, task := start.Endpoint.WorkerID, f.s.findTask(start.Request.Task)
-	f.s.HandleStartResponse(&start.Request, id, unknownOutcome(), f.now)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, unknownOutcome(), f.now)
 	early := f.s.TakeBatch().Stops
 	require.Len(t, early, 1)
 	f.s.HandleStopResponse(&early[0], nil, f.now)
@@ -99,7 +99,7 @@
 	f.advance(4 * time.Second)
 	start := f.placeJob("j")
 	id, task := start.Endpoint.WorkerID, f.s.findTask(start.Request.Task)
-	f.s.HandleStartResponse(&start.Request, id, nil, f.now)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 	f.restart(id)
 	f.s.SetWorkers(f.workers, f.now)
 	f.now = f.now.Add(4 * time.Second)
@@ -127,7 +127,7 @@
 	require.Equal(t, int64(4000), f.s.teams["team"].used.MilliCPU)
 	require.Equal(t, int64(4000), f.s.workers[id].used.MilliCPU)
 	for i := range starts {
-		f.s.HandleStartResponse(&starts[i].Request, id, nil, f.now)
+		f.s.HandleStartResponse(&starts[i].Request, starts[i].Endpoint, nil, f.now)
 	}
 	f.now = f.now.Add(10 * time.Millisecond)
 	f.poll(id)
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -203,7 +203,7 @@
 	default:
 		err = m.start(w, start)
 	}
-	leader.s.HandleStartResponse(&start.Request, start.Endpoint.WorkerID, err, m.now)
+	leader.s.HandleStartResponse(&start.Request, start.Endpoint, err, m.now)
 	m.takeBatch(leader)
 }
 
@@ -260,12 +260,12 @@
 		return
 	}
 	if w.partitioned {
-		leader.s.HandlePollFailure(w.info.ID, unknownOutcome(), m.now)
+		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), unknownOutcome(), m.now)
 		m.takeBatch(leader)
 		return
 	}
 	if request.FencingToken < w.token {
-		leader.s.HandlePollFailure(w.info.ID, refusedWith(provider.CodeFenced), m.now)
+		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), refusedWith(provider.CodeFenced), m.now)
 		return
 	}
 	w.token = request.FencingToken
@@ -284,7 +284,7 @@
 		status.Active = append(status.Active, fleet.ActiveRun{Task: id, Attempt: run.attempt, Percent: 50})
 	}
 	if rapid.IntRange(0, 7).Draw(m.t, "reply") == 0 {
-		leader.s.HandlePollFailure(w.info.ID, unknownOutcome(), m.now)
+		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), unknownOutcome(), m.now)
 	} else {
 		leader.s.HandleStatus(w.info.ID, &status, m.now, m.now)
 	}
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -72,7 +72,7 @@
 	f.addWorker("w-2", testPool, 4)
 	f.advance(100 * time.Millisecond)
 	start := f.placeJob("j")
-	f.s.HandleStartResponse(&start.Request, start.Endpoint.WorkerID, unknownOutcome(), f.now)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, unknownOutcome(), f.now)
 	batch := f.s.TakeBatch()
 	require.Len(t, batch.Stops, 1, "no stop is requested for a start in doubt")
 	f.poll(start.Endpoint.WorkerID)
@@ -94,14 +94,14 @@
 		f.addWorker("w-1", testPool, 4)
 		f.advance(100 * time.Millisecond)
 		start := f.placeJob("j")
-		f.s.HandleStartResponse(&start.Request, start.Endpoint.WorkerID, refusedWith(code), f.now)
+		f.s.HandleStartResponse(&start.Request, start.Endpoint, refusedWith(code), f.now)
 		require.Equal(t, waiting, f.s.findTask(start.Request.Task).phase, string(code))
 	}
 	f := newTestFleet(t)
 	f.addWorker("w-1", testPool, 4)
 	f.advance(100 * time.Millisecond)
 	start := f.placeJob("j")
-	f.s.HandleStartResponse(&start.Request, start.Endpoint.WorkerID, refusedWith(provider.CodeFenced), f.now)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, refusedWith(provider.CodeFenced), f.now)
 	require.True(t, f.s.Fenced())
 }
 
@@ -118,7 +118,7 @@
 	last := f.now
 	for f.now.Before(last.Add(10 * time.Second)) {
 		f.now = f.now.Add(100 * time.Millisecond)
-		f.s.HandlePollFailure("w-1", unknownOutcome(), f.now)
+		f.s.HandlePollFailure(f.s.workers["w-1"].endpoint(), unknownOutcome(), f.now)
 		request, _ := f.s.PreparePoll("w-1", f.now, true)
 		require.Zero(t, request.DeadlineMillis, "a failed poll extends the leases")
 		f.poll("w-2")
@@ -182,7 +182,7 @@
 	require.Equal(t, 2, f.running("j")["w-1"])
 	require.Equal(t, 2, f.running("j")["w-2"], "tasks of a worker that was not polled are started elsewhere")
 	f.now = f.now.Add(8 * time.Second)
-	f.s.HandlePollFailure("w-2", unknownOutcome(), f.now)
+	f.s.HandlePollFailure(f.s.workers["w-2"].endpoint(), unknownOutcome(), f.now)
 	clear(f.runs["w-2"])
 	f.s.Tick(f.now)
 	require.Equal(t, waiting, f.s.findTask(taskOf("j", 0)).phase+f.s.findTask(taskOf("j", 1)).phase+f.s.findTask(taskOf("j", 2)).phase+f.s.findTask(taskOf("j", 3)).phase-2*running, "two run, two wait")
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -7,9 +7,9 @@
 	"github.com/anvilcourse/anvilcourse/provider"
 )
 
-// HandlePollFailure handles a poll that got no usable response.
-func (s *Scheduler) HandlePollFailure(id string, err error, now time.Time) {
-	w, known := s.workers[id]
+// HandlePollFailure handles a poll of the endpoint that got no usable response.
+func (s *Scheduler) HandlePollFailure(to fleet.Endpoint, err error, now time.Time) {
+	w, known := s.workers[to.WorkerID]
 	if !known {
 		return
 	}
@@ -17,11 +17,11 @@
 	case provider.CodeFenced:
 		s.fenced = true
 	case provider.CodeWrongIncarnation:
-		s.removeWorker(w, now, "another worker responds at its address")
+		s.handleWrongIncarnation(to, now)
 	default:
 		w.missedPolls++
 		if w.missedPolls == 1 {
-			s.emit(Event{Kind: "worker.unreachable", ID: id, Reason: err.Error()})
+			s.emit(Event{Kind: "worker.unreachable", ID: to.WorkerID, Reason: err.Error()})
 		}
 	}
 }
@@ -212,9 +212,9 @@
 }
 
 // HandleStartResponse applies the response to a start request.
-func (s *Scheduler) HandleStartResponse(request *fleet.StartRequest, workerID string, err error, now time.Time) {
+func (s *Scheduler) HandleStartResponse(request *fleet.StartRequest, to fleet.Endpoint, err error, now time.Time) {
 	t := s.findTask(request.Task)
-	if t == nil || t.attempt != request.Attempt || t.worker == nil || t.worker.info.ID != workerID || !t.mayHaveRun() {
+	if t == nil || t.attempt != request.Attempt || t.worker == nil || t.worker.info.ID != to.WorkerID || !t.mayHaveRun() {
 		return
 	}
 	w := t.worker
@@ -230,8 +230,7 @@
 		return
 	}
 	if code == provider.CodeWrongIncarnation {
-		s.removeWorker(w, now, "another worker responds at its address")
-		return
+		s.handleWrongIncarnation(to, now)
 	}
 	if t.phase != starting {
 		return
@@ -274,7 +273,7 @@
 		s.fenced = true
 		return
 	case provider.CodeWrongIncarnation:
-		s.EndIncarnation(stop.Endpoint.WorkerID, now, "another worker responds at its address")
+		s.handleWrongIncarnation(stop.Endpoint, now)
 		return
 	}
 	t := s.findTask(stop.Task)
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -104,7 +104,7 @@
 		}
 		// The list lags: the first poll shows whether the run exists, whichever of its
 		// incarnations the worker is listed with.
-		t.phase, t.restored = starting, true
+		t.phase, t.restored, t.restoredOn = starting, true, a.WorkerStartedAtMillis
 		t.confirmedAt = time.Time{}
 		s.reserveResources(t, w)
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -25,6 +25,8 @@
 	// restored tasks were assigned by an earlier leader; a poll with the new fencing
 	// token shows whether their run exists.
 	restored bool
+	// restoredOn is the incarnation that the stored assignment names.
+	restoredOn int64
 	// startedByPreviousLeader is set if an earlier leader started the run.
 	startedByPreviousLeader bool
 	// placedLate reports that the job could only be late when the run was placed.
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -46,7 +46,7 @@
 	t.confirmedAt, t.absentAfter, t.stopRequestedAt, t.progressAt, t.runningSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	t.progress, t.usage, t.cpuPercent = 0, 0, 100
 	t.ticket = ""
-	t.shownOn = 0
+	t.shownOn, t.restoredOn = 0, 0
 }
 
 // requeue makes a task whose run is known to have ended wait for a new one.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -32,7 +32,7 @@
 	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis != 0 && info.StartedAtMillis < w.info.StartedAtMillis {
 		return // A poll has shown a later incarnation already.
 	}
-	if startedAt, ended := s.endedIncarnations[id]; ended && !known && info.StartedAtMillis != 0 && info.StartedAtMillis <= startedAt {
+	if startedAt, ended := s.endedIncarnations[id]; ended && info.StartedAtMillis != 0 && info.StartedAtMillis <= startedAt {
 		return // The list shows an ended incarnation for some heartbeats.
 	}
 	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis > w.info.StartedAtMillis {
@@ -51,26 +51,6 @@
 	w.listed = true
 }
 
-// removeWorker ends an incarnation: its runs no longer exist.
-func (s *Scheduler) removeWorker(w *worker, now time.Time, reason string) {
-	w.ended = true
-	for _, t := range w.tasks {
-		s.requeue(t, now, reason)
-	}
-	if s.workers[w.info.ID] == w {
-		delete(s.workers, w.info.ID)
-		s.endedIncarnations[w.info.ID] = max(s.endedIncarnations[w.info.ID], w.info.StartedAtMillis)
-	}
-	s.emit(Event{Kind: "worker.over", ID: w.info.ID, Reason: reason})
-}
-
-// EndIncarnation records that the worker's process is known to have ended.
-func (s *Scheduler) EndIncarnation(id string, now time.Time, reason string) {
-	if w, known := s.workers[id]; known {
-		s.removeWorker(w, now, reason)
-	}
-}
-
 // PollTarget is a worker to poll.
 type PollTarget struct {
 	Endpoint fleet.Endpoint
