Conclude no absence while a worker holds ends back

What callers would see: after a long outage or at the design's size, a task whose run has ended as done on its worker runs a second time. Cause: a worker returns at most 500 ends a response. requeueMissingRuns took a run that a status does not show for absent, though its end may be among those to be returned next; the end was then handled, and acknowledged, after the task had been started elsewhere. Ruled out: a rule for the task's own end only; the leader cannot tell which ends are held back. The ends are acknowledged as usual, so that the next responses return the rest. Conclusion: an end that is not returned yet is no longer taken for a run without an end.

--- a/fleet/run.go
+++ b/fleet/run.go
@@ -53,4 +53,7 @@
 	StartedAtMillis int64
 	Active          []ActiveRun
 	Finished        []FinishedRun
+	// MoreFinished reports that the worker may have further ends, which it returns once
+	// these are acknowledged: a run that the status does not show may have ended so.
+	MoreFinished bool
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -188,29 +188,6 @@
 	}
 }
 
-// requeueMissingRuns requeues tasks whose runs are proven absent.
-func (s *Scheduler) requeueMissingRuns(w *worker, status *fleet.WorkerStatus, sent, now time.Time) {
-	if len(w.tasks) == 0 {
-		return
-	}
-	active := make(map[fleet.TaskID]int, len(status.Active))
-	for i := range status.Active {
-		active[status.Active[i].Task] = status.Active[i].Attempt
-	}
-	for id, t := range w.tasks {
-		if active[id] == t.attempt || t.phase == persisting {
-			continue
-		}
-		absent := t.phase == running && t.confirmedAt.Before(sent) ||
-			t.restored && t.phase == starting ||
-			t.restored && t.phase == stopping && !w.polled ||
-			!t.absentAfter.IsZero() && t.absentAfter.Before(sent)
-		if absent {
-			s.requeue(t, now, "a poll does not show the run")
-		}
-	}
-}
-
 // HandleStartResponse applies the response to a start request.
 func (s *Scheduler) HandleStartResponse(request *fleet.StartRequest, to fleet.Endpoint, err error, now time.Time) {
 	t := s.findTask(request.Task)
