Stop acknowledging ends that the worker has forgotten

What callers saw or would see: a task runs a second time after its run ended as done on a worker that had restarted under its ID. Cause: each poll repeated the number of the last recorded end. The numbers start anew with each incarnation, and the poll that first reaches a restarted worker carries the number of the earlier one: the restarted worker forgot ends of its own that no leader had handled. The run was then absent, and the task started again. Ruled out: naming the incarnation in the request; the protocol has the worker's ID only. Change: a poll acknowledges only while the newest status shows ends that are recorded, so that polls of an idle worker, and the first ones after a restart, acknowledge nothing. Evidence: TestRestart_EndsOfLaterIncarnationAreNotAcknowledged failed before in three runs of three (a second attempt) and TestOutcome_AcknowledgedUntilForgotten, too; both pass, as do the unit tests of scheduler. Conclusion: what remains is a restart within the time from a status that shows an end to the next poll, some tens of milliseconds, or a poll that is executed late.

--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -135,3 +135,50 @@
 	require.Zero(t, f.s.workers[id].used.MilliCPU)
 	require.Empty(t, f.s.findTask(taskOf("j", 0)).step.tasksByWorker)
 }
+
+// TestRestart_EndsOfLaterIncarnationAreNotAcknowledged guards against a poll that makes a
+// restarted worker forget ends which no leader has handled: their numbers start anew.
+func TestRestart_EndsOfLaterIncarnationAreNotAcknowledged(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	first := f.placeJob("first")
+	id := first.Endpoint.WorkerID
+	f.startRun(first)
+	f.s.HandleStartResponse(&first.Request, first.Endpoint, nil, f.now)
+	f.finishRun(id, first.Request.Task, fleet.RunDone)
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, int64(1), f.s.workers[id].lastRecordedOutcome)
+
+	start := f.placeJob("j")
+	f.restart(id)
+	f.finishedCount = 0
+	f.startRun(start)
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
+	f.finishRun(id, start.Request.Task, fleet.RunDone)
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, 1, f.s.findTask(start.Request.Task).attempt, "the end was acknowledged before it was handled")
+	require.Equal(t, done, f.s.findTask(start.Request.Task).phase)
+}
+
+// TestOutcome_AcknowledgedUntilForgotten checks that an acknowledgement is repeated while
+// the worker returns the end.
+func TestOutcome_AcknowledgedUntilForgotten(t *testing.T) {
+	f := twoWorkers(t)
+	end := fleet.FinishedRun{Number: 3, Task: taskOf("other", 0), Attempt: 1, Outcome: fleet.RunStopped}
+	status := fleet.WorkerStatus{StartedAtMillis: 1, Finished: []fleet.FinishedRun{end}}
+	through := func() int64 {
+		request, _ := f.s.PreparePoll("w-1", f.now, true)
+		return request.RecordedThrough
+	}
+	f.s.HandleStatus("w-1", &status, f.now, f.now)
+	require.Zero(t, through())
+	f.applyBatches()
+	require.Equal(t, int64(3), through())
+	f.s.HandleStatus("w-1", &status, f.now, f.now)
+	require.Equal(t, int64(3), through())
+	f.s.HandleStatus("w-1", &fleet.WorkerStatus{StartedAtMillis: 1}, f.now, f.now)
+	require.Zero(t, through(), "an end that the worker has forgotten is acknowledged again")
+	f.s.HandleStatus("w-1", &status, f.now, f.now)
+	require.Equal(t, int64(3), through(), "a status from before the end keeps it from being acknowledged")
+}
--- /dev/null
+++ b/scheduler/outcome.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// applyFinishedRuns applies the outcomes that have not been handled before.
+func (s *Scheduler) applyFinishedRuns(w *worker, status *fleet.WorkerStatus, now time.Time) {
+	for i := range status.Finished {
+		finished := &status.Finished[i]
+		if finished.Number <= w.lastHandledOutcome {
+			continue
+		}
+		w.lastHandledOutcome = finished.Number
+		t, assigned := w.tasks[finished.Task]
+		if !assigned || t.attempt != finished.Attempt || t.phase == persisting {
+			s.applyLateCompletion(finished, now)
+			continue
+		}
+		s.applyOutcome(t, finished, now)
+	}
+	if w.lastHandledOutcome > w.lastRecordedOutcome {
+		if s.batch.handledOutcomes == nil {
+			s.batch.handledOutcomes = map[*worker]int64{}
+		}
+		s.batch.handledOutcomes[w] = w.lastHandledOutcome
+	}
+	w.updateForgotten(status)
+}
+
+// updateForgotten notes which of the recorded outcomes the worker still returns.
+func (w *worker) updateForgotten(status *fleet.WorkerStatus) {
+	w.forgottenOutcome = w.lastRecordedOutcome
+	for i := range status.Finished {
+		w.forgottenOutcome = min(w.forgottenOutcome, status.Finished[i].Number-1)
+	}
+}
+
+// outcomeToAcknowledge returns the outcome through which the next poll acknowledges; 0
+// if the worker has forgotten all that are recorded. A poll may reach a later incarnation
+// under the same ID, whose numbers start anew: it must not make that one forget outcomes
+// which nobody has handled.
+func (w *worker) outcomeToAcknowledge() int64 {
+	if w.forgottenOutcome >= w.lastRecordedOutcome {
+		return 0
+	}
+	return w.lastRecordedOutcome
+}
+
+// applyLateCompletion accepts the success of an abandoned run on a worker that is
+// reachable again, so that completed work is not repeated where that can be avoided.
+func (s *Scheduler) applyLateCompletion(finished *fleet.FinishedRun, now time.Time) {
+	t := s.findTask(finished.Task)
+	if t == nil || finished.Outcome != fleet.RunDone || t.step.def.LongRunning || t.step.def.Gang || t.step.occurrence.job.finished {
+		return
+	}
+	switch t.phase {
+	case waiting:
+		t.step.waiting--
+	case persisting:
+	default:
+		return
+	}
+	s.emit(Event{Kind: "task.done_late", ID: t.id.String(), Attempt: finished.Attempt, Reason: "an abandoned run had succeeded"})
+	s.completeTask(t, now)
+	s.updateReady(t.step)
+}
+
+func (s *Scheduler) applyOutcome(t *task, finished *fleet.FinishedRun, now time.Time) {
+	if t.step.def.Checkpointing && finished.Checkpoint != "" {
+		t.checkpoint = finished.Checkpoint
+	}
+	switch finished.Outcome {
+	case fleet.RunDone:
+		t.worker.recordSuccess()
+		if t.step.def.LongRunning {
+			s.requeue(t, now, "the run of a long-running task ended")
+			return
+		}
+		gang := t.step
+		s.completeTask(t, now)
+		if gang.def.Gang {
+			s.completeGang(gang, now)
+		}
+	case fleet.RunFailed:
+		s.handleFailedRun(t, now)
+	default:
+		s.requeue(t, now, "the run ended: "+finished.Outcome.String())
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -32,6 +32,8 @@
 	// last one stored.
 	lastHandledOutcome  int64
 	lastRecordedOutcome int64
+	// forgottenOutcome is the last outcome that the worker is known to have forgotten.
+	forgottenOutcome int64
 	// avoidUntil keeps new tasks off the worker.
 	avoidUntil time.Time
 	// consecutiveFailures counts failed runs since the last success, firstFailedJob is
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -83,7 +83,7 @@
 	if !known || w.ended {
 		return fleet.PollRequest{}, false
 	}
-	request := fleet.PollRequest{FencingToken: s.cfg.FencingToken, RecordedThrough: w.lastRecordedOutcome}
+	request := fleet.PollRequest{FencingToken: s.cfg.FencingToken, RecordedThrough: w.outcomeToAcknowledge()}
 	if authorized && w.missedPolls == 0 && !w.clockAt.IsZero() && len(w.tasks) > 0 {
 		request.DeadlineMillis = w.estimatedClock(now) + s.cfg.LeaseDuration.Milliseconds()
 		w.extendLease(now, s.cfg.LeaseDuration)
