Hold a task back while a run of it exists elsewhere

What callers saw or would see: a task runs twice at once when a run was given up, or executed late, which then turns out to exist. Cause: a run that a poll showed for a task without one was stopped, but the task could be started on another worker at once. A task that was withdrawn from a worker with an earlier run of it could be, too, and one whose assignment elsewhere was being stored was started. Ruled out: assigning the task to the worker with the run; the stored attempt would have to go back, and a takeover would restore the wrong one. Change: a worker keeps such runs (strays), and their tasks are not placed, and assignments not yet started are withdrawn, until a later poll no longer shows the run and its end, if listed, is applied; until the incarnation ends; or until all leases on the worker must have expired. Conclusion: a wrong decision to give a run up is mended as soon as a poll shows the run, if the task has not been started again by then.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -12,6 +12,11 @@
 	if st.waiting < len(st.tasks)-st.done || st.waiting == 0 {
 		return // Not all members of the last run have ended yet.
 	}
+	for _, t := range st.tasks {
+		if t.strays > 0 {
+			return
+		}
+	}
 	total := fleet.Resources{}
 	for range st.tasks {
 		total = total.Plus(st.def.Need)
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -9,7 +9,7 @@
 // newWorker returns a worker on which an earlier leader may have granted leases.
 func (s *Scheduler) newWorker(info fleet.Worker) *worker {
 	return &worker{
-		info: info, tasks: map[fleet.TaskID]*task{},
+		info: info, tasks: map[fleet.TaskID]*task{}, strays: map[*task]*stray{},
 		leaseStart: s.tookOverAt, leaseDuration: s.cfg.PreviousLeaderLease,
 	}
 }
@@ -32,6 +32,7 @@
 // next, with the bound of their leases, and requeues the others.
 func (s *Scheduler) endWorker(w, next *worker, now time.Time, reason string, mayRun func(*task) bool) {
 	w.ended = true
+	w.releaseStrays()
 	next.leaseStart, next.leaseDuration = w.leaseStart, w.leaseDuration
 	for _, t := range w.tasks {
 		if mayRun(t) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -87,7 +87,7 @@
 		if st.waiting == 0 {
 			return true
 		}
-		if t.phase != waiting {
+		if t.phase != waiting || t.strays > 0 {
 			continue
 		}
 		if limited && shares.exceeded(use.team, s.shortUse[use]) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -49,29 +49,26 @@
 	w.missedPolls = 0
 	w.clockMillis, w.clockAt = status.ClockMillis, now
 	w.lastPollAt = now
-	s.reconcileActiveRuns(w, status, now)
+	s.reconcileActiveRuns(w, status, sent, now)
 	s.applyFinishedRuns(w, status, now)
 	s.requeueMissingRuns(w, status, sent, now)
+	w.releaseAbsentStrays(status, sent)
+	w.newestPollSent = laterOf(w.newestPollSent, sent)
 	w.polled = true
 	s.stopStalledRuns(w, now)
 	s.throttleBestEffort(w, now)
 }
 
 // reconcileActiveRuns confirms the assigned runs and stops the unassigned ones.
-func (s *Scheduler) reconcileActiveRuns(w *worker, status *fleet.WorkerStatus, now time.Time) {
+func (s *Scheduler) reconcileActiveRuns(w *worker, status *fleet.WorkerStatus, sent, now time.Time) {
 	w.unassignedUse = fleet.Resources{}
 	for i := range status.Active {
 		run := &status.Active[i]
 		t, assigned := w.tasks[run.Task]
 		if !assigned || t.attempt != run.Attempt || !t.mayHaveRun() {
-			if assigned && t.phase == persisting {
-				// An earlier run of the task still exists.
-				s.withdrawAssignment(t, now)
+			if t = s.handleUnassignedRun(w, run, sent, now); t == nil {
+				continue
 			}
-			w.unassignedUse = w.unassignedUse.Plus(s.unassignedRunResources(w, run.Task))
-			s.batch.Stops = append(s.batch.Stops, StopRequest{Endpoint: w.endpoint(), Task: run.Task, Attempt: run.Attempt})
-			s.emit(Event{Kind: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Reason: "not assigned"})
-			continue
 		}
 		t.shownOn = w.info.StartedAtMillis
 		if t.phase == starting {
@@ -106,11 +103,6 @@
 	return w.info.Capacity
 }
 
-// withdrawAssignment withdraws an assignment whose start has not been requested.
-func (s *Scheduler) withdrawAssignment(t *task, now time.Time) {
-	s.requeue(t, now, "an earlier run still exists")
-}
-
 // confirmRun records that the run exists.
 func (s *Scheduler) confirmRun(t *task, now time.Time) {
 	t.phase = running
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -38,6 +38,8 @@
 	// shownOn is the incarnation of the worker on which a status has shown the run; 0
 	// for none.
 	shownOn int64
+	// strays is the number of workers with a run of the task that is not assigned.
+	strays int
 	// inDoubt starts got no response.
 	inDoubt bool
 	// absentAfter is when a stop, or a refusal as superseded, was answered; a poll sent
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -15,7 +15,7 @@
 // occurrences that become due.
 func (s *Scheduler) Tick(now time.Time) {
 	for _, w := range s.workers {
-		if len(w.tasks) == 0 {
+		if !w.hasRuns() {
 			continue
 		}
 		if w.leasesExpired(now) && (w.missedPolls > 0 || !w.polled || w.info.Address == "") {
@@ -38,6 +38,7 @@
 // requeueExpired requeues the tasks of a worker whose leases must have expired.
 func (s *Scheduler) requeueExpired(w *worker, now time.Time) {
 	s.emit(Event{Kind: "worker.lapsed", ID: w.info.ID, Reason: "all leases on it must have expired"})
+	w.releaseStrays()
 	for _, t := range w.tasks {
 		if t.phase == persisting {
 			continue
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -15,6 +15,10 @@
 	tasks map[fleet.TaskID]*task
 	// unassignedUse is the capacity used by runs that are not assigned.
 	unassignedUse fleet.Resources
+	// strays holds the runs that are not assigned, by their tasks.
+	strays map[*task]*stray
+	// newestPollSent is when the newest poll with a response was sent.
+	newestPollSent time.Time
 	// polled reports that a poll by this leader has succeeded: since then, the worker
 	// rejects requests of earlier leaders.
 	polled bool
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -19,7 +19,7 @@
 	for id, w := range s.workers {
 		if _, listed := list[id]; !listed {
 			w.listed = false
-			if len(w.tasks) == 0 {
+			if !w.hasRuns() {
 				w.ended = true
 				delete(s.workers, id)
 			}
@@ -98,7 +98,7 @@
 	if !known {
 		return false, false
 	}
-	return len(w.tasks) > 0, w.lastHandledOutcome > w.lastRecordedOutcome
+	return w.hasRuns(), w.lastHandledOutcome > w.lastRecordedOutcome
 }
 
 // ExpectedChanges reports what the next status may show: runs that end by themselves,
