Log the evidence for each run that is given up

What callers saw or would see: a task that ran twice, and a log that does not tell why. Cause: task.requeued named the decision, but not on which incarnation, status, poll or lease it rested. A success of a run that had been given up was dropped without a line if the task had been started again, and then acknowledged, as were all ends of unknown jobs. Ruled out: a line for each end; a busy fleet has thousands of ordinary ones. Change: task.requeued gives the incarnation that was known and the one that had shown the run, when it was confirmed, its stop answered and the worker last heard, the lease, the age of the list, and for an absence when the poll was sent. Conclusion: for each second start the log tells which decision gave the first run up.

--- a/scheduler/absence.go
+++ b/scheduler/absence.go
@@ -25,7 +25,7 @@
 			t.restored && t.phase == stopping && !w.polled ||
 			!t.absentAfter.IsZero() && t.absentAfter.Before(sent)
 		if absent {
-			s.requeue(t, now, "a poll does not show the run")
+			s.giveUp(t, now, t.absenceReason(sent, now))
 		}
 	}
 }
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -20,7 +21,8 @@
 // the one that the leader knew. A run is given up at once only if a status has shown it
 // on an earlier incarnation. The other tasks are carried over: a poll of the later
 // incarnation, or the response to a start in flight, decides.
-func (s *Scheduler) supersede(w *worker, later fleet.Worker, now time.Time, reason string) *worker {
+func (s *Scheduler) supersede(w *worker, later fleet.Worker, now time.Time, source string) *worker {
+	reason := fmt.Sprintf("incarnation %d has appeared %s", later.StartedAtMillis, source)
 	next := s.newWorker(later)
 	next.listed = w.listed
 	s.workers[later.ID] = next
@@ -39,7 +41,7 @@
 			s.carryOver(t, next, now)
 			continue
 		}
-		s.requeue(t, now, reason)
+		s.giveUp(t, now, reason)
 	}
 	s.emit(Event{Kind: "worker.over", ID: w.info.ID, Reason: reason})
 }
@@ -79,6 +81,7 @@
 // carryOver assigns the task to the worker's next incarnation. A stop that an earlier
 // incarnation has answered does not keep the next one from executing a delayed start.
 func (s *Scheduler) carryOver(t *task, next *worker, now time.Time) {
+	s.emit(Event{Kind: "run.carried_over", ID: t.id.String(), Worker: next.info.ID, Attempt: t.attempt, Reason: s.evidence(t, now)})
 	s.releaseResources(t)
 	s.reserveResources(t, next)
 	if t.phase == stopping || t.inDoubt {
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -16,7 +17,7 @@
 		w.lastHandledOutcome = finished.Number
 		t, assigned := w.tasks[finished.Task]
 		if !assigned || t.attempt != finished.Attempt || t.phase == persisting {
-			s.applyLateCompletion(finished, now)
+			s.applyUnassignedOutcome(w, finished, now)
 			continue
 		}
 		s.applyOutcome(t, finished, now)
@@ -49,25 +50,44 @@
 	return w.lastRecordedOutcome
 }
 
-// applyLateCompletion accepts the success of an abandoned run on a worker that is
-// reachable again, so that completed work is not repeated where that can be avoided.
-func (s *Scheduler) applyLateCompletion(finished *fleet.FinishedRun, now time.Time) {
+// applyUnassignedOutcome accepts the success of an abandoned run on a worker that is
+// reachable again, so that completed work is not repeated where that can be avoided. Other
+// outcomes of runs that are not assigned have no effect.
+func (s *Scheduler) applyUnassignedOutcome(w *worker, finished *fleet.FinishedRun, now time.Time) {
 	t := s.findTask(finished.Task)
-	if t == nil || finished.Outcome != fleet.RunDone || t.step.def.LongRunning || t.step.def.Gang || t.step.occurrence.job.finished {
+	if reason := reasonToIgnore(t, finished); reason != "" {
+		s.emit(Event{Kind: "outcome.ignored", ID: finished.Task.String(), Worker: w.info.ID, Attempt: finished.Attempt, Reason: finished.Outcome.String() + ": " + reason})
 		return
 	}
-	switch t.phase {
-	case waiting:
+	if t.phase == waiting {
 		t.step.waiting--
-	case persisting:
-	default:
-		return
 	}
-	s.emit(Event{Kind: "task.done_late", ID: t.id.String(), Attempt: finished.Attempt, Reason: "an abandoned run had succeeded"})
+	s.emit(Event{Kind: "task.done_late", ID: t.id.String(), Worker: w.info.ID, Attempt: finished.Attempt, Reason: "an abandoned run had succeeded"})
 	s.completeTask(t, now)
 	s.updateReady(t.step)
 }
 
+// reasonToIgnore returns why the outcome of a run that is not assigned has no effect, or
+// "" for a success that completes the task.
+func reasonToIgnore(t *task, finished *fleet.FinishedRun) string {
+	switch {
+	case t == nil:
+		return "the job is unknown"
+	case t.step.occurrence.job.finished:
+		return "the job is finished"
+	case t.phase == done:
+		return "the task is done"
+	case t.mayHaveRun():
+		return fmt.Sprintf("the task is %s with attempt %d on %s", t.phase, t.attempt, t.worker.info.ID)
+	case finished.Outcome != fleet.RunDone:
+		return fmt.Sprintf("the run was given up, the task is %s after attempt %d", t.phase, t.attempt)
+	case t.step.def.LongRunning || t.step.def.Gang:
+		return "a gang's or a long-running task is not completed by a run that was given up"
+	default:
+		return ""
+	}
+}
+
 func (s *Scheduler) applyOutcome(t *task, finished *fleet.FinishedRun, now time.Time) {
 	if t.step.def.Checkpointing && finished.Checkpoint != "" {
 		t.checkpoint = finished.Checkpoint
--- a/scheduler/phase.go
+++ b/scheduler/phase.go
@@ -17,3 +17,8 @@
 	// done tasks have succeeded, or belong to a finished job.
 	done
 )
+
+// String returns the phase's name.
+func (p phase) String() string {
+	return [...]string{"waiting", "persisting", "starting", "running", "stopping", "done"}[p]
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	// endedIncarnations holds the start time of each listed worker's last ended
 	// incarnation.
 	endedIncarnations map[string]int64
+	workersListedAt   time.Time
 	teams             map[string]*team
 	// previouslyFinished holds jobs that had finished at the takeover: their runs may
 	// still be stopping.
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -38,7 +38,7 @@
 		}
 		later := w.info
 		later.StartedAtMillis = status.StartedAtMillis
-		w = s.supersede(w, later, now, "the worker has restarted")
+		w = s.supersede(w, later, now, "in a status")
 	}
 	if w.info.StartedAtMillis == 0 {
 		w.info.StartedAtMillis = status.StartedAtMillis
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -102,6 +103,9 @@
 		if w == nil {
 			w = s.addUnlistedWorker(a.Worker)
 		}
+		if a.WorkerStartedAtMillis != w.info.StartedAtMillis {
+			s.emit(Event{Kind: "task.restored", ID: t.id.String(), Worker: a.Worker, Attempt: a.Attempt, Reason: fmt.Sprintf("assigned to incarnation %d, listed as %d", a.WorkerStartedAtMillis, w.info.StartedAtMillis)})
+		}
 		// The list lags: the first poll shows whether the run exists, whichever of its
 		// incarnations the worker is listed with.
 		t.phase, t.restored, t.restoredOn = starting, true, a.WorkerStartedAtMillis
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -43,6 +43,6 @@
 		if t.phase == persisting {
 			continue
 		}
-		s.requeue(t, now, "the lease must have expired")
+		s.giveUp(t, now, "the lease must have expired")
 	}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -8,6 +8,7 @@
 
 // SetWorkers replaces the list of workers by the platform's current one.
 func (s *Scheduler) SetWorkers(list map[string]fleet.Worker, now time.Time) {
+	s.workersListedAt = now
 	for id, info := range list {
 		s.setWorker(id, info, now)
 	}
@@ -36,7 +37,7 @@
 		return // The list shows an ended incarnation for some heartbeats.
 	}
 	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis > w.info.StartedAtMillis {
-		w = s.supersede(w, info, now, "the worker has restarted")
+		w = s.supersede(w, info, now, "on the list")
 	}
 	if !known {
 		w = s.newWorker(info)
