Take the leader's own lateness for no silence of workers

What callers saw: on a leader short of processor time too little was served (class quote-sul below its floor at beside load). Cause: a busy process runs its timers before it polls its sockets, and a read whose deadline has passed fails without looking at the socket: a response that arrived in time counts as none. The connection is closed, so the next call opens one, which times out the same way and counts as refused; the start goes to another worker. Leases are extended and given up as before.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/scheduler"
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -57,6 +58,7 @@
 	group    sync.WaitGroup
 	servers  []*http.Server
 	sink     *LogSink
+	lateness *lateness.Monitor
 }
 
 // Start opens the entry's addresses and starts to serve.
@@ -150,7 +152,7 @@
 	return &Leader{
 		store: d.store, workers: d.workers, decoder: d.decoder, advice: d.advice,
 		follower: d.follower, operator: d.operator, vmController: NewVMController(d.vms),
-		node: s.Node, fencingToken: token, log: d.log.Named("owner"), metrics: d.metrics,
+		node: s.Node, fencingToken: token, log: d.log.Named("owner"), metrics: d.metrics, lateness: d.lateness,
 		stateRetention:   settings.Seconds(s.KeepStateS),
 		vmOperationLease: time.Duration(s.VMOrderLeaseMS) * time.Millisecond,
 		config: scheduler.Config{
--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/emulator"
 	"github.com/anvilcourse/anvilcourse/freeport"
+	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
@@ -32,6 +34,8 @@
 	entries      []*Daemon
 	addresses    []string
 	calls        int
+	// workersOptions are those of the clients of workers.
+	workersOptions []platform.WorkersOption
 }
 
 const (
@@ -40,8 +44,8 @@
 )
 
 // newTestPlatform starts the platform with two pools of three VMs and one spare VM.
-func newTestPlatform(t *testing.T, entries int) *testPlatform {
-	p := &testPlatform{t: t, store: emulator.NewStore()}
+func newTestPlatform(t *testing.T, entries int, options ...platform.WorkersOption) *testPlatform {
+	p := &testPlatform{t: t, store: emulator.NewStore(), workersOptions: options}
 	p.fleet = emulator.NewFleet(p.store)
 	storeServer := httptest.NewServer(p.store)
 	vmServer := httptest.NewServer(p.fleet)
@@ -90,13 +94,13 @@
 	s.VMOrderLeaseMS, s.StopMS = 1000, 100
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: testLog})
 	store := platform.NewStore(s.Store)
-	metrics := NewMetrics()
+	metrics, late := NewMetrics(), lateness.NewMonitor(clockwork.NewRealClock())
 	follower := NewFollower(store, log)
 	operator := NewOperatorWatcher(store, platform.Decoder{}, log)
 	appender := NewAppender(store, follower, s.Node)
 	jobService := NewJobService(follower, operator, appender, platform.Decoder{}, metrics, log)
-	d := newDaemon(s, store, platform.NewWorkers(), platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
-		platform.Decoder{}, log, metrics, follower, operator, appender, jobService, platform.NewClientHandler(jobService))
+	d := newDaemon(s, store, platform.NewWorkers(append(p.workersOptions, platform.WithAllowance(late.Allowance))...), platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
+		platform.Decoder{}, log, metrics, follower, operator, appender, jobService, platform.NewClientHandler(jobService), late)
 	require.NoError(p.t, d.Start(p.t.Context()))
 	p.mu.Lock()
 	p.entries = append(p.entries, d)
--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/scheduler"
 )
@@ -50,6 +51,7 @@
 	fencingToken int64
 	log          hclog.Logger
 	metrics      *Metrics
+	lateness     *lateness.Monitor
 	config       scheduler.Config
 	// stateRetention is for how long clients may query a finished job.
 	stateRetention time.Duration
@@ -102,6 +104,7 @@
 	l.spawn(ctx, l.createStreams)
 	l.spawn(ctx, l.watchWorkers)
 	l.spawn(ctx, l.plan)
+	l.spawn(ctx, l.measureLateness)
 	l.spawn(ctx, l.collectFinishedJobs)
 	l.spawn(ctx, l.vmController.run(l))
 	l.tick(ctx)
--- a/fleetentry/module.go
+++ b/fleetentry/module.go
@@ -6,9 +6,11 @@
 	"os"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
@@ -24,7 +26,8 @@
 			newLogger,
 			NewMetrics,
 			func(s settings.FleetEntry) Store { return platform.NewStore(s.Store) },
-			func() Workers { return platform.NewWorkers() },
+			func() *lateness.Monitor { return lateness.NewMonitor(clockwork.NewRealClock()) },
+			func(m *lateness.Monitor) Workers { return platform.NewWorkers(platform.WithAllowance(m.Allowance)) },
 			func(s settings.FleetEntry) VMs { return platform.NewVMs(s.VMs, s.Node) },
 			func(s settings.FleetEntry) Advice { return platform.NewAdvice(s.Advice) },
 			func() Decoder { return platform.Decoder{} },
@@ -49,9 +52,9 @@
 }
 
 func newDaemon(s settings.FleetEntry, store Store, w Workers, v VMs, a Advice, dec Decoder, log hclog.Logger,
-	m *Metrics, f *Follower, o *OperatorWatcher, app *Appender, c *JobService, h http.Handler) *Daemon {
+	m *Metrics, f *Follower, o *OperatorWatcher, app *Appender, c *JobService, h http.Handler, late *lateness.Monitor) *Daemon {
 	return &Daemon{
 		settings: s, store: store, workers: w, vms: v, advice: a, decoder: dec, log: log, metrics: m,
-		follower: f, operator: o, appender: app, jobService: c, handler: h,
+		follower: f, operator: o, appender: app, jobService: c, handler: h, lateness: late,
 	}
 }
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -70,7 +70,7 @@
 			p.waitFor(ctx, p.wake, delay)
 			continue
 		}
-		sleep(ctx, delay)
+		sleep(ctx, delay+latePollDelay(p.leader.lateness.Current()))
 	}
 }
 
