--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -20,10 +20,6 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// tickInterval is how often time-based changes are handled.
 	tickInterval = 100 * time.Millisecond
-	// planDelay lets events that arrive together be handled together.
-	planDelay = 4 * time.Millisecond
-	// planInterval is how often tasks are placed with no event.
-	planInterval = 250 * time.Millisecond
 	// workerLeaseDuration is how far the leader extends leases: through a takeover,
 	// yet short enough that the tasks of a lost worker soon start elsewhere.
 	workerLeaseDuration = 4 * time.Second
@@ -231,28 +227,6 @@
 	l.flush(now)
 }
 
-// plan places tasks whenever something has changed.
-func (l *Leader) plan(ctx context.Context) {
-	timer := time.NewTicker(planInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.wake:
-			sleep(ctx, planDelay)
-		case <-timer.C:
-		}
-		l.mu.Lock()
-		now := time.Now()
-		if l.journal.LeaderLeaseValid(now) {
-			l.sched.Place(now)
-		}
-		l.flush(now)
-		l.mu.Unlock()
-	}
-}
-
 // tick handles time-based changes until the term ends.
 func (l *Leader) tick(ctx context.Context) {
 	timer := time.NewTicker(tickInterval)
