Model restarts, lagging lists and late responses, and acknowledge nothing after a missed poll

What callers would see: a task runs a second time after its run ended as done on a worker that had restarted under its ID.

Cause: the scheduler's model never restarted a worker, always showed a fresh list, held no end back, answered polls at once and took over with the whole state, so that none of the faults of this incident could show in it.

Ruled out: the age of the last status as the condition; a missed poll says the same and does not depend on how long the store takes.

Change: the model draws these cases and also checks that each start has its stored assignment and that all jobs end once the faults do. After a missed poll nothing is acknowledged before the next status.

Conclusion: what remains is a worker that restarts, runs a task and ends it between a status and the next poll, and a poll that is executed seconds late.

--- /dev/null
+++ b/scheduler/model_calls_test.go
@@ -0,0 +1,297 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+const (
+	// modelCallTimeout is how long a leader waits for a response.
+	modelCallTimeout = time.Second
+	// modelMaxOutcomes is how many outcomes a response holds, modelFewOutcomes the same
+	// where responses are short.
+	modelMaxOutcomes = 500
+	modelFewOutcomes = 2
+	// modelMaxPolls is how many polls of a worker a leader has in flight.
+	modelMaxPolls = 2
+)
+
+// modelStart is a start in flight. One without a response may be executed later, until
+// the connection breaks.
+type modelStart struct {
+	leader   *modelLeader
+	request  StartRequest
+	sent     time.Time
+	executed bool
+	answered bool
+	// retried calls had an attempt that broke off: only some refusals resolve it.
+	retried bool
+	err     error
+}
+
+// modelPoll is a poll in flight.
+type modelPoll struct {
+	leader   *modelLeader
+	endpoint fleet.Endpoint
+	request  fleet.PollRequest
+	sent     time.Time
+	executed bool
+	answered bool
+	status   fleet.WorkerStatus
+	err      error
+}
+
+// rapidCount draws a number from 1 to n, or returns n once the faults have ended.
+func rapidCount(m *model, n int) int {
+	if m.healthy {
+		return n
+	}
+	return rapid.IntRange(1, n).Draw(m.t, "count")
+}
+
+// drawCall draws which call goes on; the oldest once the faults have ended.
+func (m *model) drawCall(n int) int {
+	if m.healthy {
+		return 0
+	}
+	return rapid.IntRange(0, n-1).Draw(m.t, "call")
+}
+
+// sendStart sends a start that is executed and answered now or later, or never.
+func (m *model) sendStart(leader *modelLeader, request StartRequest) {
+	if !leader.authorized(m.now) {
+		return
+	}
+	call := &modelStart{leader: leader, request: request, sent: m.now}
+	m.starts = append(m.starts, call)
+	m.tracef("leader %d starts attempt %d of %s on %s", leader.s.cfg.FencingToken, request.Request.Attempt, request.Request.Task, request.Endpoint.WorkerID)
+	if m.oneIn(3, "start is delayed") {
+		return
+	}
+	m.executeStart(call)
+	if !m.oneIn(4, "response is delayed") {
+		m.answerStart(call)
+	}
+}
+
+func (m *model) executeStart(call *modelStart) {
+	w, err := m.resolve(call.request.Endpoint)
+	if err == nil {
+		err = m.start(w, &call.request.Request)
+	}
+	switch provider.CodeOf(err) {
+	case provider.CodeUnreachable, provider.CodeDeadlineExceeded:
+		if call.retried {
+			err = unknownOutcome()
+		}
+	}
+	call.executed, call.err = true, err
+}
+
+// answerStart hands the response to the leader, or that there is none.
+func (m *model) answerStart(call *modelStart) {
+	if call.answered {
+		return
+	}
+	call.answered = true
+	err := call.err
+	if !call.executed {
+		err = unknownOutcome()
+	}
+	m.tracef("leader %d: start of attempt %d of %s: %v", call.leader.s.cfg.FencingToken, call.request.Request.Attempt, call.request.Request.Task, err)
+	call.leader.s.HandleStartResponse(&call.request.Request, call.request.Endpoint, err, m.now)
+	m.takeBatch(call.leader)
+	m.removeCalls()
+}
+
+// continueStart executes a start in flight or hands its response to the leader.
+func (m *model) continueStart() {
+	if len(m.starts) == 0 {
+		return
+	}
+	call := m.starts[m.drawCall(len(m.starts))]
+	switch {
+	case !call.executed:
+		m.executeStart(call)
+	case m.oneIn(4, "start response is lost"):
+		call.err = unknownOutcome()
+		m.answerStart(call)
+	default:
+		m.answerStart(call)
+	}
+	m.removeCalls()
+}
+
+// pollWorker sends a poll to the address that the leader knows.
+func (m *model) pollWorker(leader *modelLeader, w *modelWorker) {
+	for _, target := range leader.s.PollTargets() {
+		if target.Endpoint.WorkerID == w.info.ID || target.Endpoint.Address == w.info.Address {
+			m.sendPoll(leader, target.Endpoint)
+		}
+	}
+}
+
+func (m *model) sendPoll(leader *modelLeader, endpoint fleet.Endpoint) {
+	inFlight := 0
+	for _, call := range m.polls {
+		if call.leader == leader && call.endpoint == endpoint && !call.answered {
+			inFlight++
+		}
+	}
+	request, known := leader.s.PreparePoll(endpoint.WorkerID, m.now, leader.authorized(m.now))
+	if !known || inFlight >= modelMaxPolls {
+		return
+	}
+	call := &modelPoll{leader: leader, endpoint: endpoint, request: request, sent: m.now}
+	m.polls = append(m.polls, call)
+	m.advance(time.Millisecond)
+	if m.oneIn(3, "poll is delayed") {
+		return
+	}
+	m.executePoll(call)
+	if !m.oneIn(4, "poll response is delayed") {
+		m.answerPoll(call)
+	}
+}
+
+func (m *model) executePoll(call *modelPoll) {
+	w, err := m.resolve(call.endpoint)
+	if err == nil && call.request.FencingToken < w.token {
+		err = refusedWith(provider.CodeFenced)
+	}
+	if err == nil {
+		call.status = m.hold(w, call.request)
+	}
+	call.executed, call.err = true, err
+	m.tracef("poll of %s by leader %d, recorded %d: %v %+v", call.endpoint.WorkerID, call.leader.s.cfg.FencingToken, call.request.RecordedThrough, err, call.status)
+}
+
+// hold executes a poll at the worker.
+func (m *model) hold(w *modelWorker, request fleet.PollRequest) fleet.WorkerStatus {
+	w.token = request.FencingToken
+	w.lease = max(w.lease, request.DeadlineMillis)
+	w.finished = slices.DeleteFunc(slices.Clone(w.finished), func(finished fleet.FinishedRun) bool {
+		recorded := finished.Number <= request.RecordedThrough
+		if recorded && finished.Outcome == fleet.RunDone && w.endedAt[finished.Number].After(w.leaseExpiredAt) {
+			m.tracef("success of %s is acknowledged", finished.Task)
+			m.acknowledged[finished.Task] = true
+		}
+		return recorded
+	})
+	status := fleet.WorkerStatus{ClockMillis: w.clock(m.now), StartedAtMillis: w.info.StartedAtMillis}
+	for _, id := range w.taskIDs() {
+		status.Active = append(status.Active, fleet.ActiveRun{Task: id, Attempt: w.runs[id].attempt, Percent: 50})
+	}
+	addOutcomes(&status, w.finished, m.maxOutcomes)
+	return status
+}
+
+// addOutcomes adds the oldest outcomes, at most as many as a response holds.
+func addOutcomes(status *fleet.WorkerStatus, finished []fleet.FinishedRun, limit int) {
+	status.Finished = slices.Clone(finished[:min(len(finished), limit)])
+	status.MoreFinished = len(status.Finished) >= limit
+}
+
+// answerPoll hands the response to the leader, or that there is none. A leader that has
+// learned of another address drops it.
+func (m *model) answerPoll(call *modelPoll) {
+	if call.answered {
+		return
+	}
+	call.answered = true
+	defer m.removeCalls()
+	w, known := call.leader.s.workers[call.endpoint.WorkerID]
+	if !known || w.endpoint() != call.endpoint {
+		return
+	}
+	switch {
+	case !call.executed:
+		call.leader.s.HandlePollFailure(call.endpoint, unknownOutcome(), m.now)
+	case call.err != nil:
+		call.leader.s.HandlePollFailure(call.endpoint, call.err, m.now)
+	default:
+		m.tracef("leader %d handles a status of %s", call.leader.s.cfg.FencingToken, call.endpoint.WorkerID)
+		call.leader.s.HandleStatus(call.endpoint.WorkerID, &call.status, call.sent, m.now)
+	}
+	m.takeBatch(call.leader)
+}
+
+// continuePoll executes a poll in flight or hands its response to the leader.
+func (m *model) continuePoll() {
+	if len(m.polls) == 0 {
+		return
+	}
+	call := m.polls[m.drawCall(len(m.polls))]
+	switch {
+	case !call.executed:
+		m.executePoll(call)
+	case m.oneIn(5, "status is lost"):
+		call.err = unknownOutcome()
+		m.answerPoll(call)
+	default:
+		m.answerPoll(call)
+	}
+	m.removeCalls()
+}
+
+// removeCalls removes the calls that can have no more effects.
+func (m *model) removeCalls() {
+	m.starts = slices.DeleteFunc(slices.Clone(m.starts), func(call *modelStart) bool { return call.executed && call.answered })
+	m.polls = slices.DeleteFunc(slices.Clone(m.polls), func(call *modelPoll) bool { return call.executed && call.answered })
+}
+
+// expireCalls ends the leaders' wait for responses that are too late.
+func (m *model) expireCalls() {
+	for _, call := range slices.Clone(m.starts) {
+		if m.now.Sub(call.sent) > modelCallTimeout {
+			m.answerStart(call)
+		}
+	}
+	for _, call := range slices.Clone(m.polls) {
+		if m.now.Sub(call.sent) > modelCallTimeout {
+			m.answerPoll(call)
+		}
+	}
+}
+
+// breakConnections ends the calls to a worker that has crashed: each leader that polls
+// it sees a failure. Starts whose leader still waits may be retried, those that it has
+// given up are lost.
+func (m *model) breakConnections(w *modelWorker) {
+	m.polls = slices.DeleteFunc(slices.Clone(m.polls), func(call *modelPoll) bool { return call.endpoint.Address == w.info.Address })
+	m.starts = slices.DeleteFunc(slices.Clone(m.starts), func(call *modelStart) bool {
+		return call.request.Endpoint.Address == w.info.Address && call.answered
+	})
+	if m.oneIn(2, "starts are retried") {
+		for _, call := range m.starts {
+			call.retried = call.retried || call.request.Endpoint.Address == w.info.Address
+		}
+	} else {
+		m.dropStarts(w)
+	}
+	for _, leader := range m.leaders {
+		for _, target := range leader.s.PollTargets() {
+			if target.Endpoint.Address == w.info.Address {
+				leader.s.HandlePollFailure(target.Endpoint, unknownOutcome(), m.now)
+				m.takeBatch(leader)
+			}
+		}
+	}
+}
+
+// dropStarts ends the starts in flight to the worker.
+func (m *model) dropStarts(w *modelWorker) {
+	for _, call := range slices.Clone(m.starts) {
+		if call.request.Endpoint.Address == w.info.Address && !call.executed {
+			m.answerStart(call)
+		}
+	}
+	m.starts = slices.DeleteFunc(slices.Clone(m.starts), func(call *modelStart) bool {
+		return call.request.Endpoint.Address == w.info.Address && !call.executed
+	})
+}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,104 +11,98 @@
 
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
-	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // model runs several leaders and workers with requests that are lost, delayed and
 // repeated, in an order that rapid draws. It checks that no task runs twice at once,
-// that none starts after its success was acknowledged, and that no worker exceeds its
-// capacity.
+// that none starts after its success was acknowledged or before its assignment is
+// stored, that no worker exceeds its capacity, and that all jobs end once the faults
+// do.
+//
+// It assumes that a worker's restart takes longer than a poll with its retry, so that
+// a leader which polls the worker sees a failed poll before the new incarnation.
 type model struct {
-	t            *rapid.T
-	now          time.Time
-	view         *ledger.View
-	subs         []*fleet.Submission
-	leaders      []*modelLeader
-	workers      map[string]*modelWorker
+	t       *rapid.T
+	now     time.Time
+	view    *ledger.View
+	leaders []*modelLeader
+	workers []*modelWorker
+	// registry is the platform's list of workers.
+	registry     map[string]fleet.Worker
+	starts       []*modelStart
+	polls        []*modelPoll
 	acknowledged map[fleet.TaskID]bool
+	// healthy is set once no more faults are drawn.
+	healthy bool
+	// maxOutcomes is how many outcomes a response holds.
+	maxOutcomes int
+	// incarnations counts the restarts of workers.
+	incarnations int
 	// mutate disables one mechanism, for tests of the model itself.
 	mutate func(*Scheduler)
+	// without names the faults that are not drawn, by their labels.
+	without []string
 }
 
-type modelLeader struct {
-	s       *Scheduler
-	batches []Batch
-	fenced  bool
-}
-
-type modelWorker struct {
-	info           fleet.Worker
-	token          int64
-	lease          int64
-	runs           map[fleet.TaskID]*fakeRun
-	highestAttempt map[fleet.TaskID]int
-	finished       []fleet.FinishedRun
-	finishedCount  int64
-	delayed        []StartRequest
-	partitioned    bool
-	// endedAt is when each run ended, leaseExpiredAt when the lease last expired: an
-	// outcome from before that does not count as acknowledged.
-	endedAt        map[int64]time.Time
-	leaseExpiredAt time.Time
-	now            time.Time
-}
-
-const modelLease = 2 * time.Second
+const (
+	modelLease = 2 * time.Second
+	// modelLeaderLease is for how long a fenced leader may still send what it had
+	// stored.
+	modelLeaderLease = time.Second
+	// modelMaxStop is the longest that a stop takes.
+	modelMaxStop = 200 * time.Millisecond
+	modelRunTime = 300 * time.Millisecond
+	// modelDowntime is the shortest time between a crash and the restart.
+	modelDowntime = 500 * time.Millisecond
+	modelWorkers  = 3
+	// modelSettleTime is the time within which all jobs end without faults.
+	modelSettleTime = 60 * time.Second
+)
 
-func newModel(t *rapid.T) *model {
-	m := &model{t: t, now: time.UnixMilli(1_700_000_000_000), view: ledger.NewView(), workers: map[string]*modelWorker{}, acknowledged: map[fleet.TaskID]bool{}}
-	for i := range 3 {
-		id := fmt.Sprintf("w-%d", i)
-		m.workers[id] = &modelWorker{
-			info: fleet.Worker{ID: id, Address: "a", Pool: testPool, Labels: []string{"a", "r"}, Capacity: fleet.Resources{MilliCPU: 2000, MemMB: 10}, StartedAtMillis: 1},
-			runs: map[fleet.TaskID]*fakeRun{}, highestAttempt: map[fleet.TaskID]int{}, endedAt: map[int64]time.Time{},
-		}
+func newModel(t *rapid.T, mutate func(*Scheduler), without ...string) *model {
+	m := &model{t: t, now: time.UnixMilli(1_700_000_000_000), view: ledger.NewView(), registry: map[string]fleet.Worker{}, acknowledged: map[fleet.TaskID]bool{}, mutate: mutate, without: without, maxOutcomes: modelMaxOutcomes}
+	if m.oneIn(2, "few outcomes") {
+		m.maxOutcomes = modelFewOutcomes
+	}
+	for i := range modelWorkers {
+		m.workers = append(m.workers, newModelWorker(i, m.now))
+		m.register(m.workers[i])
 	}
 	for i := range 4 {
-		sub := &fleet.Submission{ID: jobID(i), Queue: "desk", ArrivedMillis: m.now.UnixMilli(), Steps: []fleet.Step{
+		sub := fleet.Submission{ID: jobID(i), Queue: "desk", ArrivedMillis: m.now.UnixMilli(), Steps: []fleet.Step{
 			{Count: 2, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300}, {Count: 1, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300, DependsOn: []int{0}}}}
-		m.subs = append(m.subs, sub)
-		require.NoError(t, m.view.Apply(ledger.SubmissionRecord(*sub)))
+		require.NoError(t, m.view.Apply(ledger.SubmissionRecord(sub)))
 	}
 	m.takeOver()
 	return m
 }
 
-func (m *model) list() map[string]fleet.Worker {
-	out := map[string]fleet.Worker{}
-	for id, w := range m.workers {
-		out[id] = w.info
-	}
-	return out
+// tracef logs one event of the schedule; rapid prints those of a failure.
+func (m *model) tracef(format string, args ...any) {
+	line := fmt.Sprintf("%d %s", m.now.UnixMilli()-1_700_000_000_000, fmt.Sprintf(format, args...))
+	m.t.Log(line)
 }
 
-// takeOver fences the ledger against the previous leader and starts a new term.
-func (m *model) takeOver() {
-	for _, leader := range m.leaders {
-		leader.fenced = true
-	}
-	successor := &modelLeader{s: New(Config{FencingToken: int64(len(m.leaders) + 1), LeaseDuration: modelLease, PreviousLeaderLease: modelLeaderLease + modelLease}, m.now)}
-	successor.s.SetManifest(testManifest())
-	successor.s.SetWorkers(m.list(), m.now)
-	for _, j := range m.view.Jobs {
-		successor.s.RestoreJob(j, m.now)
-	}
-	if m.mutate != nil {
-		m.mutate(successor.s)
-	}
-	m.leaders = append(m.leaders, successor)
+// oneIn draws true in one of n cases; never once the faults have ended.
+func (m *model) oneIn(n int, label string) bool {
+	return !m.healthy && !slices.Contains(m.without, label) && rapid.IntRange(0, n-1).Draw(m.t, label) == n-1
 }
 
-// modelLeaderLease is for how long a fenced leader may still send what it had stored.
-const modelLeaderLease = time.Second
+// jobIDs returns the IDs of all jobs in order.
+func (m *model) jobIDs() []string {
+	var out []string
+	for id := range m.view.Jobs {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
 
 func (m *model) step() {
-	leader := m.leaders[len(m.leaders)-1]
-	if rapid.IntRange(0, 9).Draw(m.t, "leader") == 0 && len(m.leaders) > 1 {
-		leader = m.leaders[len(m.leaders)-2]
-	}
-	w := m.workers[fmt.Sprintf("w-%d", rapid.IntRange(0, 2).Draw(m.t, "worker"))]
-	switch rapid.IntRange(0, 13).Draw(m.t, "step") {
+	leader := m.drawLeader()
+	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
+	m.advance(time.Millisecond)
+	switch rapid.IntRange(0, 19).Draw(m.t, "step") {
 	case 0, 1:
 		m.advance(time.Duration(rapid.IntRange(20, 400).Draw(m.t, "ms")) * time.Millisecond)
 	case 2, 3, 4:
@@ -115,190 +110,144 @@
 		m.takeBatch(leader)
 	case 5, 6:
 		m.storeBatch(leader)
-	case 7, 8, 9:
-		m.poll(leader, w)
-	case 10:
+	case 7, 8, 9, 10:
+		m.pollWorker(leader, w)
+	case 11, 12:
+		m.continuePoll()
+	case 13:
+		m.continueStart()
+	case 14:
 		leader.s.Tick(m.now)
 		m.takeBatch(leader)
-	case 11:
-		w.partitioned = !w.partitioned
-	case 12:
-		if rapid.IntRange(0, 3).Draw(m.t, "takeover") == 0 {
-			m.takeOver()
-		}
-	case 13:
-		if len(w.delayed) > 0 {
-			m.start(w, w.delayed[0])
-			w.delayed = w.delayed[1:]
-		}
+	case 15:
+		m.readList(leader)
+	case 16:
+		m.report(w)
+	case 17:
+		m.drawFault(w)
+	case 18:
+		m.submitMissing(leader)
+	case 19:
+		m.drawRare()
 	}
 }
 
-func (m *model) advance(d time.Duration) {
-	m.now = m.now.Add(d)
-	for _, w := range m.workers {
-		w.now = m.now
-		if w.lease < m.now.UnixMilli() {
-			w.leaseExpiredAt = m.now
-		}
-		for id, run := range w.runs {
-			switch {
-			case w.lease < m.now.UnixMilli():
-				w.finishRun(id, fleet.RunLeaseExpired)
-			case !m.now.Before(run.until):
-				w.finishRun(id, fleet.RunDone)
-			}
-		}
+// drawLeader returns the newest leader or, rarely, the one before.
+func (m *model) drawLeader() *modelLeader {
+	newest := m.leaders[len(m.leaders)-1]
+	if len(m.leaders) == 1 || !m.oneIn(10, "previous leader") {
+		return newest
+	}
+	if previous := m.leaders[len(m.leaders)-2]; !previous.s.Fenced() {
+		return previous
 	}
+	return newest
 }
 
-func (w *modelWorker) finishRun(id fleet.TaskID, outcome fleet.RunOutcome) {
-	w.finishedCount++
-	w.endedAt[w.finishedCount] = w.now
-	w.highestAttempt[id] = max(w.highestAttempt[id], w.runs[id].attempt)
-	w.finished = append(w.finished, fleet.FinishedRun{Number: w.finishedCount, Task: id, Attempt: w.runs[id].attempt, Outcome: outcome})
-	delete(w.runs, id)
+// drawFault changes what works at the worker.
+func (m *model) drawFault(w *modelWorker) {
+	switch {
+	case !w.up:
+		m.restart(w)
+	case m.oneIn(2, "crash"):
+		m.crash(w)
+	default:
+		w.partitioned = !w.partitioned
+		m.tracef("partition of %s: %v", w.info.ID, w.partitioned)
+	}
 }
 
-func (m *model) takeBatch(leader *modelLeader) {
-	b := leader.s.TakeBatch()
-	for i := range b.Stops {
-		m.stop(leader, b.Stops[i])
-	}
-	if b.NeedsPersisting() {
-		leader.batches = append(leader.batches, b)
+// drawRare draws the events that few schedules need often.
+func (m *model) drawRare() {
+	switch rapid.IntRange(0, 5).Draw(m.t, "rare") {
+	case 0, 1:
+		m.takeOver()
+	case 2:
+		m.cancel(jobID(rapid.IntRange(0, 3).Draw(m.t, "job")))
+	case 3:
+		delete(m.registry, m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "expired")].info.ID)
 	}
 }
 
-// storeBatch stores the leader's oldest batch, unless a later leader has taken over.
-func (m *model) storeBatch(leader *modelLeader) {
-	if len(leader.batches) == 0 || leader.fenced {
-		return
-	}
-	b := leader.batches[0]
-	leader.batches = leader.batches[1:]
-	for _, r := range b.Records {
-		require.NoError(m.t, m.view.Apply(r))
-	}
-	for _, start := range leader.s.HandleBatchPersisted(b.Number, m.now) {
-		m.sendStart(leader, start)
+func (m *model) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, w := range m.workers {
+		w.advance(m.now)
 	}
-	m.takeBatch(leader)
+	m.expireCalls()
 }
 
-// sendStart executes a start now, later or never, and may lose the response.
-func (m *model) sendStart(leader *modelLeader, start StartRequest) {
-	w := m.workers[start.Endpoint.WorkerID]
-	delivery := rapid.IntRange(0, 9).Draw(m.t, "delivery")
-	var err error
-	switch {
-	case w.partitioned || delivery == 0:
-		err = unknownOutcome()
-	case delivery == 1:
-		w.delayed = append(w.delayed, start)
-		err = unknownOutcome()
-	case delivery == 2:
-		m.start(w, start)
-		err = unknownOutcome()
-	default:
-		err = m.start(w, start)
-	}
-	leader.s.HandleStartResponse(&start.Request, start.Endpoint, err, m.now)
+// cancel stores a client's cancellation; the newest leader reads it.
+func (m *model) cancel(job string) {
+	m.tracef("%s is cancelled", job)
+	require.NoError(m.t, m.view.Apply(ledger.CancellationRecord(job, m.now.UnixMilli())))
+	leader := m.leaders[len(m.leaders)-1]
+	leader.s.Cancel(job, m.now)
 	m.takeBatch(leader)
 }
 
-func (m *model) start(w *modelWorker, start StartRequest) error {
-	id := start.Request.Task
-	switch {
-	case start.Request.FencingToken < w.token:
-		return refusedWith(provider.CodeFenced)
-	case start.Request.DeadlineMillis < m.now.UnixMilli():
-		return refusedWith(provider.CodeDeadlineExceeded)
-	}
-	w.token = start.Request.FencingToken
-	w.lease = max(w.lease, start.Request.DeadlineMillis)
-	if run, exists := w.runs[id]; exists {
-		if run.attempt == start.Request.Attempt {
-			return nil
+// settle ends all faults and checks that all jobs end.
+func (m *model) settle() {
+	m.healthy = true
+	m.advance(modelDowntime)
+	for _, w := range m.workers {
+		w.partitioned = false
+		if !w.up {
+			m.restart(w)
 		}
-		return refusedWith(provider.CodeSuperseded)
-	}
-	if start.Request.Attempt <= w.highestAttempt[id] {
-		return refusedWith(provider.CodeSuperseded)
 	}
-	for other, o := range m.workers {
-		_, duplicate := o.runs[id]
-		require.False(m.t, duplicate, "%s runs on %s and starts on %s", id, other, w.info.ID)
+	clear(m.registry)
+	leader := m.leaders[len(m.leaders)-1]
+	for end := m.now.Add(modelSettleTime); m.now.Before(end) && m.unfinishedJob() != ""; {
+		m.settleOnce(leader)
 	}
-	require.False(m.t, m.acknowledged[id], "%s starts after its success was acknowledged", id)
-	w.runs[id] = &fakeRun{attempt: start.Request.Attempt, until: m.now.Add(300 * time.Millisecond)}
-	require.LessOrEqual(m.t, len(w.runs), 2, "%s exceeds its capacity", w.info.ID)
-	return nil
+	require.Empty(m.t, m.unfinishedJob(), "a job has not ended")
 }
 
-func (m *model) stop(leader *modelLeader, stop StopRequest) {
-	w := m.workers[stop.Endpoint.WorkerID]
-	if w.partitioned || rapid.IntRange(0, 4).Draw(m.t, "stop") == 0 {
-		leader.s.HandleStopResponse(&stop, unknownOutcome(), m.now)
-		return
+// settleOnce lets everything happen once that is due.
+func (m *model) settleOnce(leader *modelLeader) {
+	m.advance(50 * time.Millisecond)
+	for _, w := range m.workers {
+		m.register(w)
 	}
-	if leader.s.cfg.FencingToken < w.token {
-		leader.s.HandleStopResponse(&stop, refusedWith(provider.CodeFenced), m.now)
-		return
+	m.readList(leader)
+	for len(leader.missing) > 0 {
+		m.submitMissing(leader)
 	}
-	w.token = leader.s.cfg.FencingToken
-	w.highestAttempt[stop.Task] = max(w.highestAttempt[stop.Task], stop.Attempt)
-	if run, exists := w.runs[stop.Task]; exists && run.attempt <= stop.Attempt {
-		w.finishRun(stop.Task, fleet.RunStopped)
+	for range m.starts {
+		m.continueStart()
 	}
-	leader.s.HandleStopResponse(&stop, nil, m.now)
-}
-
-func (m *model) poll(leader *modelLeader, w *modelWorker) {
-	request, known := leader.s.PreparePoll(w.info.ID, m.now, !leader.fenced)
-	if !known {
-		return
+	for range m.polls {
+		m.continuePoll()
 	}
-	if w.partitioned {
-		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), unknownOutcome(), m.now)
-		m.takeBatch(leader)
-		return
+	for _, w := range m.workers {
+		m.pollWorker(leader, w)
 	}
-	if request.FencingToken < w.token {
-		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), refusedWith(provider.CodeFenced), m.now)
-		return
+	leader.s.Tick(m.now)
+	leader.s.Place(m.now)
+	m.takeBatch(leader)
+	for len(leader.batches) > 0 || len(leader.stored) > 0 {
+		m.storeBatch(leader)
 	}
-	w.token = request.FencingToken
-	w.lease = max(w.lease, request.DeadlineMillis)
-	unacknowledged := w.finished[:0]
-	for _, finished := range w.finished {
-		if finished.Number > request.RecordedThrough {
-			unacknowledged = append(unacknowledged, finished)
-		} else if finished.Outcome == fleet.RunDone && w.endedAt[finished.Number].After(w.leaseExpiredAt) {
-			m.acknowledged[finished.Task] = true
+}
+
+// unfinishedJob returns a job without a stored result, or "".
+func (m *model) unfinishedJob() string {
+	for _, id := range m.jobIDs() {
+		if m.view.Jobs[id].Result.Outcome == ledger.OutcomeNone {
+			return id
 		}
 	}
-	w.finished = unacknowledged
-	status := fleet.WorkerStatus{ClockMillis: m.now.UnixMilli(), StartedAtMillis: 1, Finished: append([]fleet.FinishedRun(nil), w.finished...)}
-	for id, run := range w.runs {
-		status.Active = append(status.Active, fleet.ActiveRun{Task: id, Attempt: run.attempt, Percent: 50})
-	}
-	if rapid.IntRange(0, 7).Draw(m.t, "reply") == 0 {
-		leader.s.HandlePollFailure(leader.s.workers[w.info.ID].endpoint(), unknownOutcome(), m.now)
-	} else {
-		leader.s.HandleStatus(w.info.ID, &status, m.now, m.now)
-	}
-	m.now = m.now.Add(time.Millisecond)
-	m.takeBatch(leader)
+	return ""
 }
 
-func checkModel(mutate func(*Scheduler)) func(t *rapid.T) {
+func checkModel(mutate func(*Scheduler), without ...string) func(t *rapid.T) {
 	return func(t *rapid.T) {
-		m := newModel(t)
-		m.mutate = mutate
+		m := newModel(t, mutate, without...)
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			m.step()
 		}
+		m.settle()
 	}
 }
 
--- /dev/null
+++ b/scheduler/model_worker_test.go
@@ -0,0 +1,236 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+// modelWorker is a host and the incarnation of a worker that runs on it.
+type modelWorker struct {
+	info fleet.Worker
+	up   bool
+	// crashedAt is when the last incarnation ended.
+	crashedAt time.Time
+	// clockStart is when the worker's clock was zero.
+	clockStart     time.Time
+	token          int64
+	lease          int64
+	runs           map[fleet.TaskID]*modelRun
+	highestAttempt map[fleet.TaskID]int
+	finished       []fleet.FinishedRun
+	finishedCount  int64
+	partitioned    bool
+	// endedAt is when each run ended, leaseExpiredAt when the lease last expired: an
+	// outcome from before that does not count as acknowledged.
+	endedAt        map[int64]time.Time
+	leaseExpiredAt time.Time
+}
+
+// modelRun is a run that ends by itself or, once it is being stopped, at stopAt.
+type modelRun struct {
+	attempt int
+	until   time.Time
+	stopAt  time.Time
+}
+
+func newModelWorker(index int, now time.Time) *modelWorker {
+	w := &modelWorker{up: true, clockStart: now.Add(-time.Hour)}
+	w.info = fleet.Worker{ID: fmt.Sprintf("w-%d", index), Address: fmt.Sprintf("host-%d", index), Pool: testPool, Labels: []string{"a", "r"}, Capacity: fleet.Resources{MilliCPU: 2000, MemMB: 10}, StartedAtMillis: 1}
+	w.reset()
+	return w
+}
+
+// reset drops all that an incarnation knows.
+func (w *modelWorker) reset() {
+	w.token, w.lease, w.finishedCount = 0, 0, 0
+	w.runs, w.highestAttempt, w.endedAt = map[fleet.TaskID]*modelRun{}, map[fleet.TaskID]int{}, map[int64]time.Time{}
+	w.finished = nil
+	w.leaseExpiredAt = time.Time{}
+}
+
+func (w *modelWorker) clock(now time.Time) int64 { return now.Sub(w.clockStart).Milliseconds() }
+
+// taskIDs returns the tasks with a run, in order.
+func (w *modelWorker) taskIDs() []fleet.TaskID {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b fleet.TaskID) int {
+		return slices.Compare([]byte(a.String()), []byte(b.String()))
+	})
+}
+
+// advance ends the runs that are over.
+func (w *modelWorker) advance(now time.Time) {
+	expired := w.lease < w.clock(now)
+	if expired {
+		w.leaseExpiredAt = now
+	}
+	for _, id := range w.taskIDs() {
+		run := w.runs[id]
+		switch {
+		case expired:
+			w.finishRun(id, fleet.RunLeaseExpired, now)
+		case !now.Before(run.until):
+			w.finishRun(id, fleet.RunDone, now)
+		case !run.stopAt.IsZero() && !now.Before(run.stopAt):
+			w.finishRun(id, fleet.RunStopped, now)
+		}
+	}
+}
+
+func (w *modelWorker) finishRun(id fleet.TaskID, outcome fleet.RunOutcome, now time.Time) {
+	w.finishedCount++
+	w.endedAt[w.finishedCount] = now
+	w.highestAttempt[id] = max(w.highestAttempt[id], w.runs[id].attempt)
+	w.finished = append(w.finished, fleet.FinishedRun{Number: w.finishedCount, Task: id, Attempt: w.runs[id].attempt, Outcome: outcome})
+	delete(w.runs, id)
+}
+
+// register writes the worker's report to the platform's list.
+func (m *model) register(w *modelWorker) { m.registry[w.info.ID] = w.info }
+
+// report updates the list: a live worker writes its report, a dead one's may expire.
+func (m *model) report(w *modelWorker) {
+	if w.up {
+		m.register(w)
+	} else if m.oneIn(2, "report expires") {
+		delete(m.registry, w.info.ID)
+	}
+}
+
+// crash ends the worker's process; connections to it break.
+func (m *model) crash(w *modelWorker) {
+	m.tracef("%s crashes", w.info.ID)
+	w.up, w.crashedAt = false, m.now
+	w.reset()
+	m.breakConnections(w)
+}
+
+// restart starts a worker under the same ID or another one, at any free address. If its
+// clock starts anew, that took longer than starts are retried.
+func (m *model) restart(w *modelWorker) {
+	if m.now.Sub(w.crashedAt) < modelDowntime {
+		return
+	}
+	w.up = true
+	m.incarnations++
+	w.info.StartedAtMillis = m.now.UnixMilli() + int64(m.incarnations)
+	if m.oneIn(3, "new ID") {
+		w.info.ID = fmt.Sprintf("w-new-%d", m.incarnations)
+	}
+	if m.oneIn(4, "new address") {
+		w.info.Address = m.drawFreeAddress()
+	}
+	if m.oneIn(3, "new clock") {
+		w.clockStart = m.now
+		m.dropStarts(w)
+	}
+	m.tracef("%s starts at %s, incarnation %d", w.info.ID, w.info.Address, w.info.StartedAtMillis)
+}
+
+// drawFreeAddress returns the address of no live worker.
+func (m *model) drawFreeAddress() string {
+	var free []string
+	for i := range modelWorkers + 1 {
+		address := fmt.Sprintf("host-%d", i)
+		if m.workerAt(address) == nil {
+			free = append(free, address)
+		}
+	}
+	return rapid.SampledFrom(free).Draw(m.t, "address")
+}
+
+// workerAt returns the live worker at the address, or nil.
+func (m *model) workerAt(address string) *modelWorker {
+	for _, w := range m.workers {
+		if w.up && w.info.Address == address {
+			return w
+		}
+	}
+	return nil
+}
+
+// resolve returns the worker that a call to the endpoint reaches, or why there is none.
+func (m *model) resolve(endpoint fleet.Endpoint) (*modelWorker, error) {
+	w := m.workerAt(endpoint.Address)
+	switch {
+	case w == nil:
+		return nil, refusedWith(provider.CodeUnreachable)
+	case w.partitioned:
+		return nil, unknownOutcome()
+	case w.info.ID != endpoint.WorkerID:
+		return nil, refusedWith(provider.CodeWrongIncarnation)
+	}
+	return w, nil
+}
+
+// start executes a start.
+func (m *model) start(w *modelWorker, request *fleet.StartRequest) error {
+	id := request.Task
+	switch {
+	case request.FencingToken < w.token:
+		return refusedWith(provider.CodeFenced)
+	case request.DeadlineMillis < w.clock(m.now):
+		return refusedWith(provider.CodeDeadlineExceeded)
+	}
+	w.token = request.FencingToken
+	w.lease = max(w.lease, request.DeadlineMillis)
+	run, exists := w.runs[id]
+	if exists && run.attempt == request.Attempt && run.stopAt.IsZero() {
+		return nil
+	}
+	if exists || request.Attempt <= w.highestAttempt[id] {
+		return refusedWith(provider.CodeSuperseded)
+	}
+	m.tracef("attempt %d of %s starts on %s", request.Attempt, id, w.info.ID)
+	for _, other := range m.workers {
+		_, duplicate := other.runs[id]
+		require.False(m.t, duplicate, "%s runs on %s and starts on %s", id, other.info.ID, w.info.ID)
+	}
+	require.False(m.t, m.acknowledged[id], "%s starts after its success was acknowledged", id)
+	w.runs[id] = &modelRun{attempt: request.Attempt, until: m.now.Add(modelRunTime)}
+	require.LessOrEqual(m.t, len(w.runs), 2, "%s exceeds its capacity", w.info.ID)
+	return nil
+}
+
+// stop executes a stop, unless it is lost, and handles the response. A leader that does
+// not know the worker's address sends none.
+func (m *model) stop(leader *modelLeader, stop StopRequest) {
+	if stop.Endpoint.Address == "" {
+		return
+	}
+	w, err := m.resolve(stop.Endpoint)
+	if err == nil && m.oneIn(5, "stop is lost") {
+		err = unknownOutcome()
+	}
+	if err == nil {
+		err = m.stopRun(leader, w, stop)
+	}
+	m.tracef("leader %d stops attempt %d of %s on %s: %v", leader.s.cfg.FencingToken, stop.Attempt, stop.Task, stop.Endpoint.WorkerID, err)
+	leader.s.HandleStopResponse(&stop, err, m.now)
+}
+
+// stopRun bars the attempt; its run ends within modelMaxStop.
+func (m *model) stopRun(leader *modelLeader, w *modelWorker, stop StopRequest) error {
+	if leader.s.cfg.FencingToken < w.token {
+		return refusedWith(provider.CodeFenced)
+	}
+	w.token = leader.s.cfg.FencingToken
+	w.highestAttempt[stop.Task] = max(w.highestAttempt[stop.Task], stop.Attempt)
+	run, exists := w.runs[stop.Task]
+	if !exists || run.attempt > stop.Attempt || !run.stopAt.IsZero() {
+		return nil
+	}
+	if m.oneIn(2, "stop takes time") {
+		run.stopAt = m.now.Add(time.Duration(rapid.IntRange(1, int(modelMaxStop.Milliseconds())).Draw(m.t, "stop ms")) * time.Millisecond)
+	} else {
+		w.finishRun(stop.Task, fleet.RunStopped, m.now)
+	}
+	return nil
+}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -40,11 +40,11 @@
 }
 
 // outcomeToAcknowledge returns the outcome through which the next poll acknowledges; 0
-// if the worker has forgotten all that are recorded. A poll may reach a later incarnation
-// under the same ID, whose numbers start anew: it must not make that one forget outcomes
-// which nobody has handled.
+// if the worker has forgotten all that are recorded, or may have restarted since its last
+// status. A poll may reach a later incarnation under the same ID, whose numbers start anew:
+// it must not make that one forget outcomes which nobody has handled.
 func (w *worker) outcomeToAcknowledge() int64 {
-	if w.forgottenOutcome >= w.lastRecordedOutcome {
+	if w.forgottenOutcome >= w.lastRecordedOutcome || w.missedPolls > 0 {
 		return 0
 	}
 	return w.lastRecordedOutcome
