Let the planner take at most a tenth of the processor

Cause: a pause of four times a round still leaves a fifth of a short processor to rounds. Change: nine times; the test's bound goes from a quarter to an eighth of the time.

--- a/fleetentry/planner.go
+++ b/fleetentry/planner.go
@@ -11,9 +11,9 @@
 	// planInterval is how often tasks are placed with no event.
 	planInterval = 250 * time.Millisecond
 	// planPauseFactor times the duration of a round is the pause after it: planning
-	// takes at most a fifth of the processor. A round takes longer the more tasks wait,
+	// takes at most a tenth of the processor. A round takes longer the more tasks wait,
 	// and more of them wait the less time is left to send starts and read responses.
-	planPauseFactor = 4
+	planPauseFactor = 9
 )
 
 // plan places tasks whenever something has changed.
--- a/fleetentry/planner_test.go
+++ b/fleetentry/planner_test.go
@@ -25,5 +25,5 @@
 		return roundTime
 	})
 	require.Greater(t, rounds, time.Duration(2))
-	require.LessOrEqual(t, rounds*roundTime, length/4, "%d rounds", rounds)
+	require.LessOrEqual(t, rounds*roundTime, length/8, "%d rounds", rounds)
 }
