Start no round of placing tasks after the leader's term has ended

What was seen: TestPlanner_LongRoundsLeaveTimeForCalls counted seven rounds for at most six. Cause: once the context ends the pause returns at once, and a select with a wake waiting may take that in place of the end, again and again. Change: the end is checked first.

--- a/fleetentry/planner.go
+++ b/fleetentry/planner.go
@@ -24,7 +24,7 @@
 func runRounds(ctx context.Context, wake <-chan struct{}, round func() time.Duration) {
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
