Bound the pause after a long round of placing tasks

What callers would see: an urgent job waits up to a second for its placement on a leader whose processor is taken away for a moment.

Cause: the pause is nine times as long as the round took, by the clock; a round during which the core's share is used up takes some 100 ms without any work. Ruled out: measuring processor time instead, which would bind the planner to a thread. Change: the pause is at most 200 ms, a third of an urgent job's objective and less than planInterval.

--- a/fleetentry/planner.go
+++ b/fleetentry/planner.go
@@ -14,13 +14,16 @@
 	// takes at most a tenth of the processor. A round takes longer the more tasks wait,
 	// and more of them wait the less time is left to send starts and read responses.
 	planPauseFactor = 9
+	// maxPlanPause bounds that pause: a round also takes long if the processor is taken
+	// away meanwhile, and callers wait for the next one.
+	maxPlanPause = 200 * time.Millisecond
 )
 
 // plan places tasks whenever something has changed.
 func (l *Leader) plan(ctx context.Context) { runRounds(ctx, l.wake, l.placeTasks) }
 
-// runRounds runs a round after each wake and at planInterval. The round returns the
-// processor time that it took.
+// runRounds runs a round after each wake and at planInterval. The round returns how long
+// it took.
 func runRounds(ctx context.Context, wake <-chan struct{}, round func() time.Duration) {
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
@@ -32,7 +35,7 @@
 			sleep(ctx, planDelay)
 		case <-timer.C:
 		}
-		sleep(ctx, planPauseFactor*round())
+		sleep(ctx, min(planPauseFactor*round(), maxPlanPause))
 	}
 }
 
--- a/fleetentry/planner_test.go
+++ b/fleetentry/planner_test.go
@@ -27,3 +27,23 @@
 	require.Greater(t, rounds, time.Duration(2))
 	require.LessOrEqual(t, rounds*roundTime, length/8, "%d rounds", rounds)
 }
+
+// TestPlanner_SlowRoundDelaysTheNext guards against a long pause after a single round
+// during which the processor was taken away.
+func TestPlanner_SlowRoundDelaysTheNext(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	wake := make(chan struct{}, 1)
+	signal(wake)
+	var started []time.Time
+	runRounds(ctx, wake, func() time.Duration {
+		if started = append(started, time.Now()); len(started) == 2 {
+			cancel()
+		}
+		signal(wake)
+		return time.Second
+	})
+	require.Len(t, started, 2)
+	require.Less(t, started[1].Sub(started[0]), 2*maxPlanPause)
+}
