Let an entry that cannot read the entries' streams go last

What callers would see: 4.4 s without a leader, in which all leases expire, because an entry that cannot take over holds the leadership while another one could.

Cause: since a takeover waits for submissions, an entry whose reads of the entries' streams fail claims, sends heartbeats for three seconds, gives up without a word and may claim again. The store may reject some entries' reads while it serves others.

Change: an entry whose last read of such a stream has failed waits as long as an election takes before it campaigns; a takeover that fails for lack of reads resigns, and its entry lets the others go first. The resignation says that no term had begun, so that the next leader still waits for operations on VMs of the one before. A takeover also needs the last read of the ledger to have succeeded.

Ruled out: letting all entries wait that miss a submission. Those that stand by read the streams every two seconds and miss some at most takeovers.

While no entry can read such a stream the fleet stays without a leader.

--- a/fleetentry/candidate.go
+++ b/fleetentry/candidate.go
@@ -24,6 +24,11 @@
 	// fleet of some hundred workers; smaller ones wait up to smallEntryDelay longer.
 	minLeaderCPUShare = 0.4
 	smallEntryDelay   = 700 * time.Millisecond
+	// failingReadsDelay is how much longer an entry waits that cannot read what other
+	// entries have stored: it could not begin to lead.
+	failingReadsDelay = electionTimeout
+	// failedTakeoverBackoff lets the other entries go first after a takeover that failed.
+	failedTakeoverBackoff = electionTimeout + smallEntryDelay
 	// firstElectionFactor multiplies the wait for larger entries while there has
 	// never been a leader.
 	firstElectionFactor = 4
@@ -69,17 +74,23 @@
 }
 
 // delay is how long this entry lets others go first: entries with a small part of a
-// processor wait for larger ones, and equal ones campaign in an order that differs by
-// leader.
+// processor wait for larger ones, those whose reads fail for all others, and equal ones
+// campaign in an order that differs by leader.
 func (c *Candidate) delay(token int64) time.Duration {
 	slot := xxhash.Sum64String(c.node+string(rune(token))) % 100
 	delay := electionJitter * time.Duration(slot) / 100
 	if c.cpuShare > 0 && c.cpuShare < minLeaderCPUShare {
 		delay += time.Duration(float64(smallEntryDelay) * (minLeaderCPUShare - c.cpuShare) / minLeaderCPUShare)
 	}
+	if c.follower.JobReadsFailing() {
+		delay += failingReadsDelay
+	}
 	return delay
 }
 
+// backOff lets other entries go first after a takeover that failed.
+func (c *Candidate) backOff(now time.Time) { c.backoffUntil = now.Add(failedTakeoverBackoff) }
+
 // shouldCampaign reports whether the fleet has no live leader.
 func (c *Candidate) shouldCampaign(now time.Time) (bool, string) {
 	staleness, known := c.follower.LedgerStaleness(now)
--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -140,10 +140,15 @@
 			continue
 		}
 		leader := d.newLeader(token)
-		d.follower.Read(func(v *ledger.View) { leader.previousResigned = v.LeaderOffset < 0 || v.Leader.Resigned })
+		d.follower.Read(func(v *ledger.View) {
+			leader.previousResigned = v.LeaderOffset < 0 || v.Leader.Resigned && !v.Leader.TakeoverFailed
+		})
 		d.leader.Store(leader)
 		leader.Run(ctx)
 		d.leader.Store(nil)
+		if leader.unready {
+			candidate.backOff(time.Now())
+		}
 	}
 }
 
--- a/fleetentry/followerstreams.go
+++ b/fleetentry/followerstreams.go
@@ -101,6 +101,18 @@
 // CatchUp reads all streams up to their ends.
 func (f *Follower) CatchUp(ctx context.Context) error { return f.catchUp(ctx, f.allStreams()) }
 
+// JobReadsFailing reports whether the last read of an entries' stream in use has failed.
+func (f *Follower) JobReadsFailing() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, s := range f.jobs {
+		if s.failing && f.isActive(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // CatchUpLedger reads the leader's stream up to its end.
 func (f *Follower) CatchUpLedger(ctx context.Context) error {
 	return f.catchUp(ctx, []*followedStream{f.ledger})
--- a/fleetentry/heartbeat.go
+++ b/fleetentry/heartbeat.go
@@ -25,7 +25,11 @@
 
 // Resign ends the term so that another entry can claim leadership at once.
 func (l *Leader) Resign(ctx context.Context) {
-	l.journal.Enqueue(0, []fleet.Record{ledger.LeaderRecord(l.status(time.Now(), true))})
+	l.storeResignation(ctx, l.status(time.Now(), true))
+}
+
+func (l *Leader) storeResignation(ctx context.Context, status ledger.Leader) {
+	l.journal.Enqueue(0, []fleet.Record{ledger.LeaderRecord(status)})
 	for ctx.Err() == nil && !l.journal.Fenced() && l.journal.Pending() > 0 {
 		sleep(ctx, planDelay)
 	}
--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -67,6 +67,8 @@
 	startedAt    time.Time
 	// takeoverDone is set once the takeover is over.
 	takeoverDone atomic.Bool
+	// unready is set if the takeover failed for lack of reads.
+	unready bool
 	// previousResigned is set if the previous leader resigned or there was none.
 	previousResigned bool
 	workerList       *workerList
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -9,6 +9,9 @@
 	"github.com/anvilcourse/anvilcourse/scheduler"
 )
 
+// resignTimeout bounds the resignation after a takeover that failed.
+const resignTimeout = 500 * time.Millisecond
+
 // workersResult is the platform's list of workers, or the error of its read.
 type workersResult struct {
 	list fleet.Records
@@ -32,6 +35,7 @@
 		results <- l.readWorkers(ctx)
 	})
 	if err := l.readLedgerUpTo(ctx, offset); err != nil {
+		l.resignUnready(termCtx)
 		return err
 	}
 	l.config.FencingToken = l.fencingToken
@@ -47,6 +51,7 @@
 	}
 	result := <-results
 	if result.err != nil {
+		l.resignUnready(termCtx)
 		return result.err
 	}
 	l.workerList = newWorkerList(l.decoder, l.log)
@@ -63,6 +68,17 @@
 	return nil
 }
 
+// resignUnready lets another entry claim leadership at once: it may be able to read what
+// this one could not.
+func (l *Leader) resignUnready(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	l.unready = true
+	status := l.status(time.Now(), true)
+	status.TakeoverFailed = true
+	l.storeResignation(ctx, status)
+}
+
 // readLedgerUpTo reads until the state holds the ledger up to the offset and the
 // submission of every job with a stored assignment: without that job, its runs could be
 // neither counted nor kept, and would start again. Other jobs may be read later, so that
@@ -73,7 +89,7 @@
 		ledgerErr := l.follower.CatchUpLedger(ctx)
 		caughtUp, missing := l.ledgerReadUpTo(offset)
 		switch {
-		case !caughtUp:
+		case !caughtUp || ledgerErr != nil:
 			l.log.Debug("takeover reads the ledger again", "token", l.fencingToken, "error", ledgerErr)
 			sleep(ctx, planDelay)
 			continue
--- a/ledger/leader.go
+++ b/ledger/leader.go
@@ -8,6 +8,9 @@
 	Node         string `json:"n"`
 	// Resigned is set once the leader has stopped for good.
 	Resigned bool `json:"x,omitempty"`
+	// TakeoverFailed is set with Resigned if the leader has not begun to lead: what the
+	// one before it requested may still be in flight.
+	TakeoverFailed bool `json:"f,omitempty"`
 	// AlternateStreams is the set of entries' streams that are used on the store's
 	// slow days.
 	AlternateStreams StreamSet `json:"s,omitempty"`
