End only the incarnation that an operation on its VM was meant for

What callers would see: a task runs twice when a worker is back after maintenance, under the same ID, before the list of VMs shows the maintenance.

Cause: the list's row ended whichever incarnation had the ID, and a later incarnation lost the mark that an operation is pending, so that tasks were placed on it before. Found by the review of the fix; the platform's workers have new IDs after an operation as far as seen, but its protocol allows the same one.

Change: the VM remembers the incarnation at the time of the request, only that one or an earlier one is ended, and the mark is carried over to a later one.

Ruled out: the time of the list, which is later than the answer and still behind.

Evidence: TestVMOperation_EndsLaterIncarnation fails without either part ("the operation may still end the later incarnation", "the live incarnation is not used") and passes now.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -25,6 +25,7 @@
 	reason := fmt.Sprintf("incarnation %d has appeared %s", later.StartedAtMillis, source)
 	next := s.newWorker(later)
 	next.listed = w.listed
+	next.cordoned, next.operationPending = w.cordoned, w.operationPending
 	s.workers[later.ID] = next
 	s.endWorker(w, next, now, reason, func(t *task) bool { return t.mayRunOn(later.StartedAtMillis) })
 	return next
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -182,3 +182,25 @@
 	f.s.HandleStatus("w-1", &status, f.now, f.now)
 	require.Equal(t, int64(3), through(), "a status from before the end keeps it from being acknowledged")
 }
+
+// TestVMOperation_EndsLaterIncarnation guards against a list of VMs that shows the effect
+// of an operation late, when the worker is back under its ID.
+func TestVMOperation_EndsLaterIncarnation(t *testing.T) {
+	f := newTestFleet(t)
+	f.addVM("a", testPool, 4)
+	f.listVMs()
+	f.advance(100 * time.Millisecond)
+	op := VMOperation{Kind: VMMaintain, VM: "a", Wave: 1}
+	f.s.startOperation(f.s.vms["a"], op, f.now)
+	f.s.HandleVMOperation(op, nil, f.now)
+	f.restart("w-a")
+	f.poll("w-a")
+	require.True(t, f.s.workers["w-a"].operationPending, "the operation may still end the later incarnation")
+	f.now = f.now.Add(50 * time.Millisecond)
+	list := f.vms()
+	list[0].State = fleet.VMInMaintenance
+	f.s.SetVMs(list, f.now, f.now)
+	f.s.Submit(f.newJob("j", fleet.Step{EstimateMillis: secondsToMillis(60)}), f.now)
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, map[string]int{"w-a": 1}, f.running("j"), "the live incarnation is not used")
+}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -10,8 +10,10 @@
 // vm is one VM as the leader knows it.
 type vm struct {
 	info fleet.VM
-	// operation is pending, or its effect is not listed yet.
-	operation *VMOperation
+	// operation is pending, or its effect is not listed yet. operationOn is the
+	// incarnation of the worker that it ends.
+	operation   *VMOperation
+	operationOn int64
 	// operationAt is when it was decided, answeredAt when it succeeded or got in doubt.
 	operationAt time.Time
 	answeredAt  time.Time
@@ -101,7 +103,8 @@
 	}
 	if w := s.workerOf(v); w != nil {
 		w.operationPending = false
-		if effective {
+		// The list lags: the next incarnation may have the same ID, and runs already.
+		if effective && (v.operationOn == 0 || w.info.StartedAtMillis <= v.operationOn) {
 			s.removeWorker(w, now, "its VM is moved or maintained")
 		}
 	}
@@ -138,7 +141,7 @@
 func (s *Scheduler) startOperation(v *vm, op VMOperation, now time.Time) {
 	v.operation, v.operationAt, v.answeredAt = &op, now, time.Time{}
 	if w := s.workerOf(v); w != nil {
-		w.operationPending = true
+		w.operationPending, v.operationOn = true, w.info.StartedAtMillis
 	}
 	s.vmOperations = append(s.vmOperations, op)
 	kind := "vm.move"
