Restore a job whose submission is read after the takeover

Cause: submissions read during a term were scheduled from their first attempt, whatever assignments are stored. A takeover waits for them, but goes on when all streams have been read whole without result. Found by the review.

Change: one way to add a job that has been read, which restores it with its assignments.

Ruled out: waiting on, which one corrupt record would make endless.

Evidence: TestSubmit_StoredAssignmentIsForgotten fails with a fresh submission in that place ("the run was stopped and another one started") and passes now.

--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -136,7 +136,7 @@
 				return
 			}
 			changed = true
-			l.sched.Submit(j.Submission, now)
+			l.sched.SubmitStored(j, now)
 			if j.Cancelled {
 				l.sched.Cancel(id, now)
 			}
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -154,7 +154,7 @@
 	l.follower.Read(func(v *ledger.View) {
 		for _, j := range v.Jobs {
 			if j.Submission != nil && j.Result.Outcome == ledger.OutcomeNone {
-				l.sched.Submit(j.Submission, now)
+				l.sched.SubmitStored(j, now)
 				if j.Cancelled {
 					l.sched.Cancel(j.Submission.ID, now)
 				}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// SubmitStored adds a job that the leader has just read, with its assignments if any are
+// stored; one that is known is left alone.
+func (s *Scheduler) SubmitStored(stored *ledger.Job, now time.Time) {
+	if _, known := s.jobs[stored.Submission.ID]; known {
+		return
+	}
+	if len(stored.Tasks) > 0 {
+		s.RestoreJob(stored, now)
+		return
+	}
+	s.Submit(stored.Submission, now)
+}
+
 // ageOf returns how long ago the job arrived. The accepting entry's wall clock tells,
 // which may be seconds ahead.
 func ageOf(sub *fleet.Submission, now time.Time) time.Duration {
--- a/scheduler/submit_test.go
+++ b/scheduler/submit_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
 )
 
 // TestSubmit_EntryClockHasJumped submits jobs through entries whose time of day has
@@ -37,3 +38,28 @@
 	// Only a time with a monotonic reading differs from itself without one in its text.
 	require.NotEqual(t, arrived.Round(0).String(), arrived.String(), "the arrival has lost its monotonic reading")
 }
+
+// TestSubmit_StoredAssignmentIsForgotten reads the submission of a job with assignments
+// after the takeover: its run must be kept, also if the submission is read again.
+func TestSubmit_StoredAssignmentIsForgotten(t *testing.T) {
+	f := twoWorkers(t)
+	sub := f.newJob("j", fleet.Step{EstimateMillis: secondsToMillis(60)})
+	f.s.Submit(sub, f.now)
+	f.s.Place(f.now)
+	records := f.applyBatches()
+	view := ledger.NewView()
+	for _, r := range records {
+		require.NoError(t, view.Apply(fleet.Record(r)))
+	}
+	id := f.s.findTask(taskOf("j", 0)).worker.info.ID
+	run := f.runs[id][taskOf("j", 0)]
+	f.takeover(nil)
+	require.NoError(t, view.Apply(ledger.SubmissionRecord(*sub)))
+	for range 2 {
+		f.s.SubmitStored(view.Jobs["j"], f.now)
+		f.advance(200 * time.Millisecond)
+	}
+	require.Equal(t, 1, total(f.running("j")))
+	require.Equal(t, 1, f.s.findTask(taskOf("j", 0)).attempt)
+	require.Same(t, run, f.runs[id][taskOf("j", 0)], "the run was stopped and another one started")
+}
