Do not repeat a start whose run is known

What callers would see: a task runs again on a worker that restarted under its ID within the half second in which the response to its first start got lost.

Cause: a start without a response is repeated, also if a poll has shown its run or its end meanwhile; a restarted worker knows nothing of either and runs it anew.

Change: before a repeat the scheduler is asked whether the start still matters. That also spares the call where a busy leader has read the poll first.

Ruled out: naming the incarnation in the start; the header is checked against the ID.

Evidence: TestStart_SettledIsRepeated covers the question, which did not exist before; TestStartWithRetries_Outcome passes unchanged but for the scheduler that it now needs.

--- a/fleetentry/requests.go
+++ b/fleetentry/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/provider"
 	"github.com/anvilcourse/anvilcourse/scheduler"
 )
@@ -34,10 +35,14 @@
 }
 
 // startWithRetries sends the start, and retries if there is no response. A refusal of
-// a retry says nothing of earlier attempts, which may still be executed.
+// a retry says nothing of earlier attempts, which may still be executed. A start that is
+// settled meanwhile is not repeated: its run may have ended, and the worker restarted.
 func (l *Leader) startWithRetries(s scheduler.StartRequest) error {
 	var inDoubt error
 	for _, timeout := range l.attemptTimeouts() {
+		if inDoubt != nil && l.startSettled(&s.Request) {
+			return inDoubt
+		}
 		now := time.Now()
 		if !l.journal.LeaderLeaseValid(now) {
 			if inDoubt != nil {
@@ -64,6 +69,12 @@
 	return inDoubt
 }
 
+func (l *Leader) startSettled(request *fleet.StartRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sched.StartSettled(request)
+}
+
 // attemptTimeouts returns the timeouts of the next request's attempts.
 func (l *Leader) attemptTimeouts() []time.Duration {
 	l.mu.Lock()
--- a/fleetentry/requests_test.go
+++ b/fleetentry/requests_test.go
@@ -54,7 +54,7 @@
 		journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
 		now := time.Now()
 		journal.lastAppendAt.Store(&now)
-		l := &Leader{workers: workers, journal: journal, metrics: NewMetrics()}
+		l := &Leader{workers: workers, journal: journal, metrics: NewMetrics(), sched: scheduler.New(scheduler.Config{}, now)}
 		l.callTimeouts.lossyUntil = now.Add(time.Minute)
 		err := l.startWithRetries(scheduler.StartRequest{})
 		if c.want == "" {
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -64,6 +64,23 @@
 	require.Equal(t, 2, starts[0].Request.Attempt)
 }
 
+// TestStart_SettledIsRepeated guards against repeating a start whose run a poll has shown,
+// to a worker that may have restarted since.
+func TestStart_SettledIsRepeated(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	start := f.placeJob("j")
+	require.False(t, f.s.StartSettled(&start.Request), "nothing is known yet")
+	f.startRun(start)
+	f.poll("w-1")
+	require.True(t, f.s.StartSettled(&start.Request), "a poll shows the run")
+	f.finishRun("w-1", start.Request.Task, fleet.RunDone)
+	f.poll("w-1")
+	f.applyBatches()
+	require.True(t, f.s.StartSettled(&start.Request), "the run has ended")
+}
+
 // TestStart_InDoubt keeps the task until a stop and a later poll prove that the run
 // does not exist.
 func TestStart_InDoubt(t *testing.T) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// StartSettled reports whether the start needs no response any more: its run is known to
+// exist or to have ended, or was given up.
+func (s *Scheduler) StartSettled(request *fleet.StartRequest) bool {
+	t := s.findTask(request.Task)
+	return t != nil && (t.attempt != request.Attempt || t.phase != starting)
+}
+
 // HandleStartResponse applies the response to a start request.
 func (s *Scheduler) HandleStartResponse(request *fleet.StartRequest, to fleet.Endpoint, err error, now time.Time) {
 	t := s.findTask(request.Task)
