--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -179,11 +179,11 @@
 	}
 }
 
-// injectPartialOutage makes reads of some of the store's topics fail in half of its
-// calls, and returns a function that clears that.
-func (f *testFleet) injectPartialOutage() func() {
+// injectPartialOutage makes reads of some of the store's topics fail, in half of its calls.
+// It returns a function that clears that.
+func (f *testFleet) injectPartialOutage() (clearOutage func(), active bool) {
 	if f.outageRNG.IntN(2) == 0 {
-		return func() {}
+		return func() {}, false
 	}
 	fault := []emulator.StoreFault{emulator.StoreUnavailable, emulator.StoreHangs}[f.outageRNG.IntN(2)]
 	down := map[string]bool{}
@@ -196,7 +196,7 @@
 		}
 		return emulator.StoreOK
 	})
-	return func() { f.store.SetFault(nil) }
+	return func() { f.store.SetFault(nil) }, true
 }
 
 // request sends one request to the entry; status 0 means no response.
@@ -224,7 +224,8 @@
 	var accepted, rejected []string
 	deadline := time.Now().Add(*faultDuration)
 	for n := 0; time.Now().Before(deadline); n++ {
-		clearFault, clearOutage := f.injectFault(), f.injectPartialOutage()
+		clearFault := f.injectFault()
+		clearOutage, outage := f.injectPartialOutage()
 		for end := time.Now().Add(time.Duration(300+f.rng.IntN(1500)) * time.Millisecond); time.Now().Before(end); {
 			path := fmt.Sprintf("/desk/%016x", f.rng.Uint64())
 			spec := []string{"short", "long"}[f.rng.IntN(2)]
@@ -240,7 +241,7 @@
 			time.Sleep(40 * time.Millisecond)
 		}
 		clearFault()
-		if f.outageRNG.IntN(2) == 0 {
+		if f.outageRNG.IntN(2) == 0 && outage {
 			// The next leader takes over while the outage lasts.
 			f.restartAll()
 			time.Sleep(outageTail)
