--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/scheduler"
@@ -79,46 +81,50 @@
 	l.storeResignation(ctx, status)
 }
 
-// readLedgerUpTo reads until the state holds the ledger up to the offset and the
-// submission of every job with a stored assignment: without that job, its runs could be
-// neither counted nor kept, and would start again. Other jobs may be read later, so that
-// a stream that cannot be read delays no takeover that does not need it.
+// readLedgerUpTo reads until the state holds the ledger up to the offset, and what it
+// needs of the entries' streams.
 func (l *Leader) readLedgerUpTo(ctx context.Context, offset int64) error {
-	waited := false
 	for ctx.Err() == nil {
-		ledgerErr := l.follower.CatchUpLedger(ctx)
-		caughtUp, missing := l.ledgerReadUpTo(offset)
+		err := l.follower.CatchUpLedger(ctx)
+		caughtUp := false
+		l.follower.Read(func(v *ledger.View) { caughtUp = v.LeaderOffset >= offset })
+		if err == nil && caughtUp {
+			return l.readAssignedSubmissions(ctx)
+		}
+		sleep(ctx, planDelay)
+	}
+	return ctx.Err()
+}
+
+// readAssignedSubmissions reads until the submission of every job with a stored
+// assignment is known: without that job, its runs could be neither counted nor kept, and
+// would start again. Other jobs may be read later, so that a stream that cannot be read
+// delays no takeover that does not need it.
+func (l *Leader) readAssignedSubmissions(ctx context.Context) error {
+	missing := l.assignedWithoutSubmission()
+	if missing == "" {
+		return nil
+	}
+	l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", missing)
+	for {
+		err := l.follower.CatchUp(ctx)
+		missing = l.assignedWithoutSubmission()
 		switch {
-		case !caughtUp || ledgerErr != nil:
-			l.log.Debug("takeover reads the ledger again", "token", l.fencingToken, "error", ledgerErr)
-			sleep(ctx, planDelay)
-			continue
 		case missing == "":
 			return nil
-		case !waited:
-			l.log.Warn("takeover waits for the submission of a job with assignments", "token", l.fencingToken, "request", missing)
-			waited = true
-		}
-		if err := l.follower.CatchUp(ctx); err != nil {
-			l.log.Info("takeover cannot read all streams", "token", l.fencingToken, "error", err)
-			sleep(ctx, readRetryDelay)
-			continue
-		}
-		if _, missing = l.ledgerReadUpTo(offset); missing != "" {
+		case err == nil:
 			l.log.Error("no stream has the submission of a job with assignments", "token", l.fencingToken, "request", missing)
+			return nil
+		case ctx.Err() != nil:
+			return errors.Wrapf(err, "the submission of %s cannot be read", missing)
 		}
-		return nil
+		sleep(ctx, readRetryDelay)
 	}
-	return ctx.Err()
 }
 
-// ledgerReadUpTo reports whether the ledger is read up to the offset, and which job has
-// assignments and no submission.
-func (l *Leader) ledgerReadUpTo(offset int64) (caughtUp bool, missing string) {
-	l.follower.Read(func(v *ledger.View) {
-		caughtUp, missing = v.LeaderOffset >= offset, v.AssignedWithoutSubmission()
-	})
-	return caughtUp, missing
+func (l *Leader) assignedWithoutSubmission() (job string) {
+	l.follower.Read(func(v *ledger.View) { job = v.AssignedWithoutSubmission() })
+	return job
 }
 
 // readWorkers reads the platform's list of workers, again if a response is lost, until
--- a/scheduler/stray.go
+++ b/scheduler/stray.go
@@ -26,7 +26,7 @@
 		return t
 	}
 	w.unassignedUse = w.unassignedUse.Plus(s.unassignedRunResources(w, run.Task))
-	if !current || t.isOver() || s.noteStray(t, w, sent, now) {
+	if !current || t.needsNoRun() || s.holdTask(t, w, sent, now) {
 		s.stopUnassignedRun(w, run)
 	}
 	return nil
@@ -37,13 +37,13 @@
 	s.emit(Event{Kind: "run.unexpected", ID: run.Task.String(), Worker: w.info.ID, Attempt: run.Attempt, Reason: "not assigned"})
 }
 
-// isOver reports whether the task needs no more runs.
-func (t *task) isOver() bool { return t.phase == done || t.step.occurrence.job.finished }
+// needsNoRun reports whether the task needs no more runs.
+func (t *task) needsNoRun() bool { return t.phase == done || t.step.occurrence.job.finished }
 
 // canAdopt reports whether the run is the last one of a task that waits for the next. The
 // members of a gang only run together.
 func (t *task) canAdopt(run *fleet.ActiveRun) bool {
-	return t.phase == waiting && t.attempt == run.Attempt && t.strays == 0 && !t.step.def.Gang && !t.isOver()
+	return t.phase == waiting && t.attempt == run.Attempt && t.strays == 0 && !t.step.def.Gang && !t.needsNoRun()
 }
 
 // adoptRun assigns a waiting task to the worker that has its run.
@@ -57,9 +57,9 @@
 	s.updateReady(t.step)
 }
 
-// noteStray holds the task back while the worker has a run of it. It reports whether the
+// holdTask holds the task back while the worker has a run of it. It reports whether the
 // run is to be stopped: a request takes its time to have an effect.
-func (s *Scheduler) noteStray(t *task, w *worker, sent, now time.Time) (stop bool) {
+func (s *Scheduler) holdTask(t *task, w *worker, sent, now time.Time) (stop bool) {
 	known, held := w.strays[t]
 	if !held {
 		known = &stray{}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,7 +36,8 @@
 	// last one stored.
 	lastHandledOutcome  int64
 	lastRecordedOutcome int64
-	// forgottenOutcome is the last outcome that the worker is known to have forgotten.
+	// forgottenOutcome is the last outcome that the worker no longer returns, up to the
+	// last one stored.
 	forgottenOutcome int64
 	// avoidUntil keeps new tasks off the worker.
 	avoidUntil time.Time
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -57,9 +57,7 @@
 	Endpoint fleet.Endpoint
 	// Pool is the worker's pool.
 	Pool string
-	// StartedAtMillis identifies the incarnation.
-	StartedAtMillis int64
-	Busy            bool
+	Busy bool
 }
 
 // PollTargets returns the workers that must be polled.
@@ -69,7 +67,7 @@
 		if w.info.Address == "" {
 			continue
 		}
-		out = append(out, PollTarget{Endpoint: w.endpoint(), Pool: w.info.Pool, StartedAtMillis: w.info.StartedAtMillis, Busy: len(w.tasks) > 0})
+		out = append(out, PollTarget{Endpoint: w.endpoint(), Pool: w.info.Pool, Busy: len(w.tasks) > 0})
 	}
 	return out
 }
