--- a/lateness/lateness.go
+++ b/lateness/lateness.go
@@ -17,6 +17,8 @@
 	// decayDivisor is the part by which the reading falls at each probe that is less
 	// late: to a half in five probes.
 	decayDivisor = 8
+	// negligible lateness extends no call: calls have that much to spare.
+	negligible = 20 * time.Millisecond
 	// allowanceFactor covers the two waits of a call: one to send and one to read.
 	allowanceFactor = 2
 	// maxAllowance bounds how much longer a call may take, in view of the leases that
@@ -61,4 +63,10 @@
 
 // Allowance returns how much longer a call to another process may take because this
 // one is late.
-func (m *Monitor) Allowance() time.Duration { return min(allowanceFactor*m.Current(), maxAllowance) }
+func (m *Monitor) Allowance() time.Duration {
+	late := m.Current()
+	if late < negligible {
+		return 0
+	}
+	return min(allowanceFactor*late, maxAllowance)
+}
--- a/lateness/lateness_test.go
+++ b/lateness/lateness_test.go
@@ -12,6 +12,8 @@
 func TestMonitor_ReadingRisesAtOnceAndFallsSlowly(t *testing.T) {
 	m := NewMonitor(clockwork.NewFakeClock())
 	require.Zero(t, m.Allowance())
+	m.record(negligible - 1)
+	require.Zero(t, m.Allowance(), "negligible lateness extends calls")
 	m.record(160 * time.Millisecond)
 	require.Equal(t, 160*time.Millisecond, m.Current())
 	require.Equal(t, 320*time.Millisecond, m.Allowance())
