Add a stand-in for starts that are carried out late

Cause: an open finding, a start that reaches a worker after its restart, can be tried with a script. Change: workers can leave starts unanswered and carry them out late.

--- a/review/standin/case_schedule.go
+++ b/review/standin/case_schedule.go
@@ -31,7 +31,9 @@
 	if err := d.startEntries(); err != nil {
 		return false, err
 	}
+	d.fleet.mu.Lock()
 	d.fleet.quiet = true
+	d.fleet.mu.Unlock()
 	id := newID()
 	if err := d.submit(nightly.prefix+id, scheduledJob()); err != nil {
 		return false, err
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -87,6 +87,11 @@
 	// cut workers run on and answer no entry; shedding ones reject starts.
 	cut      bool
 	shedding bool
+	// lateStarts delays starts: they get no answer, and are carried out so much later by
+	// whichever life the worker then has.
+	lateStarts time.Duration
+	// lastTold is the task of the last start that is to be carried out late.
+	lastTold string
 	// moving ones join another pool soon.
 	moving bool
 
@@ -367,6 +372,14 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.fleet.mu.Lock()
+	delay := w.lateStarts
+	w.fleet.mu.Unlock()
+	if delay > 0 && r.URL.Path == "/run-start" {
+		w.carryOutLate(r, req, delay)
+		<-r.Context().Done()
+		return
+	}
 	status, body := w.serve(r, req, stop)
 	w.fleet.mu.Lock()
 	lost, silent := w.cut || w.down || w.boot != boot, w.cut || w.dark
@@ -383,6 +396,19 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
+// carryOutLate carries the start out after the delay.
+func (w *worker) carryOutLate(r *http.Request, req request, delay time.Duration) {
+	w.fleet.rec.note("%s: the start of run %d of %s gets no answer", w.id, req.Attempt, req.Task)
+	w.fleet.mu.Lock()
+	w.lastTold = req.Task
+	w.fleet.mu.Unlock()
+	late := r.Clone(context.Background())
+	time.AfterFunc(delay, func() {
+		status, body := w.serve(late, req, nil)
+		w.fleet.rec.note("%s: the late start of run %d of %s: %d %v", w.id, req.Attempt, req.Task, status, body["reason"])
+	})
+}
+
 func (w *worker) serve(r *http.Request, req request, stop <-chan struct{}) (int, map[string]any) {
 	f := w.fleet
 	f.mu.Lock()
