--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 // cases returns whether the rule was broken. They leave the disruption out if trouble is
 // not set.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"holder": runHolder, "late": runLate, "lease": runLease, "restart": runRestart, "schedule": runSchedule, "queue": runQueue, "gang": runGang, "pending": runPending,
+	"holder": runHolder, "late": runLate, "earlier": runEarlier, "lease": runLease, "restart": runRestart, "schedule": runSchedule, "queue": runQueue, "gang": runGang, "pending": runPending,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -87,6 +87,8 @@
 	// cut workers run on and answer no entry; shedding ones reject starts.
 	cut      bool
 	shedding bool
+	// clockBack is how far the worker's time of day is behind.
+	clockBack time.Duration
 	// lateStarts delays starts: they get no answer, and are carried out so much later by
 	// whichever life the worker then has.
 	lateStarts time.Duration
@@ -261,10 +263,13 @@
 	w.fleet.store.Put("keyed.servers", w.id, map[string]any{
 		"service": w.service, "addr": w.address, "zone": "porto-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold-left-ms": 0, "capacity": map[string]int64{"cpu": w.cpu, "mem-mb": 65536, "gpu": 0}, "machine": w.machine,
-		"labels": w.labels, "sequence": time.Since(w.born).Milliseconds()/heartbeatMS + 1, "born": w.born.UnixMilli(),
+		"labels": w.labels, "sequence": time.Since(w.born).Milliseconds()/heartbeatMS + 1, "born": w.bornMillis(),
 	})
 }
 
+// bornMillis is the start of the worker's life by its own time of day.
+func (w *worker) bornMillis() int64 { return w.born.Add(-w.clockBack).UnixMilli() }
+
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
 
 // endDue ends what is done, what waits alone and what has lost its lease. The lock is held.
@@ -414,7 +419,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reply := func(status int, reason string) (int, map[string]any) {
-		body := map[string]any{"clock-ms": w.clock(), "born": w.born.UnixMilli()}
+		body := map[string]any{"clock-ms": w.clock(), "born": w.bornMillis()}
 		if reason != "" {
 			body["reason"] = reason
 		}
