Log the inputs by which a job fails, and what a leader knows of a gang

Ruled out: nothing yet, that is what the lines are for. Change: job.ended names the failed runs, how many are allowed and whether the manifest has the queue; gang.done and gang.restored tell what a leader knows of a gang.

--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -59,6 +59,7 @@
 	}
 	for _, o := range j.occurrences {
 		s.recountSteps(o)
+		s.reportStartedGangs(o)
 	}
 	if stored.Cancelled {
 		s.Cancel(j.sub.ID, now)
@@ -73,7 +74,7 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				if !j.longRunning && t.failures >= j.queue.MaxAttempts && t.phase != done {
-					s.finishJob(j, ledger.OutcomeFailed, now, "a task has used all its attempts")
+					s.finishJob(j, ledger.OutcomeFailed, now, s.exhaustedReason(t))
 					return
 				}
 			}
@@ -114,6 +115,15 @@
 	}
 }
 
+// reportStartedGangs logs what the ledger holds of the occurrence's gangs.
+func (s *Scheduler) reportStartedGangs(o *occurrence) {
+	for _, st := range o.steps {
+		if assigned := len(st.tasks) - st.done - st.waiting; st.def.Gang && st.done+assigned > 0 {
+			s.emit(Event{Kind: "gang.restored", ID: st.tasks[0].id.String(), Reason: fmt.Sprintf("%d members are done, %d assigned, %d waiting", st.done, assigned, st.waiting)})
+		}
+	}
+}
+
 // addUnlistedWorker adds a worker that is not on the list: its runs may still exist.
 func (s *Scheduler) addUnlistedWorker(id string) *worker {
 	w := s.newWorker(fleet.Worker{ID: id})
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -138,7 +139,17 @@
 	t.resetRun()
 	t.phase = waiting
 	t.step.waiting++
-	s.finishJob(j, ledger.OutcomeFailed, now, "a task has used all its attempts")
+	s.finishJob(j, ledger.OutcomeFailed, now, s.exhaustedReason(t))
+}
+
+// exhaustedReason returns the inputs of the decision that the task has no attempts left.
+func (s *Scheduler) exhaustedReason(t *task) string {
+	queue := t.step.occurrence.job.queue
+	reason := fmt.Sprintf("%s has used all its attempts: %d failed, %d are allowed", t.id, t.failures, queue.MaxAttempts)
+	if s.manifest.QueueByName(queue.Name) == nil {
+		reason += fmt.Sprintf("; manifest %d has no queue %s", s.manifest.Version, queue.Name)
+	}
+	return reason
 }
 
 // recordFailure counts a failed run against its worker. A worker that fails runs of
@@ -168,6 +179,9 @@
 // completeGang completes the members of a gang that have no run: one success counts for
 // all. The other members end by themselves.
 func (s *Scheduler) completeGang(st *step, now time.Time) {
+	if !st.gangDone {
+		s.emit(Event{Kind: "gang.done", ID: st.tasks[0].id.String(), Reason: fmt.Sprintf("a member has succeeded, %d of %d have no run", st.waiting, len(st.tasks))})
+	}
 	st.gangDone = true
 	for _, member := range st.tasks {
 		if member.phase == waiting {
