Store with each job the queue it was accepted for

Cause: the last definition of a removed queue was in the memory of the leader that had seen it. The next leader reads the newest manifest alone; it gave jobs of a queue that is not in it one attempt and no pool, and ended those with one failed run at the takeover. Change: the accepting entry stores the definition and the manifest's version in the job's record. A job is governed by the manifest's definition, or by its own where the manifest lacks the queue or is older. A job with neither waits, and job.queue_unknown says so. Why it works: the definition is a function of the newest manifest and the job's record; no leader adds anything from memory.

--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -30,6 +30,8 @@
 	IntervalMillis int64 `json:"v,omitempty"`
 	// ArrivedMillis is the Unix time in milliseconds when an entry accepted it.
 	ArrivedMillis int64 `json:"w"`
+	// Acceptance is nil in records of releases that did not store it.
+	Acceptance *Acceptance `json:"a,omitempty"`
 }
 
 // HasSchedule reports whether the job has due times.
--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -70,10 +70,12 @@
 }
 
 // publish publishes a manifest.
-func (p *testPlatform) publish(version int) {
+func (p *testPlatform) publish(version int) { p.store.PublishManifest(testManifest(version)) }
+
+func testManifest(version int) map[string]any {
 	queues := []emulator.Queue{{Name: "q-desk", Host: testHost, Prefix: "/desk/", Pool: "desk"}, {Name: "q-books", Host: testHost, Prefix: "/books/", Pool: "books"}}
 	pools := map[string]bool{"desk": false, "books": false, "reserve": true}
-	p.store.PublishManifest(emulator.Manifest(version, queues, pools, "team", testKey, 12_000))
+	return emulator.Manifest(version, queues, pools, "team", testKey, 12_000)
 }
 
 func freeAddress(t *testing.T) string {
@@ -119,6 +121,19 @@
 	}
 }
 
+// liveEntries returns the entries that have not been stopped.
+func (p *testPlatform) liveEntries() []*Daemon {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*Daemon
+	for _, d := range p.entries {
+		if !d.stopping.Load() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // crashAll crashes all entries and forgets them.
 func (p *testPlatform) crashAll() {
 	p.mu.Lock()
--- a/fleetentry/jobservice.go
+++ b/fleetentry/jobservice.go
@@ -149,7 +149,8 @@
 	if known {
 		return fleet.Reply{Kind: fleet.ReplyAccepted}
 	}
-	sub.ID, sub.Queue, sub.Team, sub.ArrivedMillis = id, q.Name, team, time.Now().UnixMilli()
+	sub.ID, sub.Team, sub.ArrivedMillis = id, team, time.Now().UnixMilli()
+	sub.AcceptUnder(m, q)
 	return s.storeRecords(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, deadline)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,9 +21,6 @@
 	// previouslyFinished holds jobs that had finished at the takeover: their runs may
 	// still be stopping.
 	previouslyFinished map[string]*fleet.Submission
-	// queues keeps the last known definition of each queue, also of those that the
-	// manifest no longer has.
-	queues map[string]fleet.Queue
 	// shortUse is what each team uses of each pool with tasks that end by themselves, in
 	// millicores.
 	shortUse map[poolTeam]int64
@@ -55,7 +52,6 @@
 		workers:            map[string]*worker{},
 		endedIncarnations:  map[string]int64{},
 		teams:              map[string]*team{},
-		queues:             map[string]fleet.Queue{},
 		shortUse:           map[poolTeam]int64{},
 		ready:              map[*step]struct{}{},
 		scheduledJobs:      map[*job]struct{}{},
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -11,19 +12,29 @@
 // SetManifest applies a manifest.
 func (s *Scheduler) SetManifest(m *fleet.Manifest) {
 	s.manifest = m
-	for i := range m.Queues {
-		s.queues[m.Queues[i].Name] = m.Queues[i]
-	}
 	for _, t := range s.teams {
 		s.refreshTeam(t)
 	}
 	for _, j := range s.jobs {
-		if q, known := s.queues[j.sub.Queue]; known {
-			j.queue = q
-		}
+		j.queue = s.queueOf(j.sub)
 	}
 }
 
+// queueOf returns the queue's definition that governs the job: that of the manifest, or
+// the one under which the job was accepted if the manifest lacks the queue or is older.
+// It depends on nothing that only this leader remembers, so that the next one decides
+// alike. A job with neither definition waits for a manifest that has its queue.
+func (s *Scheduler) queueOf(sub *fleet.Submission) fleet.Queue {
+	accepted, known := sub.AcceptedQueue()
+	if current := s.manifest.QueueByName(sub.Queue); current != nil && (!known || sub.Acceptance.ManifestVersion <= s.manifest.Version) {
+		return *current
+	}
+	if known {
+		return accepted
+	}
+	return fleet.Queue{Name: sub.Queue, MaxAttempts: math.MaxInt}
+}
+
 func (s *Scheduler) refreshTeam(t *team) {
 	// A team that was removed from the manifest keeps its last limit.
 	if def, known := s.manifest.Teams[t.name]; known {
@@ -194,9 +205,9 @@
 		sub: sub, arrivedAt: arrivedAt, criticalPath: sub.CriticalPath(), coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
 		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
 	}
-	j.queue = s.queues[sub.Queue]
-	if j.queue.Name == "" {
-		j.queue = fleet.Queue{Name: sub.Queue, MaxAttempts: 1}
+	j.queue = s.queueOf(sub)
+	if j.queue.Pool == "" {
+		s.emit(Event{Kind: "job.queue_unknown", ID: sub.ID, Reason: fmt.Sprintf("neither manifest %d nor the job's record defines queue %s", s.manifest.Version, sub.Queue)})
 	}
 	s.jobs[sub.ID] = j
 	if sub.HasSchedule() {
