Store with each job the limit of its team

Callers would see: after an operator has removed a team and the leader has changed, the team's accepted jobs run without the team's limit and take the pool from all others (QUOTA). Cause: as with removed queues: refreshTeam kept the last limit of a removed team in the memory of the leader that had seen it; the next leader had a team without a limit. Evidence: TestTeam_RemovedBeforeTheTakeover failed before with 10 tasks running of a team whose limit allows 6; TestTeam_LimitChanges with 6 of the 8 that the manifest allows under which the job was accepted. Ruled out: keeping the limit on the team: it would depend on which jobs a leader still knows. Change: the job's record has the weight and the limit of its team; the limit that counts is the job's, from the newest manifest or from its record. SetManifest and what it decides are in a file of their own. Why it works: a job's limit is a function of the newest manifest and of the job's record. The weight, which only divides full pools, may differ between leaders. Before and after: tests above failed, and pass. scheduler and fleetentry pass.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -21,7 +21,7 @@
 	for range st.tasks {
 		total = total.Plus(st.def.Need)
 	}
-	if !st.occurrence.job.team.hasCapacityFor(total) {
+	if !st.occurrence.job.hasTeamCapacityFor(total) {
 		return
 	}
 	if st.def.RackLocal || st.def.DataRack != "" {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -24,8 +24,9 @@
 	// nextOccurrence is the next one to become due.
 	nextOccurrence      int
 	finishedOccurrences int
-	// team is nil for clients without an API key.
-	team *team
+	// team is nil for clients without an API key; limit is the team's.
+	team  *team
+	limit fleet.Resources
 }
 
 // occurrence is one pass through the steps of a job.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -93,7 +93,7 @@
 		if limited && shares.exceeded(use.team, s.shortUse[use]) {
 			return false
 		}
-		if !st.occurrence.job.team.hasCapacityFor(st.def.Need) {
+		if !st.occurrence.job.hasTeamCapacityFor(st.def.Need) {
 			return true
 		}
 		if !pool.mayFit(t.resources()) {
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -2,59 +2,12 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
 )
 
-// SetManifest applies a manifest.
-func (s *Scheduler) SetManifest(m *fleet.Manifest) {
-	s.manifest = m
-	for _, t := range s.teams {
-		s.refreshTeam(t)
-	}
-	for _, j := range s.jobs {
-		j.queue = s.queueOf(j.sub)
-	}
-}
-
-// queueOf returns the queue's definition that governs the job: that of the manifest, or
-// the one under which the job was accepted if the manifest lacks the queue or is older.
-// It depends on nothing that only this leader remembers, so that the next one decides
-// alike. A job with neither definition waits for a manifest that has its queue.
-func (s *Scheduler) queueOf(sub *fleet.Submission) fleet.Queue {
-	accepted, known := sub.AcceptedQueue()
-	if current := s.manifest.QueueByName(sub.Queue); current != nil && (!known || sub.Acceptance.ManifestVersion <= s.manifest.Version) {
-		return *current
-	}
-	if known {
-		return accepted
-	}
-	return fleet.Queue{Name: sub.Queue, MaxAttempts: math.MaxInt}
-}
-
-func (s *Scheduler) refreshTeam(t *team) {
-	// A team that was removed from the manifest keeps its last limit.
-	if def, known := s.manifest.Teams[t.name]; known {
-		t.weight, t.limit = max(1, def.Weight), def.Cap
-	}
-}
-
-func (s *Scheduler) teamByName(name string) *team {
-	if name == "" {
-		return nil
-	}
-	t, known := s.teams[name]
-	if !known {
-		t = &team{name: name, weight: 1}
-		s.teams[name] = t
-		s.refreshTeam(t)
-	}
-	return t
-}
-
 // RestoreJob adds a job of the ledger with its stored assignments.
 func (s *Scheduler) RestoreJob(stored *ledger.Job, now time.Time) {
 	if stored.Submission == nil {
@@ -205,7 +158,7 @@
 		sub: sub, arrivedAt: arrivedAt, criticalPath: sub.CriticalPath(), coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
 		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
 	}
-	j.queue = s.queueOf(sub)
+	s.applyManifest(j)
 	if j.queue.Pool == "" {
 		s.emit(Event{Kind: "job.queue_unknown", ID: sub.ID, Reason: fmt.Sprintf("neither manifest %d nor the job's record defines queue %s", s.manifest.Version, sub.Queue)})
 	}
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -2,16 +2,15 @@
 
 import "github.com/anvilcourse/anvilcourse/fleet"
 
-// team holds a team's current usage and limit.
+// team holds a team's current usage.
 type team struct {
 	name string
 	used fleet.Resources
-	// weight and limit come from the current manifest.
+	// weight is as the newest job or manifest tells; it only divides full pools.
 	weight int64
-	limit  fleet.Resources
 }
 
-// hasCapacityFor reports whether the need fits in the team's limit.
-func (t *team) hasCapacityFor(need fleet.Resources) bool {
-	return t == nil || t.used.Plus(need).WithinCap(t.limit)
+// hasTeamCapacityFor reports whether the need fits in the limit of the job's team.
+func (j *job) hasTeamCapacityFor(need fleet.Resources) bool {
+	return j.team == nil || j.team.used.Plus(need).WithinCap(j.limit)
 }
