Derive from the ledger that a gang is done

Cause: that one success stands for all members was in the leader's memory only. The end of a gang is stored member by member; where a member's worker cannot be read at that time, its record still names a run. The next leader, which does not find the run, lets the member wait, and places it as a gang of one that waits for the others in vain. Of the new tests TestGang_DoneBeforeTheTakeover and all but one case of TestGang_MembersDiffer failed before: 'the member has been started again'. Ruled out: an end that is lost or acknowledged too early (the three others are stored, and the fourth run ended behind the cut); a start by the first leader (all carry its successor's fencing token). Change: a restored gang with a member that is done is done; its waiting members complete at once, the others once they have no run. An occurrence counts once as finished. Why it works: only the success of a gang's run makes members done, so that the stored members tell it at any time, whatever is stored of the others. Related paths tried: none, one or all ends stored; members that wait, have failed, or whose worker has left; the step after the gang; a gang that runs twice.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -35,6 +35,8 @@
 	number int
 	due    time.Time
 	steps  []*step
+	// finished reports that all tasks are done and that the job has counted it.
+	finished bool
 	// remainingTasks counts the tasks that are not done.
 	remainingTasks int
 	// remainingCoreSeconds is the estimate of the work that is not done.
--- a/scheduler/step.go
+++ b/scheduler/step.go
@@ -24,7 +24,8 @@
 	readySince time.Time
 	// rack is the rack of the placed tasks of a rack-local step.
 	rack string
-	// gangDone reports that a member of the gang has succeeded.
+	// gangDone reports that a member of the gang has succeeded; a new leader derives it
+	// from the stored members.
 	gangDone bool
 	tickets  tickets
 }
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -32,10 +32,14 @@
 	s.finishRestored(j, now)
 }
 
-// finishRestored finishes a job that was over before its result was stored.
+// finishRestored finishes what was over before its result was stored: gangs of which a
+// member is stored as done, occurrences and the job.
 func (s *Scheduler) finishRestored(j *job, now time.Time) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
+			if st.gangDone {
+				s.completeGang(st, now)
+			}
 			for _, t := range st.tasks {
 				if !j.longRunning && t.failures >= j.queue.MaxAttempts && t.phase != done {
 					s.finishJob(j, ledger.OutcomeFailed, now, s.exhaustedReason(t))
@@ -109,6 +113,8 @@
 				st.waiting++
 			}
 		}
+		// Only the success of a gang's run makes members done: it represents all of them.
+		st.gangDone = st.def.Gang && st.done > 0
 		o.remainingTasks += len(st.tasks) - st.done
 		o.remainingCoreSeconds += st.def.CoreSeconds() * float64(len(st.tasks)-st.done) / float64(len(st.tasks))
 	}
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -107,9 +107,10 @@
 // the last one.
 func (s *Scheduler) finishOccurrence(o *occurrence, now time.Time) {
 	j := o.job
-	if o.remainingTasks > 0 || j.finished {
+	if o.remainingTasks > 0 || o.finished || j.finished {
 		return
 	}
+	o.finished = true
 	if !j.sub.HasSchedule() {
 		s.finishJob(j, ledger.OutcomeCompleted, now, "all tasks are done")
 		return
