Reject records of workers that hold what no worker reports

Callers would see: work that starts on workers beyond what they hold, and work that is lost and never placed again on the workers concerned, after another writer has left one odd entry under the ID of a worker (LIMIT, LOST). Cause: DecodeWorker took every number that JSON can hold, any text for an address and any name. A capacity of 2^63-1 or 1e300 made a worker hold everything until its next report; the conversion of a float out of range is undefined and differs between arm64 and x86-64. A start time of 2^63-1 made the worker's real incarnation an earlier one: its runs were given up, and its reports and statuses ignored until the leader changed. The dropped entries were logged at a level that is not written. Each dropped record has a log line and a counter. Until the worker's own next report no new work goes to it; its runs are kept.

--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -279,3 +279,6 @@
 		}
 	}
 }
+
+// ID returns the worker's ID.
+func (w *Worker) ID() string { return w.id }
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -38,8 +38,10 @@
 	MaxUnavailable int `json:"miss,omitempty"`
 }
 
-// Estimate returns the client's estimate of one task's run time.
-func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMillis) * time.Millisecond }
+// Estimate returns the client's estimate of one task's run time, at most maxEstimate.
+func (s *Step) Estimate() time.Duration {
+	return time.Duration(min(s.EstimateMillis, maxEstimate.Milliseconds())) * time.Millisecond
+}
 
 // CoreSeconds returns the estimated CPU time of all tasks of the step.
 func (s *Step) CoreSeconds() float64 {
--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -12,6 +12,11 @@
 	maxTasks = 20_000
 	// maxOccurrences limits the occurrences of a job.
 	maxOccurrences = 1_000_000
+	// maxDueMillis is the last millisecond of the year 9999, in Unix time.
+	maxDueMillis = 253_402_300_799_999
+	// maxEstimate bounds the estimate of a task: several times the sum over maxSteps is
+	// a time.Duration.
+	maxEstimate = 30 * 24 * time.Hour
 )
 
 // Submission is a job as submitted by its client.
@@ -93,6 +98,9 @@
 	if s.Occurrences > 1 && s.IntervalMillis < 0 {
 		return errors.New("the interval is negative")
 	}
+	if last := float64(s.FirstDueMillis) + float64(s.IntervalMillis)*float64(s.Occurrences); last > maxDueMillis {
+		return errors.New("the last repetition is due after the year 9999")
+	}
 	tasks := 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -56,7 +56,7 @@
 		l.resignUnready(termCtx)
 		return result.err
 	}
-	l.workerList = newWorkerList(l.decoder, l.log)
+	l.workerList = newWorkerList(l.decoder, l.log, l.metrics)
 	l.workerList.apply(result.list)
 	sched.SetWorkers(l.workerList.workers, now)
 	l.follower.Read(func(v *ledger.View) {
--- a/fleetentry/workerlist.go
+++ b/fleetentry/workerlist.go
@@ -22,16 +22,19 @@
 type workerList struct {
 	decoder Decoder
 	log     hclog.Logger
+	metrics *Metrics
 	workers map[string]fleet.Worker
 	next    int64
 	stalls  stallDetector
 }
 
-func newWorkerList(decoder Decoder, log hclog.Logger) *workerList {
-	return &workerList{decoder: decoder, log: log, workers: map[string]fleet.Worker{}}
+func newWorkerList(decoder Decoder, log hclog.Logger, metrics *Metrics) *workerList {
+	return &workerList{decoder: decoder, log: log, metrics: metrics, workers: map[string]fleet.Worker{}}
 }
 
-// apply applies the records of a read.
+// apply applies the records of a read. One that cannot be decoded comes from another writer:
+// it names no worker to use until the worker's own next report, and all others hold. Runs on
+// that worker are kept.
 func (l *workerList) apply(got fleet.Records) {
 	for _, r := range got.Items {
 		if len(r.Value) == 0 {
@@ -40,7 +43,8 @@
 		}
 		w, err := l.decoder.Worker(r)
 		if err != nil {
-			l.log.Debug("cannot decode worker record", "worker", r.Key, "error", err)
+			l.log.Warn("cannot decode worker record", "worker", r.Key, "offset", r.Offset, "bytes", len(r.Value), "error", err)
+			l.metrics.Add("worker_records_undecodable", 1)
 			delete(l.workers, r.Key)
 			continue
 		}
