Give up no run because the list alone names a later incarnation

Callers would see: work that runs twice at once, and a worker that stays out of use until the leader changes, after another writer has left an entry under the worker's ID whose start time is later than the worker's and otherwise in order (TWICE, LOST). Cause: the leader believed the list without asking the worker. A later start time on the list ended the incarnation that it knew: its runs were given up at once and started elsewhere, and the worker's next report and its statuses counted as those of an earlier life. Evidence: of the new tests TestWorkerList_ClaimedIncarnation fails before with 'j.0.0.0 runs on w-1 and starts on w-2', TestWorkerList_ClaimedElsewhere with the same, and TestWorkerList_ClaimedAtTheTakeover with 'the worker is out of use'. The scheduler's model, which now draws such records, failed before after 2,516 schedules ('a job has not ended'). Change: an incarnation that only the list names is a claim. Runs are carried over to it until a status of the worker shows which incarnation there is, or until their leases must have expired; the list's next record replaces it, and one that is refuted is not believed again. TestEvents_RequeueNamesItsEvidence asked that the list alone gives a run up: its case is now two, one by a status and one by the list and a status after it. Why it works: a run is given up on the word of the worker that has it, or when its lease is over; claims extend no lease.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -15,19 +15,46 @@
 	}
 }
 
-// supersede replaces the incarnation by a later one that has appeared under its ID.
+// supersede replaces the incarnation by a later one that a status has shown under its ID.
 //
 // Requests name the worker's ID only, so that a start may reach the incarnation after
 // the one that the leader knew. A run is given up at once only if a status has shown it
 // on an earlier incarnation. The other tasks are carried over: a poll of the later
 // incarnation, or the response to a start in flight, decides.
-func (s *Scheduler) supersede(w *worker, later fleet.Worker, now time.Time, source string) *worker {
-	reason := fmt.Sprintf("incarnation %d has appeared %s", later.StartedAtMillis, source)
-	next := s.newWorker(later)
+func (s *Scheduler) supersede(w *worker, later fleet.Worker, now time.Time) *worker {
+	reason := fmt.Sprintf("incarnation %d has appeared in a status", later.StartedAtMillis)
+	return s.replace(w, later, now, reason, func(t *task) bool { return t.mayRunOn(later.StartedAtMillis) })
+}
+
+// claim replaces the incarnation by the one that the list names. A single record proves no
+// restart, as other writers may have left it: all runs are carried over until a status shows
+// which incarnation there is, or until their leases must have expired. The list's next
+// record may take the claim back.
+func (s *Scheduler) claim(w *worker, listed fleet.Worker, now time.Time) *worker {
+	reason := fmt.Sprintf("incarnation %d has appeared on the list", listed.StartedAtMillis)
+	next := s.replace(w, listed, now, reason, (*task).mayHaveRun)
+	next.claimedAt = now
+	return next
+}
+
+// refute keeps the claimed incarnation out of use while the list names it.
+func (s *Scheduler) refute(w *worker, reason string) {
+	s.refutedIncarnations[w.info.ID] = w.info.StartedAtMillis
+	s.emit(Event{Kind: "worker.record_refuted", ID: w.info.ID, Reason: fmt.Sprintf("the list names incarnation %d, %s", w.info.StartedAtMillis, reason)})
+}
+
+// refutes reports whether a status of an earlier incarnation, from a poll sent at the time,
+// shows that the claimed one does not exist.
+func (w *worker) refutes(sent time.Time) bool {
+	return !w.claimedAt.IsZero() && sent.After(w.claimedAt)
+}
+
+func (s *Scheduler) replace(w *worker, by fleet.Worker, now time.Time, reason string, mayRun func(*task) bool) *worker {
+	next := s.newWorker(by)
 	next.listed = w.listed
 	next.cordoned, next.operationPending = w.cordoned, w.operationPending
-	s.workers[later.ID] = next
-	s.endWorker(w, next, now, reason, func(t *task) bool { return t.mayRunOn(later.StartedAtMillis) })
+	s.workers[by.ID] = next
+	s.endWorker(w, next, now, reason, mayRun)
 	return next
 }
 
@@ -54,18 +81,30 @@
 }
 
 // removeWorker ends an incarnation, and what was sent to it: its runs no longer exist.
-// A restored run may be on a later incarnation, which is not known yet: it is kept on an
-// unlisted worker.
+// A run that may be on another incarnation is kept on an unlisted worker: one that was
+// restored from an assignment to a later one, and one that was not known to be on an
+// incarnation which only the list has named.
 func (s *Scheduler) removeWorker(w *worker, now time.Time, reason string) {
 	next := s.newWorker(fleet.Worker{ID: w.info.ID})
-	s.endWorker(w, next, now, reason, func(t *task) bool { return t.restoredAfter(w.info.StartedAtMillis) })
-	s.endedIncarnations[w.info.ID] = max(s.endedIncarnations[w.info.ID], w.info.StartedAtMillis)
+	if w.claimedAt.IsZero() {
+		s.endWorker(w, next, now, reason, func(t *task) bool { return t.restoredAfter(w.info.StartedAtMillis) })
+		s.endedIncarnations[w.info.ID] = max(s.endedIncarnations[w.info.ID], w.info.StartedAtMillis)
+	} else {
+		s.endWorker(w, next, now, reason, func(t *task) bool { return t.mayHaveRun() && !t.knownOn(w.info.StartedAtMillis) })
+		s.refute(w, reason)
+	}
 	delete(s.workers, w.info.ID)
 	if len(next.tasks) > 0 {
 		s.workers[w.info.ID] = next
 	}
 }
 
+// knownOn reports whether the task's run is known to be on the incarnation with the start
+// time: a status has shown it there, or its stored assignment names it.
+func (t *task) knownOn(startedAtMillis int64) bool {
+	return t.shownOn == startedAtMillis || t.shownOn == 0 && t.restored && t.restoredOn == startedAtMillis
+}
+
 // restoredAfter reports whether the task's run may be on a later incarnation than the
 // one with the start time, as its stored assignment tells.
 func (t *task) restoredAfter(startedAtMillis int64) bool {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -166,6 +166,8 @@
 		m.cancel(jobID(rapid.IntRange(0, 3).Draw(m.t, "job")))
 	case 3:
 		delete(m.registry, m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "expired")].info.ID)
+	case 4:
+		m.addOddRecord(m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "odd record")])
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,8 +16,11 @@
 	// endedIncarnations holds the start time of each listed worker's last ended
 	// incarnation.
 	endedIncarnations map[string]int64
-	workersListedAt   time.Time
-	teams             map[string]*team
+	// refutedIncarnations holds the start time of each listed worker's last incarnation that
+	// was on the list and proved not to be at the address there.
+	refutedIncarnations map[string]int64
+	workersListedAt     time.Time
+	teams               map[string]*team
 	// previouslyFinished holds jobs that had finished at the takeover: their runs may
 	// still be stopping.
 	previouslyFinished map[string]*fleet.Submission
@@ -46,21 +49,22 @@
 // New returns the scheduler of a leader that takes over now.
 func New(cfg Config, now time.Time) *Scheduler {
 	return &Scheduler{
-		cfg:                cfg,
-		manifest:           &fleet.Manifest{},
-		jobs:               map[string]*job{},
-		workers:            map[string]*worker{},
-		endedIncarnations:  map[string]int64{},
-		teams:              map[string]*team{},
-		shortUse:           map[poolTeam]int64{},
-		ready:              map[*step]struct{}{},
-		scheduledJobs:      map[*job]struct{}{},
-		previouslyFinished: map[string]*fleet.Submission{},
-		vms:                map[string]*vm{},
-		waves:              map[int64]*wave{},
-		pools:              map[string]*poolState{},
-		unpersisted:        map[int64]*Batch{},
-		tookOverAt:         now,
+		cfg:                 cfg,
+		manifest:            &fleet.Manifest{},
+		jobs:                map[string]*job{},
+		workers:             map[string]*worker{},
+		endedIncarnations:   map[string]int64{},
+		refutedIncarnations: map[string]int64{},
+		teams:               map[string]*team{},
+		shortUse:            map[poolTeam]int64{},
+		ready:               map[*step]struct{}{},
+		scheduledJobs:       map[*job]struct{}{},
+		previouslyFinished:  map[string]*fleet.Submission{},
+		vms:                 map[string]*vm{},
+		waves:               map[int64]*wave{},
+		pools:               map[string]*poolState{},
+		unpersisted:         map[int64]*Batch{},
+		tookOverAt:          now,
 	}
 }
 
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -33,13 +34,17 @@
 		return
 	}
 	if status.StartedAtMillis != 0 && w.info.StartedAtMillis != 0 && status.StartedAtMillis != w.info.StartedAtMillis {
-		if status.StartedAtMillis < w.info.StartedAtMillis {
+		if status.StartedAtMillis < w.info.StartedAtMillis && !w.refutes(sent) {
 			return // A response of an earlier incarnation.
 		}
-		later := w.info
-		later.StartedAtMillis = status.StartedAtMillis
-		w = s.supersede(w, later, now, "in a status")
+		if status.StartedAtMillis < w.info.StartedAtMillis {
+			s.refute(w, fmt.Sprintf("a status shows incarnation %d", status.StartedAtMillis))
+		}
+		shown := w.info
+		shown.StartedAtMillis = status.StartedAtMillis
+		w = s.supersede(w, shown, now)
 	}
+	w.claimedAt = time.Time{}
 	if w.info.StartedAtMillis == 0 {
 		w.info.StartedAtMillis = status.StartedAtMillis
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -59,6 +59,8 @@
 	maintenanceUrgent bool
 	// ended incarnations get no updates.
 	ended bool
+	// claimedAt is when the list named the incarnation; zero once a status has shown it.
+	claimedAt time.Time
 }
 
 // free returns the capacity that is left.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -12,9 +12,11 @@
 	for id, info := range list {
 		s.setWorker(id, info, now)
 	}
-	for id := range s.endedIncarnations {
-		if _, listed := list[id]; !listed {
-			delete(s.endedIncarnations, id)
+	for _, known := range []map[string]int64{s.endedIncarnations, s.refutedIncarnations} {
+		for id := range known {
+			if _, listed := list[id]; !listed {
+				delete(known, id)
+			}
 		}
 	}
 	for id, w := range s.workers {
@@ -30,17 +32,22 @@
 
 func (s *Scheduler) setWorker(id string, info fleet.Worker, now time.Time) {
 	w, known := s.workers[id]
-	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis != 0 && info.StartedAtMillis < w.info.StartedAtMillis {
+	if refuted, odd := s.refutedIncarnations[id]; odd && info.StartedAtMillis == refuted {
+		return // Another writer's record stands until the worker reports again.
+	}
+	earlier := known && w.info.StartedAtMillis != 0 && info.StartedAtMillis != 0 && info.StartedAtMillis < w.info.StartedAtMillis
+	if earlier && w.claimedAt.IsZero() {
 		return // A poll has shown a later incarnation already.
 	}
 	if startedAt, ended := s.endedIncarnations[id]; ended && info.StartedAtMillis != 0 && info.StartedAtMillis <= startedAt {
 		return // The list shows an ended incarnation for some heartbeats.
 	}
-	if known && w.info.StartedAtMillis != 0 && info.StartedAtMillis > w.info.StartedAtMillis {
-		w = s.supersede(w, info, now, "on the list")
+	if earlier || known && w.info.StartedAtMillis != 0 && info.StartedAtMillis > w.info.StartedAtMillis {
+		w = s.claim(w, info, now)
 	}
 	if !known {
 		w = s.newWorker(info)
+		w.claimedAt = now
 		s.workers[id] = w
 		s.emit(Event{Kind: "worker.listed", ID: id, Reason: info.Pool})
 	}
