Count the runs of jobs that finished before a takeover against their team's limit

Callers would see: a team that runs up to twice its limit for as long as stops take, after a cancelled job and a change of the leader, at the expense of the other teams (QUOTA). Cause: of the same class as removed queues: that a finished job still has runs is in the leader's memory. The next leader stops them when a status shows them, and counts them against the worker's capacity, but not against the team's limit. Evidence: TestTeam_RunsOfFinishedJobsAfterTheTakeover failed before: six tasks of one core are started of a team whose limit is six cores and whose cancelled job still has six runs. Ruled out: counting strays as well: their tasks are held back, and the leader that knows them has always left them out (TestStray_PersistingAssignmentIsWithdrawn). Change: such runs count against the team until a later status lacks them, the worker has ended or its leases must have expired. Why it works: what a status shows is all that the worker has. Open: a worker that has not been polled yet, or cannot be, may have more of them.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -63,6 +63,7 @@
 func (s *Scheduler) endWorker(w, next *worker, now time.Time, reason string, mayRun func(*task) bool) {
 	w.ended = true
 	w.releaseStrays()
+	w.forgetUnassigned()
 	next.leaseStart, next.leaseDuration = w.leaseStart, w.leaseDuration
 	for _, t := range w.tasks {
 		if mayRun(t) {
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -66,7 +66,7 @@
 
 // reconcileActiveRuns confirms the assigned runs and stops the unassigned ones.
 func (s *Scheduler) reconcileActiveRuns(w *worker, status *fleet.WorkerStatus, sent, now time.Time) {
-	w.unassignedUse = fleet.Resources{}
+	w.forgetUnassigned()
 	for i := range status.Active {
 		run := &status.Active[i]
 		t, assigned := w.tasks[run.Task]
@@ -92,22 +92,6 @@
 	}
 }
 
-// unassignedRunResources returns what an unassigned run uses: one of a finished job or
-// of an earlier attempt. A run of an unknown job may use the worker's whole capacity.
-func (s *Scheduler) unassignedRunResources(w *worker, id fleet.TaskID) fleet.Resources {
-	if t := s.findTask(id); t != nil {
-		return t.resources()
-	}
-	if sub, known := s.previouslyFinished[id.Job]; known && id.Step < len(sub.Steps) {
-		need := sub.Steps[id.Step].Need
-		if sub.Steps[id.Step].BestEffort {
-			need.MilliCPU = 0
-		}
-		return need
-	}
-	return w.info.Capacity
-}
-
 // confirmRun records that the run exists.
 func (s *Scheduler) confirmRun(t *task, now time.Time) {
 	t.phase = running
--- a/scheduler/stray.go
+++ b/scheduler/stray.go
@@ -25,7 +25,7 @@
 		s.adoptRun(t, w, now)
 		return t
 	}
-	w.unassignedUse = w.unassignedUse.Plus(s.unassignedRunResources(w, run.Task))
+	w.countUnassigned(s.unassignedRun(w, run.Task))
 	if !current || t.needsNoRun() || s.holdTask(t, w, sent, now) {
 		s.stopUnassignedRun(w, run)
 	}
@@ -103,4 +103,6 @@
 }
 
 // hasRuns reports whether runs may exist on the worker.
-func (w *worker) hasRuns() bool { return len(w.tasks) > 0 || len(w.strays) > 0 }
+func (w *worker) hasRuns() bool {
+	return len(w.tasks) > 0 || len(w.strays) > 0 || len(w.unassignedByTeam) > 0
+}
--- a/scheduler/team_test.go
+++ b/scheduler/team_test.go
@@ -46,3 +46,35 @@
 	f.advance(300 * time.Millisecond)
 	require.Equal(t, 9, total(f.running("j")))
 }
+
+// TestTeam_RunsOfFinishedJobsAfterTheTakeover guards against a new leader that starts a
+// team's tasks beside those of its jobs which had finished at the takeover, and whose runs
+// are still being stopped: the limit holds for all that runs.
+func TestTeam_RunsOfFinishedJobsAfterTheTakeover(t *testing.T) {
+	f := twoWorkers(t)
+	f.addWorker("w-3", testPool, 16)
+	f.advance(100 * time.Millisecond)
+	cancelled, next := f.teamJob("j", testManifest()), f.teamJob("k", testManifest())
+	f.s.Submit(cancelled, f.now)
+	f.s.Place(f.now)
+	records := f.applyBatches()
+	require.Equal(t, 6, total(f.running("j")))
+	f.s.Cancel("j", f.now)
+	for _, r := range f.s.TakeBatch().Records {
+		records = append(records, ledgerRecord(r)) // Stored, but no stop is sent.
+	}
+	f.takeover(records, cancelled, next)
+	for id := range f.workers {
+		f.poll(id)
+	}
+	f.s.Place(f.now)
+	batch := f.s.TakeBatch()
+	require.Len(t, batch.Stops, 6)
+	require.Empty(t, f.s.HandleBatchPersisted(batch.Number, f.now), "tasks start while six cores of six are in use")
+	f.s.TakeBatch()
+	for i := range batch.Stops {
+		f.finishRun(batch.Stops[i].Endpoint.WorkerID, batch.Stops[i].Task, fleet.RunStopped)
+	}
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, 6, total(f.running("k")))
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -39,6 +39,7 @@
 func (s *Scheduler) requeueExpired(w *worker, now time.Time) {
 	s.emit(Event{Kind: "worker.lapsed", ID: w.info.ID, Reason: "all leases on it must have expired"})
 	w.releaseStrays()
+	w.forgetUnassigned()
 	for _, t := range w.tasks {
 		if t.phase == persisting {
 			continue
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -15,6 +15,8 @@
 	tasks map[fleet.TaskID]*task
 	// unassignedUse is the capacity used by runs that are not assigned.
 	unassignedUse fleet.Resources
+	// unassignedByTeam is the part of it that counts against the limit of a team.
+	unassignedByTeam map[*team]fleet.Resources
 	// strays holds the runs that are not assigned, by their tasks.
 	strays map[*task]*stray
 	// newestPollSent is when the newest poll with a response was sent.
