Apply a lower number of attempts to jobs that have begun

Callers would see: after a manifest has lowered the attempts of a queue, a task that runs once more than is allowed (BUDGET), or a job that is ended although a run of it goes on, by which leader happens to decide. Cause: the leader that reads the manifest changed the number only, and looked at it after the next failed run; a leader that took over ended every job with a task that had failed as often, also while its run went on. Evidence: TestQueue_AttemptsAreLowered failed before in both cases, for 'the leader that has accepted more attempts' and for 'the next leader'. Ruled out: keeping the number under which the job was accepted: the newest manifest governs everything else about the queue. Change: both decide by one function, when a manifest lowers the number and at a takeover: a job ends if a task that waits has failed as often as is allowed. Why it works: the decision is a function of the job's stored tasks and the newest manifest. Before and after: the test failed, and passes; scheduler and fleetentry pass.

--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -151,7 +151,7 @@
 func (l *Leader) handleManifest(m *fleet.Manifest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sched.SetManifest(m)
+	l.sched.SetManifest(m, time.Now())
 	l.wakePlanner()
 }
 
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -49,7 +49,7 @@
 	l.config.PreviousLeaderLease = leaderLeaseDuration + workerLeaseDuration
 	sched := scheduler.New(l.config, now)
 	if m := l.operator.Manifest(); m != nil {
-		sched.SetManifest(m)
+		sched.SetManifest(m, now)
 	}
 	result := <-results
 	if result.err != nil {
@@ -168,7 +168,7 @@
 		}
 	})
 	if m := l.operator.Manifest(); m != nil {
-		l.sched.SetManifest(m)
+		l.sched.SetManifest(m, now)
 	}
 	l.flush(now)
 	l.wakePlanner()
--- a/scheduler/manifest.go
+++ b/scheduler/manifest.go
@@ -2,15 +2,39 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
 )
 
 // SetManifest applies a manifest.
-func (s *Scheduler) SetManifest(m *fleet.Manifest) {
+func (s *Scheduler) SetManifest(m *fleet.Manifest, now time.Time) {
 	s.manifest = m
 	for _, j := range s.jobs {
+		before := j.queue.MaxAttempts
 		s.applyManifest(j)
+		if j.queue.MaxAttempts < before && !j.finished {
+			s.failExhausted(j, now)
+		}
+	}
+}
+
+// failExhausted ends the job if a task that waits has failed as often as is allowed. A run
+// that exists goes on.
+func (s *Scheduler) failExhausted(j *job, now time.Time) {
+	if j.longRunning {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				if t.phase == waiting && t.failures >= j.queue.MaxAttempts {
+					s.finishJob(j, ledger.OutcomeFailed, now, s.exhaustedReason(t))
+					return
+				}
+			}
+		}
 	}
 }
 
--- a/scheduler/model_leader_test.go
+++ b/scheduler/model_leader_test.go
@@ -37,7 +37,7 @@
 	token := int64(len(m.leaders) + 1)
 	m.tracef("leader %d takes over", token)
 	successor := &modelLeader{s: New(Config{FencingToken: token, LeaseDuration: modelLease, PreviousLeaderLease: modelLeaderLease + modelLease, MaxStopTime: modelMaxStop}, m.now)}
-	successor.s.SetManifest(testManifest())
+	successor.s.SetManifest(testManifest(), m.now)
 	successor.s.SetWorkers(maps.Clone(m.registry), m.now)
 	for _, id := range m.jobIDs() {
 		// A takeover waits for the submissions of the jobs with assignments.
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -46,7 +46,7 @@
 	sub := f.acceptedJob("j", manifestWith(2, queueIn(testPool, 3)))
 	failedOnce := ledger.AssignmentRecord(taskOf("j", 0), ledger.Assignment{Attempt: 1, Failures: 1})
 	f.s = f.newLeader(2)
-	f.s.SetManifest(manifestWith(3))
+	f.s.SetManifest(manifestWith(3), f.now)
 	f.s.RestoreJob(readBack(t, sub, failedOnce), f.now)
 	require.False(t, f.s.jobs["j"].finished, "one failed run of three ends the job")
 	f.advance(150 * time.Millisecond)
@@ -59,9 +59,9 @@
 	f := twoWorkers(t)
 	f.addWorker("w-books", otherPool, 8)
 	f.advance(100 * time.Millisecond)
-	f.s.SetManifest(manifestWith(3))
+	f.s.SetManifest(manifestWith(3), f.now)
 	f.s.Submit(f.acceptedJob("j", manifestWith(2, queueIn(testPool, 3))), f.now)
-	f.s.SetManifest(manifestWith(4, queueIn(otherPool, 3)))
+	f.s.SetManifest(manifestWith(4, queueIn(otherPool, 3)), f.now)
 	f.advance(100 * time.Millisecond)
 	require.Equal(t, map[string]int{"w-books": 1}, f.running("j"))
 }
@@ -74,7 +74,7 @@
 			f := twoWorkers(t)
 			f.addWorker("w-books", otherPool, 8)
 			f.advance(100 * time.Millisecond)
-			f.s.SetManifest(known)
+			f.s.SetManifest(known, f.now)
 			f.s.Submit(f.acceptedJob("j", manifestWith(2, queueIn(testPool, 3))), f.now)
 			f.advance(100 * time.Millisecond)
 			require.Equal(t, 1, total(f.running("j")))
@@ -88,13 +88,13 @@
 func TestQueue_DefinedNowhere(t *testing.T) {
 	f := twoWorkers(t)
 	f.s = f.newLeader(2)
-	f.s.SetManifest(manifestWith(3))
+	f.s.SetManifest(manifestWith(3), f.now)
 	sub := f.newJob("j", fleet.Step{EstimateMillis: 200})
 	f.s.RestoreJob(readBack(t, sub, ledger.AssignmentRecord(taskOf("j", 0), ledger.Assignment{Attempt: 2, Failures: 2})), f.now)
 	f.advance(200 * time.Millisecond)
 	require.False(t, f.s.jobs["j"].finished)
 	require.Zero(t, total(f.running("j")))
-	f.s.SetManifest(manifestWith(4, queueIn(testPool, 3)))
+	f.s.SetManifest(manifestWith(4, queueIn(testPool, 3)), f.now)
 	f.advance(100 * time.Millisecond)
 	require.Equal(t, 1, total(f.running("j")))
 }
@@ -114,7 +114,7 @@
 			}
 			read := rapid.Bool().Draw(t, "the leader reads it before the job")
 			if read {
-				living.SetManifest(newest)
+				living.SetManifest(newest, time.UnixMilli(0))
 			}
 			if q := newest.QueueByName("desk"); q != nil {
 				sub := &fleet.Submission{ID: fmt.Sprint(version), Steps: []fleet.Step{{Count: 1}}}
@@ -123,14 +123,41 @@
 				living.Submit(sub, time.UnixMilli(0))
 			}
 			if !read {
-				living.SetManifest(newest)
+				living.SetManifest(newest, time.UnixMilli(0))
 			}
 		}
 		next := New(Config{}, time.UnixMilli(0))
-		next.SetManifest(newest)
+		next.SetManifest(newest, time.UnixMilli(0))
 		for _, sub := range jobs {
 			next.RestoreJob(readBack(t, sub), time.UnixMilli(0))
 			require.Equal(t, living.jobs[sub.ID].queue, next.jobs[sub.ID].queue, "job %s", sub.ID)
 		}
 	})
 }
+
+// TestQueue_AttemptsAreLowered guards against a start of a task that has failed as often as
+// the newest manifest allows, and against leaders that decide differently on its job. A run
+// that exists goes on.
+func TestQueue_AttemptsAreLowered(t *testing.T) {
+	accepted, lowered := manifestWith(1, queueIn(testPool, 4)), manifestWith(2, queueIn(testPool, 2))
+	failed := ledger.Assignment{Attempt: 2, Failures: 2}
+	running := ledger.Assignment{Phase: ledger.PhaseAssigned, Attempt: 3, Failures: 2, Worker: "w-1", WorkerStartedAtMillis: 1}
+	for name, c := range map[string]struct {
+		stored ledger.Assignment
+		ends   bool
+	}{"waiting": {failed, true}, "running": {running, false}} {
+		t.Run(name, func(t *testing.T) {
+			f := twoWorkers(t)
+			stored := readBack(t, f.acceptedJob("j", accepted), ledger.AssignmentRecord(taskOf("j", 0), c.stored))
+			f.s.SetManifest(accepted, f.now)
+			f.s.RestoreJob(stored, f.now)
+			require.False(t, f.s.jobs["j"].finished)
+			f.s.SetManifest(lowered, f.now)
+			require.Equal(t, c.ends, f.s.jobs["j"].finished, "the leader that has accepted more attempts")
+			next := f.newLeader(2)
+			next.SetManifest(lowered, f.now)
+			next.RestoreJob(stored, f.now)
+			require.Equal(t, c.ends, next.jobs["j"].finished, "the next leader")
+		})
+	}
+}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -40,15 +40,12 @@
 			if st.gangDone {
 				s.completeGang(st, now)
 			}
-			for _, t := range st.tasks {
-				if !j.longRunning && t.failures >= j.queue.MaxAttempts && t.phase != done {
-					s.finishJob(j, ledger.OutcomeFailed, now, s.exhaustedReason(t))
-					return
-				}
-			}
 		}
 		s.finishOccurrence(o, now)
 	}
+	if !j.finished {
+		s.failExhausted(j, now)
+	}
 }
 
 // restoreTask applies one stored assignment.
--- a/scheduler/team_test.go
+++ b/scheduler/team_test.go
@@ -25,7 +25,7 @@
 	f.s = f.newLeader(2)
 	removed := testManifest()
 	removed.Version, removed.Teams = 3, nil
-	f.s.SetManifest(removed)
+	f.s.SetManifest(removed, f.now)
 	f.s.RestoreJob(readBack(t, f.teamJob("j", testManifest())), f.now)
 	f.advance(300 * time.Millisecond)
 	require.Equal(t, 6, total(f.running("j")))
@@ -42,7 +42,7 @@
 	f.advance(300 * time.Millisecond)
 	require.Equal(t, 8, total(f.running("j")), "the leader's manifest is older than the job")
 	raised.Version, raised.Teams = 3, map[string]fleet.Team{"team": {Name: "team", Weight: 1, Cap: fleet.Resources{MilliCPU: 9000}}}
-	f.s.SetManifest(raised)
+	f.s.SetManifest(raised, f.now)
 	f.advance(300 * time.Millisecond)
 	require.Equal(t, 9, total(f.running("j")))
 }
--- a/scheduler/vms_test.go
+++ b/scheduler/vms_test.go
@@ -291,7 +291,7 @@
 func (f *testFleet) removeSparePool() {
 	manifest := testManifest()
 	delete(manifest.Pools, sparePool)
-	f.s.SetManifest(manifest)
+	f.s.SetManifest(manifest, f.now)
 }
 
 // TestWave_StepsAreEvictedIndependently simulates a wave over VMs that hold tasks of
