Name nothing of an incarnation in the repeat of a poll

Cause: a poll without response is repeated at once, before it counts as missed. The repeat carried the number of the last recorded outcome and a deadline by the worker's clock, both of the earlier incarnation: the restarted worker forgot ends that nobody had seen, and granted the longest lease there is. Ruled out: binding the request to the incarnation: the platform's header names the ID alone, which the restarted worker has. Change: the repeat asks for the status only; the poll after its response acknowledges and extends. Why it works: whoever answers the repeat tells its incarnation before anything of one is named. Open, by reading: the repeat of a start names a deadline, too, which it must.

--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -36,6 +36,8 @@
 	calls        int
 	// workersOptions are those of the clients of workers.
 	workersOptions []platform.WorkersOption
+	// wrapWorkers replaces the clients of workers; nil for none.
+	wrapWorkers func(Workers) Workers
 }
 
 const (
@@ -101,7 +103,11 @@
 	operator := NewOperatorWatcher(store, platform.Decoder{}, log)
 	appender := NewAppender(store, follower, s.Node)
 	jobService := NewJobService(follower, operator, appender, platform.Decoder{}, metrics, log)
-	d := newDaemon(s, store, platform.NewWorkers(append(p.workersOptions, platform.WithAllowance(late.Allowance))...), platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
+	var workers Workers = platform.NewWorkers(append(p.workersOptions, platform.WithAllowance(late.Allowance))...)
+	if p.wrapWorkers != nil {
+		workers = p.wrapWorkers(workers)
+	}
+	d := newDaemon(s, store, workers, platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
 		platform.Decoder{}, log, metrics, follower, operator, appender, jobService, platform.NewClientHandler(jobService), late)
 	require.NoError(p.t, d.Start(p.t.Context()))
 	p.mu.Lock()
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -87,7 +87,7 @@
 // poll makes one poll, which waits for a change if longPoll is set; ok is false once
 // the worker needs no poll. Two polls may be in flight at once.
 func (p *workerPoller) poll(ctx context.Context, longPoll bool) (delay time.Duration, unstored, ok bool) {
-	result := p.attempt(ctx, longPoll, 0)
+	result := p.attempt(ctx, longPoll, false, 0)
 	if result.known && result.err != nil && provider.OutcomeOf(result.err) == provider.Unknown {
 		result = p.retry(ctx, result)
 	}
@@ -127,7 +127,7 @@
 
 // retry makes the second attempt after one without a response.
 func (p *workerPoller) retry(ctx context.Context, first pollResult) pollResult {
-	second := p.attempt(ctx, false, pollRetryTimeout)
+	second := p.attempt(ctx, false, true, pollRetryTimeout)
 	if second.known && second.err == nil && ctx.Err() == nil {
 		l := p.leader
 		l.metrics.Add("looks_lost", 1)
@@ -142,13 +142,22 @@
 	return second
 }
 
+// prepare returns the request of an attempt. The leader's lock is held.
+func (p *workerPoller) prepare(repeat bool, now time.Time) (request fleet.PollRequest, known bool) {
+	if repeat {
+		return p.leader.sched.PrepareRepeat(p.endpoint.WorkerID)
+	}
+	return p.leader.sched.PreparePoll(p.endpoint.WorkerID, now, p.leader.journal.LeaderLeaseValid(now))
+}
+
 // attempt sends one poll and waits for its response up to the time beyond its own
-// wait, or the timeout of a first attempt if that is 0.
-func (p *workerPoller) attempt(ctx context.Context, longPoll bool, timeout time.Duration) pollResult {
+// wait, or the timeout of a first attempt if that is 0. The repeat of an attempt without a
+// response may reach a later incarnation of the worker.
+func (p *workerPoller) attempt(ctx context.Context, longPoll, repeat bool, timeout time.Duration) pollResult {
 	l := p.leader
 	l.mu.Lock()
 	result := pollResult{sent: time.Now()}
-	request, known := l.sched.PreparePoll(p.endpoint.WorkerID, result.sent, l.journal.LeaderLeaseValid(result.sent))
+	request, known := p.prepare(repeat, result.sent)
 	result.busy, _ = l.sched.WorkerActivity(p.endpoint.WorkerID)
 	wait := time.Duration(0)
 	if request.DeadlineMillis > 0 && longPoll {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -97,6 +97,18 @@
 	return request, true
 }
 
+// PrepareRepeat returns the request of a poll whose last attempt got no response. The worker
+// may have restarted meanwhile: the numbers and the clock of its earlier incarnation mean
+// something else to it, so that the request names neither. It acknowledges no outcome and
+// extends no lease, which is left to the poll after the response.
+func (s *Scheduler) PrepareRepeat(id string) (fleet.PollRequest, bool) {
+	w, known := s.workers[id]
+	if !known || w.ended {
+		return fleet.PollRequest{}, false
+	}
+	return fleet.PollRequest{FencingToken: s.cfg.FencingToken}, true
+}
+
 // WorkerActivity reports whether the worker has runs, and whether outcomes are
 // unstored.
 func (s *Scheduler) WorkerActivity(id string) (busy, unstored bool) {
