Send no order for a VM after the leader's lease

Cause: the lease was checked before the call, which then waited up to 1.5 s for one of four connections, that the list of VMs shared, and was sent without another check. Ruled out: the next leader taking over too early: it claims 900 ms after the last heartbeat. Why it works: between the check and the sending nothing is left to wait for but the opening of a connection, which the lease bounds, too. Open, by reading: starts and stops check the leader's lease before a pool of six connections to their worker; workers reject them by their token.

--- a/fleetentry/journal.go
+++ b/fleetentry/journal.go
@@ -92,10 +92,14 @@
 	return at != nil && !j.fenced.Load() && elapsed.Max(now, *at) < leaderLeaseDuration
 }
 
-// LeaderLeaseValidForVMs reports whether the leader may still request VM operations.
-func (j *Journal) LeaderLeaseValidForVMs(now time.Time) bool {
+// VMLeaseLeft returns for how long the leader may still request VM operations; 0 or less if
+// it may not.
+func (j *Journal) VMLeaseLeft(now time.Time) time.Duration {
 	at := j.lastAppendAt.Load()
-	return at != nil && !j.fenced.Load() && elapsed.Max(now, *at) < vmLeaderLeaseDuration
+	if at == nil || j.fenced.Load() {
+		return 0
+	}
+	return vmLeaderLeaseDuration - elapsed.Max(now, *at)
 }
 
 // Pending returns how many batches wait to be stored.
--- a/fleetentry/vmcontroller.go
+++ b/fleetentry/vmcontroller.go
@@ -25,6 +25,9 @@
 	vmOperationTimeout = 1500 * time.Millisecond
 	// maxVMListAge is the age of the list up to which operations are based on it.
 	maxVMListAge = 2500 * time.Millisecond
+	// maxVMOperations is how many operations may be in flight; the client has as many
+	// connections, so that none waits for one.
+	maxVMOperations = 4
 )
 
 // VMController executes moves and maintenance of VMs for the leader.
@@ -32,11 +35,13 @@
 	vms VMs
 	// relist requests a list at once.
 	relist chan struct{}
+	// inFlight holds an element for each operation in flight.
+	inFlight chan struct{}
 }
 
 // NewVMController returns a controller that uses the interface.
 func NewVMController(vms VMs) *VMController {
-	return &VMController{vms: vms, relist: make(chan struct{}, 1)}
+	return &VMController{vms: vms, relist: make(chan struct{}, 1), inFlight: make(chan struct{}, maxVMOperations)}
 }
 
 // run lists the VMs and executes planned operations until the term ends.
@@ -87,7 +92,7 @@
 	l.mu.Lock()
 	now := time.Now()
 	l.syncWaves()
-	if !l.journal.LeaderLeaseValidForVMs(now) || now.Sub(l.vmsListedAt) > maxVMListAge {
+	if l.journal.VMLeaseLeft(now) <= 0 || now.Sub(l.vmsListedAt) > maxVMListAge {
 		l.mu.Unlock()
 		return
 	}
@@ -105,17 +110,7 @@
 }
 
 func (c *VMController) execute(ctx context.Context, l *Leader, operation scheduler.VMOperation) {
-	callCtx, cancel := context.WithTimeout(ctx, vmOperationTimeout)
-	defer cancel()
-	var err error
-	switch {
-	case !l.journal.LeaderLeaseValidForVMs(time.Now()):
-		err = &provider.Error{Op: "vms.order", Outcome: provider.Refused, Code: provider.CodeLeaseExpired, Message: "the leader lease has expired"}
-	case operation.Kind == scheduler.VMMove:
-		err = c.vms.Move(callCtx, operation.VM, operation.Pool, l.fencingToken)
-	default:
-		err = c.vms.Maintain(callCtx, operation.VM, operation.Wave, l.fencingToken)
-	}
+	err := c.send(ctx, l, operation)
 	l.metrics.Add("vm_orders", 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -128,6 +123,29 @@
 	l.wakePlanner()
 }
 
+// send sends the operation within the leader's lease, which is checked once nothing is left
+// to wait for and ends the call: where tokens are not checked, an order that arrives after the
+// next leader's would count as one of two leaders at once.
+func (c *VMController) send(ctx context.Context, l *Leader, operation scheduler.VMOperation) error {
+	notSent := &provider.Error{Op: "vms.order", Outcome: provider.Refused, Code: provider.CodeLeaseExpired, Message: "the leader lease has expired"}
+	select {
+	case c.inFlight <- struct{}{}:
+		defer func() { <-c.inFlight }()
+	case <-ctx.Done():
+		return notSent
+	}
+	lease := l.journal.VMLeaseLeft(time.Now())
+	if lease <= 0 {
+		return notSent
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(lease, vmOperationTimeout))
+	defer cancel()
+	if operation.Kind == scheduler.VMMove {
+		return c.vms.Move(ctx, operation.VM, operation.Pool, l.fencingToken)
+	}
+	return c.vms.Maintain(ctx, operation.VM, operation.Wave, l.fencingToken)
+}
+
 // publishCompletion reports to the operator that a wave is completed.
 func (c *VMController) publishCompletion(ctx context.Context, l *Leader, number int64) {
 	callCtx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
