Cut what the leader stores to what the store takes at once

Cause: the end of a job was one batch of a record for each task that had ever run, and a batch was one append. The store refuses more than 2 MB; the leader took the refusal for that of a deposed leader, and each next one did the same. Besides, the tombstones of the tasks came before the job's result: a leader that read a part of them took done tasks for new ones. Ruled out: a larger limit, as the jobs have none; one append a job, as it is one job. The result comes first; what a leader leaves of a finished job's records, the next one deletes. A refused append is repeated record by record: a record that is refused alone is logged, counted and given up with its batch, and the leader goes on. Why it works: after any number of the records the next leader takes the job as it was before or as finished, which the test tries for each number. Not done here: the leader's memory still grows with a job's overdue occurrences.

--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -85,7 +85,7 @@
 	l.startedAt = time.Now()
 	l.wake = make(chan struct{}, 1)
 	l.pollers = map[string]*workerPoller{}
-	l.journal = NewJournal(l.store, l.fencingToken, l.log, l.handleStored)
+	l.journal = NewJournal(l.store, l.fencingToken, l.log, l.metrics, l.handleStored)
 	if err := l.takeOver(ctx); err != nil {
 		l.log.Warn("takeover failed", "token", l.fencingToken, "error", err)
 		cancel()
--- a/fleetentry/requests_test.go
+++ b/fleetentry/requests_test.go
@@ -51,7 +51,7 @@
 	}
 	for _, c := range cases {
 		workers := &scriptedWorkers{answers: c.answers}
-		journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
+		journal := NewJournal(nil, 1, hclog.NewNullLogger(), NewMetrics(), nil)
 		now := time.Now()
 		journal.lastAppendAt.Store(&now)
 		l := &Leader{workers: workers, journal: journal, metrics: NewMetrics(), sched: scheduler.New(scheduler.Config{}, now)}
@@ -64,7 +64,7 @@
 		}
 		require.Equal(t, c.calls, workers.calls, c.name)
 	}
-	journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
+	journal := NewJournal(nil, 1, hclog.NewNullLogger(), NewMetrics(), nil)
 	longAgo := time.Now().Add(-2 * leaderLeaseDuration)
 	journal.lastAppendAt.Store(&longAgo)
 	workers := &scriptedWorkers{}
--- a/fleetentry/vmlease_test.go
+++ b/fleetentry/vmlease_test.go
@@ -31,7 +31,7 @@
 		w.WriteHeader(http.StatusOK)
 	}))
 	t.Cleanup(server.Close)
-	journal := NewJournal(nil, 1, hclog.NewNullLogger(), nil)
+	journal := NewJournal(nil, 1, hclog.NewNullLogger(), NewMetrics(), nil)
 	lastStored := time.Now()
 	journal.lastAppendAt.Store(&lastStored)
 	l := &Leader{journal: journal, sched: scheduler.New(scheduler.Config{}, lastStored), metrics: NewMetrics(), log: hclog.NewNullLogger(), wake: make(chan struct{}, 1)}
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -8,7 +8,8 @@
 	Submission *fleet.Submission
 	Cancelled  bool
 	Result     Result
-	// Tasks holds the stored assignments.
+	// Tasks holds the stored assignments. Those of a finished job are deleted after its
+	// result is stored; a leader deletes what the one before has left.
 	Tasks map[fleet.TaskID]Assignment
 	// Started is set once a task has been assigned.
 	Started bool
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -170,7 +170,6 @@
 	}
 	v.updateJob(id, func(j *Job) {
 		j.Result = result
-		j.Tasks = nil
 		j.FinishedAtMillis = max(j.FinishedAtMillis, result.AtMillis)
 	})
 	return nil
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -22,6 +22,9 @@
 	finishedCount int64
 	// startup is how long a long-running task takes to become ready.
 	startup time.Duration
+	// attempts counts the runs of each task, recorded are the records that advance stored.
+	attempts map[fleet.TaskID]int
+	recorded []ledgerRecord
 	// runTime overrides how long the runs of a task take; nil for the estimate.
 	runTime func(task fleet.TaskID) time.Duration
 }
@@ -52,7 +55,7 @@
 }
 
 func newTestFleet(t testing.TB) *testFleet {
-	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{},
+	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{}, attempts: map[fleet.TaskID]int{},
 		runs: map[string]map[fleet.TaskID]*fakeRun{}, finished: map[string][]fleet.FinishedRun{}}
 	f.s = f.newLeader(1)
 	return f
@@ -173,6 +176,7 @@
 		_, exists := runs[start.Request.Task]
 		require.False(f.t, exists, "%s runs on %s and starts on %s", start.Request.Task, other, id)
 	}
+	f.attempts[start.Request.Task]++
 	t := f.s.findTask(start.Request.Task)
 	length := t.step.def.Estimate()
 	if f.runTime != nil {
@@ -196,7 +200,7 @@
 		}
 		f.s.Tick(f.now)
 		f.s.Place(f.now)
-		f.applyBatches()
+		f.recorded = append(f.recorded, f.applyBatches()...)
 	}
 }
 
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -15,6 +15,10 @@
 	}
 	if stored.Result.Outcome != ledger.OutcomeNone {
 		s.previouslyFinished[stored.Submission.ID] = stored.Submission
+		for id := range stored.Tasks {
+			// The leader before could not store the rest of the job's end.
+			s.batch.Records = append(s.batch.Records, ledger.AssignmentTombstone(id))
+		}
 		return
 	}
 	j := s.addJob(stored.Submission, now.Add(-ageOf(stored.Submission, now)))
@@ -204,11 +208,14 @@
 	}
 }
 
-// finishJob finishes a job: its runs are stopped and its result is stored.
+// finishJob finishes a job: its runs are stopped and its result is stored. The result comes
+// before the tombstones of the tasks: a leader that reads a part of the records must not
+// take tasks without a record for ones that have never run.
 func (s *Scheduler) finishJob(j *job, outcome ledger.Outcome, now time.Time, reason string) {
 	j.finished = true
 	delete(s.scheduledJobs, j)
 	s.emit(Event{Kind: "job.ended", ID: j.sub.ID, Reason: reason})
+	s.batch.Records = append(s.batch.Records, ledger.ResultRecord(j.sub.ID, ledger.Result{Outcome: outcome, AtMillis: now.UnixMilli()}))
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
@@ -217,7 +224,6 @@
 			s.updateReady(st)
 		}
 	}
-	s.batch.Records = append(s.batch.Records, ledger.ResultRecord(j.sub.ID, ledger.Result{Outcome: outcome, AtMillis: now.UnixMilli()}))
 }
 
 // dropTask ends a finished job's task and deletes its record.
