Let the soak remove queues and leave odd records of other writers

Cause: neither the soak nor the model removed a queue with accepted jobs, or changed the list of workers behind the workers' backs; both faults were found by reading. Ruled out: drawing these from the streams of the other faults, which would change the seeds that failed before. Change: while faults last, an operator removes the queue and adds it again, and records with numbers, ports, names and start times that no worker reports stand under the IDs of workers or their own. Seed 8206 is kept: on it fails with 'task has two concurrent runs'.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 var regressions = []uint64{
 	1009, // A request in flight logged while the log was closed: panic at a stop.
 	3004, // A leader took over without having read all submissions: tasks ran twice.
+	8206, // Another writer's record named a later incarnation of a worker: tasks ran twice.
 }
 
 const (
@@ -49,10 +50,13 @@
 	rng *rand.Rand
 	// outageRNG draws the store's partial outages, which overlap the other faults.
 	outageRNG *rand.Rand
-	binary    string
-	store     *emulator.Store
-	fleet     *emulator.Fleet
-	entries   []*entry
+	// writersRNG draws what operators and other writers do meanwhile.
+	writersRNG *rand.Rand
+	version    int
+	binary     string
+	store      *emulator.Store
+	fleet      *emulator.Fleet
+	entries    []*entry
 }
 
 type entry struct {
@@ -77,7 +81,7 @@
 }
 
 func newTestFleet(t *testing.T, binary string, seed uint64) *testFleet {
-	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: emulator.NewStore()}
+	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), writersRNG: rand.New(rand.NewPCG(seed, 2)), version: 2, binary: binary, store: emulator.NewStore()}
 	f.fleet = emulator.NewFleet(f.store)
 	storeServer, vmServer := httptest.NewServer(f.store), httptest.NewServer(f.fleet)
 	t.Cleanup(storeServer.CloseClientConnections)
@@ -88,8 +92,7 @@
 	}
 	f.fleet.DefineTasks("short", 80*time.Millisecond, 1000, false, false)
 	f.fleet.DefineTasks("long", 900*time.Millisecond, 1000, false, false)
-	f.store.PublishManifest(emulator.Manifest(3, []emulator.Queue{{Name: "q", Host: host, Prefix: "/desk/", Pool: "desk"}},
-		map[string]bool{"desk": false}, "team", key, 20_000))
+	f.publish(true)
 	for i := range entryCount {
 		f.addEntry(i, storeServer.Listener.Addr().String(), vmServer.Listener.Addr().String())
 	}
@@ -226,6 +229,7 @@
 	for n := 0; time.Now().Before(deadline); n++ {
 		clearFault := f.injectFault()
 		clearOutage, outage := f.injectPartialOutage()
+		endWriters := f.injectWriters()
 		for end := time.Now().Add(time.Duration(300+f.rng.IntN(1500)) * time.Millisecond); time.Now().Before(end); {
 			path := fmt.Sprintf("/desk/%016x", f.rng.Uint64())
 			spec := []string{"short", "long"}[f.rng.IntN(2)]
@@ -247,6 +251,7 @@
 			time.Sleep(outageTail)
 		}
 		clearOutage()
+		endWriters()
 	}
 	for _, path := range accepted {
 		f.awaitCompletion(path)
