Believe a restarted worker whose time of day went back

Cause: start times alone ordered the incarnations of a worker, so that the new one's statuses and records counted as an earlier one's for as long as it lived. Ruled out: ordering by arrival alone: a late response of the earlier incarnation would end the later one (TestRestart_LateStatusOfAnEarlierIncarnation). Change: a status with an earlier start time counts if its poll was sent after the newest status arrived; a record of the list with one counts as a claim while the worker answers no polls. Why it works: nothing answers a poll that was sent after its end.

--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -43,10 +43,15 @@
 	s.emit(Event{Kind: "worker.record_refuted", ID: w.info.ID, Reason: fmt.Sprintf("the list names incarnation %d, %s", w.info.StartedAtMillis, reason)})
 }
 
-// refutes reports whether a status of an earlier incarnation, from a poll sent at the time,
-// shows that the claimed one does not exist.
-func (w *worker) refutes(sent time.Time) bool {
-	return !w.claimedAt.IsZero() && sent.After(w.claimedAt)
+// isReplaced reports whether a status with an earlier start time, from a poll sent at the
+// time, shows that the incarnation is not there: nothing has shown it since the poll was
+// sent, and no incarnation answers polls after its end. The list has claimed it in error, or
+// the worker's time of day went back before it restarted.
+func (w *worker) isReplaced(sent time.Time) bool {
+	if !w.claimedAt.IsZero() {
+		return sent.After(w.claimedAt)
+	}
+	return !w.lastPollAt.IsZero() && sent.After(w.lastPollAt)
 }
 
 func (s *Scheduler) replace(w *worker, by fleet.Worker, now time.Time, reason string, mayRun func(*task) bool) *worker {
--- a/scheduler/model_worker_test.go
+++ b/scheduler/model_worker_test.go
@@ -133,6 +133,9 @@
 	w.up = true
 	m.incarnations++
 	w.info.StartedAtMillis = m.now.UnixMilli() + int64(m.incarnations)
+	if back := int64(rapid.IntRange(1, 3000).Draw(m.t, "back by")); m.oneIn(6, "time of day went back") {
+		w.info.StartedAtMillis -= back
+	}
 	if m.oneIn(3, "new ID") {
 		w.info.ID = fmt.Sprintf("w-new-%d", m.incarnations)
 	}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -34,10 +34,10 @@
 		return
 	}
 	if status.StartedAtMillis != 0 && w.info.StartedAtMillis != 0 && status.StartedAtMillis != w.info.StartedAtMillis {
-		if status.StartedAtMillis < w.info.StartedAtMillis && !w.refutes(sent) {
+		if status.StartedAtMillis < w.info.StartedAtMillis && !w.isReplaced(sent) {
 			return // A response of an earlier incarnation.
 		}
-		if status.StartedAtMillis < w.info.StartedAtMillis {
+		if status.StartedAtMillis < w.info.StartedAtMillis && !w.claimedAt.IsZero() {
 			s.refute(w, fmt.Sprintf("a status shows incarnation %d", status.StartedAtMillis))
 		}
 		shown := w.info
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -36,8 +36,8 @@
 		return // Another writer's record stands until the worker reports again.
 	}
 	earlier := known && w.info.StartedAtMillis != 0 && info.StartedAtMillis != 0 && info.StartedAtMillis < w.info.StartedAtMillis
-	if earlier && w.claimedAt.IsZero() {
-		return // A poll has shown a later incarnation already.
+	if earlier && w.claimedAt.IsZero() && w.missedPolls == 0 {
+		return // A poll has shown a later incarnation, and it answers.
 	}
 	if startedAt, ended := s.endedIncarnations[id]; ended && info.StartedAtMillis != 0 && info.StartedAtMillis <= startedAt {
 		return // The list shows an ended incarnation for some heartbeats.
