Count a job as pending until one of its tasks has begun

Cause: the state that all entries share has no record of a start; a stored assignment, which precedes the start and may be refused, stood for it. Change: the first task of a job that is known to have begun is stored once more, with other records or after half a second; done and failed tasks tell it, too. Tasks keep it through a takeover. Why it works: only what has begun is counted, and within the two seconds that the number may be old. Cost: one record of some 75 bytes a job.

--- a/ledger/assignment.go
+++ b/ledger/assignment.go
@@ -18,10 +18,15 @@
 	WorkerStartedAtMillis int64  `json:"b,omitempty"`
 	// Failures counts the runs that failed.
 	Failures int `json:"f,omitempty"`
+	// Began is set once a run of the task is known to have begun.
+	Began bool `json:"g,omitempty"`
 	// Checkpoint is the newest saved progress; empty for none.
 	Checkpoint string `json:"c,omitempty"`
 }
 
+// HasBegun reports whether a run of the task is known to have begun.
+func (a *Assignment) HasBegun() bool { return a.Began || a.Phase == PhaseDone || a.Failures > 0 }
+
 // AssignmentRecord returns the record of a task's assignment.
 func AssignmentRecord(task fleet.TaskID, a Assignment) fleet.Record {
 	return record(kindAssignment, task.String(), a)
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -11,7 +11,8 @@
 	// Tasks holds the stored assignments. Those of a finished job are deleted after its
 	// result is stored; a leader deletes what the one before has left.
 	Tasks map[fleet.TaskID]Assignment
-	// Started is set once a task has been assigned.
+	// Started is set once a run of a task is known to have begun. An assignment alone may
+	// be refused.
 	Started bool
 	// Streams is the set of entries' streams with records of the job.
 	Streams StreamSet
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -17,7 +17,7 @@
 	Leader Leader
 	// LeaderOffset is the offset of the newest heartbeat; -1 for none.
 	LeaderOffset int64
-	// pending counts each queue's jobs without an assigned task.
+	// pending counts each queue's jobs of which no task has started.
 	pending map[string]int
 }
 
@@ -155,7 +155,7 @@
 			j.Tasks = map[fleet.TaskID]Assignment{}
 		}
 		j.Tasks[task] = a
-		j.Started = true
+		j.Started = j.Started || a.HasBegun()
 	})
 	return nil
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -17,6 +17,8 @@
 	arrivedAt time.Time
 	// longRunning jobs run until they are cancelled.
 	longRunning bool
+	// beganKnown reports that a run of the job has begun, beganStored that a record tells it.
+	beganKnown, beganStored bool
 	// finished jobs get no more starts.
 	finished bool
 	// occurrences holds the occurrences that have started, by number.
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -89,6 +89,7 @@
 }
 
 func (s *Scheduler) applyOutcome(t *task, finished *fleet.FinishedRun, now time.Time) {
+	s.markBegan(t, now)
 	if t.step.def.Checkpointing && finished.Checkpoint != "" {
 		t.checkpoint = finished.Checkpoint
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,12 +38,14 @@
 	pools           map[string]*poolState
 	arrivals        arrivals
 	poolsReportedAt time.Time
-	batch           Batch
-	unpersisted     map[int64]*Batch
-	batchNumber     int64
-	events          []Event
-	fenced          bool
-	tookOverAt      time.Time
+	// began holds the jobs that have begun and of which no record tells it.
+	began       []beganTask
+	batch       Batch
+	unpersisted map[int64]*Batch
+	batchNumber int64
+	events      []Event
+	fenced      bool
+	tookOverAt  time.Time
 }
 
 // New returns the scheduler of a leader that takes over now.
@@ -73,6 +75,9 @@
 
 // TakeBatch returns the decisions since the last call.
 func (s *Scheduler) TakeBatch() Batch {
+	if len(s.batch.Records) > 0 {
+		s.reportBegan()
+	}
 	s.batchNumber++
 	out := s.batch
 	out.Number = s.batchNumber
@@ -136,5 +141,10 @@
 
 // recordAssignment stores the task's state with the next batch.
 func (s *Scheduler) recordAssignment(t *task) {
-	s.batch.Records = append(s.batch.Records, ledger.AssignmentRecord(t.id, t.assignment()))
+	a := t.assignment()
+	if a.HasBegun() {
+		j := t.step.occurrence.job
+		j.beganKnown, j.beganStored = true, true
+	}
+	s.batch.Records = append(s.batch.Records, ledger.AssignmentRecord(t.id, a))
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -95,6 +95,7 @@
 // confirmRun records that the run exists.
 func (s *Scheduler) confirmRun(t *task, now time.Time) {
 	t.phase = running
+	s.markBegan(t, now)
 	// The progress of a run of an earlier leader is not known.
 	t.startedByPreviousLeader = t.restored
 	t.restored, t.inDoubt = false, false
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -64,7 +64,10 @@
 		return
 	}
 	t := o.steps[id.Step].tasks[id.Index]
-	t.attempt, t.failures, t.checkpoint = a.Attempt, a.Failures, a.Checkpoint
+	t.attempt, t.failures, t.checkpoint, t.began = a.Attempt, a.Failures, a.Checkpoint, a.Began
+	if a.HasBegun() {
+		j.beganKnown, j.beganStored = true, true
+	}
 	switch a.Phase {
 	case ledger.PhaseDone:
 		t.phase = done
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -19,6 +19,8 @@
 	// when the run was assigned.
 	worker *worker
 	pool   string
+	// began reports that a run of the task has begun.
+	began bool
 	// failures counts the failed runs.
 	failures   int
 	checkpoint string
@@ -74,7 +76,7 @@
 
 // assignment returns the task's state for the ledger.
 func (t *task) assignment() ledger.Assignment {
-	a := ledger.Assignment{Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
+	a := ledger.Assignment{Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, Began: t.began}
 	switch {
 	case t.phase == done:
 		a.Phase = ledger.PhaseDone
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -14,6 +14,7 @@
 // Tick handles time-driven changes: expired leases, stop requests to repeat and
 // occurrences that become due.
 func (s *Scheduler) Tick(now time.Time) {
+	s.reportBeganInTime(now)
 	for _, w := range s.workers {
 		if !w.hasRuns() {
 			continue
