Call records of other writers malformed or false

Cause: the tests and pages of this change used the reporter's word for them; the field's terms tell what is wrong with a record: that it cannot be one of a worker, or that it is not true. Before and after: no behaviour changes; the tests that are renamed pass. Conclusion: names only.

--- a/fleetentry/oddworkers_test.go
+++ b/fleetentry/malformedworkers_test.go
@@ -32,8 +32,8 @@
 	return id, record
 }
 
-// oddRecord returns the worker's record with one field replaced by the JSON text.
-func oddRecord(t *testing.T, record map[string]any, field, value string) []byte {
+// malformedRecord returns the worker's record with one field replaced by the JSON text.
+func malformedRecord(t *testing.T, record map[string]any, field, value string) []byte {
 	odd := map[string]any{}
 	for name, v := range record {
 		odd[name] = v
@@ -44,7 +44,7 @@
 	return []byte(strings.Replace(string(raw), fmt.Sprintf("%q:0", field), fmt.Sprintf("%q:%s", field, value), 1))
 }
 
-var oddFields = map[string][2]string{
+var malformedFields = map[string][2]string{
 	"capacity too large":     {"capacity", `{"cpu":1e300,"mem-mb":65536}`},
 	"capacity of 2^63-1":     {"capacity", `{"cpu":9223372036854775807,"mem-mb":9223372036854775807}`},
 	"start time too large":   {"born", `9223372036854775807`},
@@ -54,11 +54,11 @@
 	"a state without a name": {"state", `"odd"`},
 }
 
-// TestWorkerList_OddRecordUnderAWorkersID guards against an odd record of another writer
+// TestWorkerList_MalformedRecordUnderAWorkersID guards against a malformed record of another writer
 // under the ID of a real worker, which replaces the worker's own until its next report: the
 // worker must not lose its runs, get more than it holds, or stay out of use afterwards.
-func TestWorkerList_OddRecordUnderAWorkersID(t *testing.T) {
-	for name, odd := range oddFields {
+func TestWorkerList_MalformedRecordUnderAWorkersID(t *testing.T) {
+	for name, odd := range malformedFields {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := newTestPlatform(t, 2)
@@ -72,7 +72,7 @@
 			require.Eventually(t, func() bool { return p.fleet.Running(id) == 3 }, 5*time.Second, 10*time.Millisecond)
 			for i := range 3 {
 				worker, record := p.workerRecordOf(fmt.Sprintf("vm-a%d", i))
-				p.store.PutRaw(workersTopic, worker, oddRecord(t, record, odd[0], odd[1]))
+				p.store.PutRaw(workersTopic, worker, malformedRecord(t, record, odd[0], odd[1]))
 				// A worker reports again within a heartbeat.
 				time.AfterFunc(time.Second, func() { p.store.Put(workersTopic, worker, record) })
 			}
@@ -88,17 +88,17 @@
 	}
 }
 
-// TestWorkerList_OddRecords adds records of other writers under IDs of their own, before the
+// TestWorkerList_MalformedRecords adds records of other writers under IDs of their own, before the
 // start and while entries read the list: entries go on, and jobs are served.
-func TestWorkerList_OddRecords(t *testing.T) {
+func TestWorkerList_MalformedRecords(t *testing.T) {
 	t.Parallel()
 	p := newTestPlatform(t, 2)
 	odd := int64(0)
 	put := func(prefix string) {
 		odd = 0
 		_, record := p.workerRecordOf("vm-a0")
-		for name, field := range oddFields {
-			p.store.PutRaw(workersTopic, prefix+name, oddRecord(t, record, field[0], field[1]))
+		for name, field := range malformedFields {
+			p.store.PutRaw(workersTopic, prefix+name, malformedRecord(t, record, field[0], field[1]))
 			odd++
 		}
 		for i, raw := range []string{"7", "\xff\xfe", strings.Repeat("[", 20_000), `{"service":"desk"}`, strings.Repeat("x", 200_000)} {
@@ -110,7 +110,7 @@
 	previous := p.leader()
 	p.awaitState(p.submit("desk", twoSteps("short")), "completed")
 	undecodable := func() int64 { return counterOf(previous, "worker_records_undecodable") }
-	require.Eventually(t, func() bool { return undecodable() == odd }, 5*time.Second, 10*time.Millisecond, "an odd record is dropped without a trace")
+	require.Eventually(t, func() bool { return undecodable() == odd }, 5*time.Second, 10*time.Millisecond, "a malformed record is dropped without a trace")
 	put("second")
 	p.awaitState(p.submit("desk", twoSteps("short")), "completed")
 	require.Eventually(t, func() bool { return undecodable() == 2*odd }, 5*time.Second, 10*time.Millisecond)
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -167,7 +167,7 @@
 	case 3:
 		delete(m.registry, m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "expired")].info.ID)
 	case 4:
-		m.addOddRecord(m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "odd record")])
+		m.addFalseRecord(m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "false record")])
 	}
 }
 
--- a/scheduler/model_worker_test.go
+++ b/scheduler/model_worker_test.go
@@ -95,16 +95,16 @@
 // register writes the worker's report to the platform's list.
 func (m *model) register(w *modelWorker) { m.registry[w.info.ID] = w.info }
 
-// addOddRecord lets another writer replace the worker's report by one of an incarnation that
+// addFalseRecord lets another writer replace the worker's report by one of an incarnation that
 // does not exist, until the worker reports again.
-func (m *model) addOddRecord(w *modelWorker) {
-	odd := w.info
-	odd.StartedAtMillis += int64(rapid.IntRange(1, 1_000_000).Draw(m.t, "later by"))
-	if m.oneIn(2, "odd address") {
-		odd.Address = fmt.Sprintf("host-%d", rapid.IntRange(0, modelWorkers-1).Draw(m.t, "host"))
-	}
-	m.tracef("another writer lists %s as incarnation %d at %s", odd.ID, odd.StartedAtMillis, odd.Address)
-	m.registry[w.info.ID] = odd
+func (m *model) addFalseRecord(w *modelWorker) {
+	listed := w.info
+	listed.StartedAtMillis += int64(rapid.IntRange(1, 1_000_000).Draw(m.t, "later by"))
+	if m.oneIn(2, "false address") {
+		listed.Address = fmt.Sprintf("host-%d", rapid.IntRange(0, modelWorkers-1).Draw(m.t, "host"))
+	}
+	m.tracef("another writer lists %s as incarnation %d at %s", listed.ID, listed.StartedAtMillis, listed.Address)
+	m.registry[w.info.ID] = listed
 }
 
 // report updates the list: a live worker writes its report, a dead one's may expire.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -32,7 +32,7 @@
 
 func (s *Scheduler) setWorker(id string, info fleet.Worker, now time.Time) {
 	w, known := s.workers[id]
-	if refuted, odd := s.refutedIncarnations[id]; odd && info.StartedAtMillis == refuted {
+	if refuted, exists := s.refutedIncarnations[id]; exists && info.StartedAtMillis == refuted {
 		return // Another writer's record stands until the worker reports again.
 	}
 	earlier := known && w.info.StartedAtMillis != 0 && info.StartedAtMillis != 0 && info.StartedAtMillis < w.info.StartedAtMillis
--- a/soak/writers_test.go
+++ b/soak/writers_test.go
@@ -13,8 +13,8 @@
 
 const workersTopic = "keyed.servers"
 
-// oddFields replace one field of a worker's record, as JSON.
-var oddFields = [][2]string{
+// malformedFields replace one field of a worker's record, as JSON.
+var malformedFields = [][2]string{
 	{"capacity", `{"cpu":1e300,"mem-mb":65536}`},
 	{"capacity", `{"cpu":9223372036854775807}`},
 	{"capacity", `{"cpu":-1e300}`},
@@ -41,7 +41,7 @@
 	f.store.PublishManifest(emulator.Manifest(f.version, queues, map[string]bool{"desk": false}, "team", key, 20_000))
 }
 
-// injectWriters lets an operator remove the queue, and another writer leave odd records in
+// injectWriters lets an operator remove the queue, and another writer leave malformed records in
 // the list of workers, each in some of its calls. It returns a function that ends that:
 // the queue is back, and the workers have reported again.
 func (f *testFleet) injectWriters() func() {
@@ -51,7 +51,7 @@
 		ends = append(ends, func() { f.publish(true) })
 	}
 	if f.writersRNG.IntN(2) == 0 {
-		ends = append(ends, f.addOddRecord())
+		ends = append(ends, f.addMalformedRecord())
 	}
 	return func() {
 		for _, end := range ends {
@@ -60,14 +60,14 @@
 	}
 }
 
-// addOddRecord replaces one worker's record, or adds one under an ID of its own.
-func (f *testFleet) addOddRecord() func() {
+// addMalformedRecord replaces one worker's record, or adds one under an ID of its own.
+func (f *testFleet) addMalformedRecord() func() {
 	id := f.fleet.Worker(fmt.Sprintf("vm-%d", f.writersRNG.IntN(4))).ID()
 	reported, found := f.store.Newest(workersTopic, id)
 	require.True(f.t, found)
 	odd := map[string]json.RawMessage{}
 	require.NoError(f.t, json.Unmarshal(reported, &odd))
-	field := oddFields[f.writersRNG.IntN(len(oddFields))]
+	field := malformedFields[f.writersRNG.IntN(len(malformedFields))]
 	if f.writersRNG.IntN(2) == 0 {
 		field = claimedLater
 	}
