Name the decisions under overload in the settings

Cause: what the two customers with hard load ask for must be switched on by a deployment's settings, and the parts are built side by side: they need one place for their switches and the time that a resume takes.

Ruled out: one switch for all of them, since each has to be measured with the others off; switches by queue in the manifest, whose form is the platform's.

Before and after: nothing reads them yet; go vet of the three packages is clean.

Conclusion: the parts can be built and switched on one by one.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -166,6 +166,11 @@
 			MaxStopTime:        time.Duration(s.StopMS) * time.Millisecond,
 			CheckpointInterval: settings.Seconds(s.CheckpointS),
 			RemoteDataFactor:   s.FarFactor,
+			RestoreTime:        time.Duration(s.RestoreMS) * time.Millisecond,
+			Policies: scheduler.Policies{
+				Entitlement: s.Policies.Entitlement, Preemption: s.Policies.Preemption,
+				Consolidation: s.Policies.Consolidation, Lookahead: s.Policies.Lookahead,
+			},
 		},
 	}
 }
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// Policies switches on decisions under overload; see settings.Policies.
+type Policies struct {
+	Entitlement   bool
+	Preemption    bool
+	Consolidation bool
+	Lookahead     bool
+}
+
 // Config holds the platform's time bounds and the leader's fencing token.
 type Config struct {
 	// FencingToken is the leader's fencing token.
@@ -21,6 +29,10 @@
 	MoveTime        time.Duration
 	// CheckpointInterval is the work between two checkpoints.
 	CheckpointInterval time.Duration
+	// RestoreTime is how long a worker takes to resume a task from its checkpoint.
+	RestoreTime time.Duration
+	// Policies are the decisions under overload that are switched on.
+	Policies Policies
 	// RemoteDataFactor is the slowdown of a task that runs remote from its data.
 	RemoteDataFactor float64
 }
--- a/settings/fleetentry.go
+++ b/settings/fleetentry.go
@@ -34,6 +34,10 @@
 	VMOrderLeaseMS   int64   `json:"vm_order_lease_ms" validate:"gte=0"`
 	DisruptionAwayMS int64   `json:"disruption_away_ms" validate:"gte=0"`
 	TailGraceMS      int64   `json:"tail_grace_ms" validate:"gte=0"`
+	// RestoreMS is how long a worker takes to resume a task from its checkpoint.
+	RestoreMS int64 `json:"restore_ms" validate:"gte=0"`
+	// Policies are the decisions under overload.
+	Policies Policies `json:"policies"`
 }
 
 // MaxLease returns the longest lease that a worker gives.
@@ -49,7 +53,7 @@
 	return FleetEntry{
 		VMOrdersPerS: 10, MaxLeaseMS: 6000, StopMS: 1000, StopGraceS: 6, KeepStateS: 120,
 		CheckpointS: 2, FarFactor: 2, MoveS: 2, MaintenanceS: 2, VMOrderLeaseMS: 3000,
-		DisruptionAwayMS: 4500, TailGraceMS: 4000,
+		DisruptionAwayMS: 4500, TailGraceMS: 4000, RestoreMS: 600,
 	}
 }
 
