Take heartbeats read after an outage for old ones

Change: after a gap in reading, leader's records count as a sign of life only if the newest heartbeat is not old by the wall clock. Reads without a gap count as before, since clocks may be seconds apart.

TestCandidate_LeaderLostInStoreOutage fails on the old code.

--- a/fleetentry/candidate_test.go
+++ b/fleetentry/candidate_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
 )
 
 // TestCandidate_AfterStoreOutage ends an outage of the store that was longer than the
@@ -40,3 +43,29 @@
 	require.False(t, campaigns(small, later, true), "an entry with little of a processor goes first")
 	require.True(t, campaigns(small, later.Add(smallEntryDelay), true))
 }
+
+// TestCandidate_LeaderLostInStoreOutage loses the leader while its stream is away: the first
+// read afterwards returns heartbeats from before the outage, which are no sign of life, and
+// the wait for a new leader began anew with it.
+func TestCandidate_LeaderLostInStoreOutage(t *testing.T) {
+	const outage = 3 * time.Second
+	for name, test := range map[string]struct {
+		heartbeatAge time.Duration
+		alive        bool
+	}{
+		"from before the outage":                 {heartbeatAge: outage, alive: false},
+		"from a leader that goes on":             {heartbeatAge: heartbeatInterval, alive: true},
+		"from a leader whose clock is far ahead": {heartbeatAge: -outage, alive: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			back := time.Now()
+			f := NewFollower(nil, hclog.NewNullLogger())
+			f.lastLeaderRecordAt, f.ledger.lastReadAt = back.Add(-outage), back.Add(-outage)
+			heartbeat := ledger.LeaderRecord(ledger.Leader{FencingToken: 1, AtMillis: back.Add(-test.heartbeatAge).UnixMilli()})
+			f.applyRead(f.ledger, fleet.Records{Items: []fleet.Record{heartbeat}, Next: 1, End: 1}, back, false, true)
+			require.Equal(t, test.alive, f.SinceLeaderHeartbeat(back) < electionTimeout)
+			f.applyRead(f.ledger, fleet.Records{Items: []fleet.Record{heartbeat}, Next: 2, End: 2}, back, false, true)
+			require.Less(t, f.SinceLeaderHeartbeat(back), electionTimeout, "heartbeats read without a gap count whatever the clocks say")
+		})
+	}
+}
--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -178,6 +178,7 @@
 func (f *Follower) applyRead(s *followedStream, got fleet.Records, sent time.Time, fresh, all bool) {
 	f.mu.Lock()
 	fromLeader := false
+	afterGap := !s.lastReadAt.IsZero() && elapsed.Max(sent, s.lastReadAt) > maxLedgerStaleness
 	if fresh && s.next >= 0 {
 		f.removeMissing(s, got)
 	}
@@ -189,7 +190,7 @@
 	if all {
 		s.lastReadAt = sent
 	}
-	if fromLeader || f.lastLeaderRecordAt.IsZero() {
+	if fromLeader && !(afterGap && f.heartbeatIsOld(time.Now())) || f.lastLeaderRecordAt.IsZero() {
 		f.lastLeaderRecordAt = time.Now()
 	}
 	if s.failing {
@@ -203,6 +204,13 @@
 	}
 }
 
+// heartbeatIsOld reports whether the newest heartbeat was sent long before it was read. The
+// first read after an outage of the store returns what the leader stored before it: that
+// does not show that the leader goes on. The lock is held.
+func (f *Follower) heartbeatIsOld(now time.Time) bool {
+	return now.UnixMilli()-f.view.Leader.AtMillis > staleHeartbeatAge.Milliseconds()
+}
+
 // applyRecord applies one record. The lock is held.
 func (f *Follower) applyRecord(s *followedStream, r fleet.Record) {
 	if err := f.view.Apply(r); err != nil {
