Count arrivals at the time at which jobs arrived

Cause: a new leader reads what the entries accepted in the seconds without one, and counted all of it as arriving at that moment.

Ruled out: jobs with stored assignments (they were never counted) and the forecast of growth, which adds at most three tenths.

Where clocks are seconds apart the work still counts as waiting.

--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -23,14 +23,15 @@
 	maxGrowth = 0.3
 )
 
-// arrival is the work of one submitted job.
+// arrival is the work of one submitted job, at the time at which the job arrived: a new
+// leader reads the jobs of some seconds at once, which are no demand peak.
 type arrival struct {
 	at          time.Time
 	pool        string
 	coreSeconds float64
 }
 
-// arrivals holds the recently submitted work, oldest first.
+// arrivals holds the recently submitted work, in the order in which the leader read it.
 type arrivals []arrival
 
 // add records one arrival.
@@ -45,12 +46,16 @@
 	}
 	pools := map[string]*poolArrivals{}
 	for _, one := range *a {
+		age := now.Sub(one.at)
+		if age > arrivalRetention {
+			continue
+		}
 		p, known := pools[one.pool]
 		if !known {
 			p = &poolArrivals{}
 			pools[one.pool] = p
 		}
-		p.add(now.Sub(one.at), one.coreSeconds)
+		p.add(age, one.coreSeconds)
 	}
 	out := make(map[string]int64, len(pools))
 	for name, p := range pools {
--- a/scheduler/arrivals_test.go
+++ b/scheduler/arrivals_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
 )
 
 // simulatedArrivals returns the arrivals of a queue at the rate that perSecond gives.
@@ -72,3 +75,22 @@
 	a.add(arrival{at: now, pool: testPool, coreSeconds: 60})
 	require.InDelta(t, 120/arrivalWindows[0].Seconds()*1e3, float64(a.offeredLoad(now)[testPool]), 1)
 }
+
+// TestArrivals_BacklogAtTakeover lets a new leader read at once what a queue received in
+// the seconds without a leader: counted as arriving now, it would be a demand peak of
+// several times the queue's rate, and the queue would get VMs that others need.
+func TestArrivals_BacklogAtTakeover(t *testing.T) {
+	const (
+		perSecond = 20
+		backlog   = 3 * time.Second
+	)
+	f := newTestFleet(t)
+	f.addVM("a", testPool, 4)
+	for i := range int(backlog.Seconds() * perSecond) {
+		sub := f.newJob(fmt.Sprintf("%016x", i), fleet.Step{Count: 2, EstimateMillis: 500})
+		sub.ArrivedMillis = f.now.Add(-backlog + time.Duration(i)*time.Second/perSecond).UnixMilli()
+		f.s.Submit(sub, f.now)
+	}
+	const offered = perSecond * 1000 // One core-second a job, in millicores.
+	require.Less(t, f.s.arrivals.offeredLoad(f.now)[testPool], int64(1.5*offered))
+}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -140,7 +140,7 @@
 	}
 	j := s.addJob(sub, now.Add(-min(ageOf(sub, now), maxSubmissionAge)))
 	if !j.longRunning && !sub.HasSchedule() {
-		s.arrivals.add(arrival{at: now, pool: j.queue.Pool, coreSeconds: j.coreSeconds})
+		s.arrivals.add(arrival{at: j.arrivedAt, pool: j.queue.Pool, coreSeconds: j.coreSeconds})
 	}
 }
 
