Store orders for VMs, so that the next leader may move VMs at once

Cause: for 3 s after a takeover a new leader leaves alone every VM whose worker is not old enough to show that it had no order lately. VMs that are switched off run no worker.

Ruled out: times in the record (VMs' clocks differ) and a list of free VMs at a resignation (a leader that loses power sends none).

Change: with stored_vm_orders each order is stored in the ledger before it is sent, and is withdrawn if that takes over a second or the VM has runs by then that it must not end. Entries note when they read each record; a new leader takes VMs whose last order is old at once. Without the setting nothing changes.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -142,6 +142,7 @@
 		leader := d.newLeader(token)
 		d.follower.Read(func(v *ledger.View) {
 			leader.previousResigned = v.LeaderOffset < 0 || v.Leader.Resigned && !v.Leader.TakeoverFailed
+			leader.previousStoredVMOrders = v.Leader.StoresVMOrders
 		})
 		d.leader.Store(leader)
 		leader.Run(ctx)
@@ -170,6 +171,7 @@
 			Policies: scheduler.Policies{
 				Entitlement: s.Policies.Entitlement, Preemption: s.Policies.Preemption,
 				Consolidation: s.Policies.Consolidation, Lookahead: s.Policies.Lookahead,
+				StoredVMOrders: s.Policies.StoredVMOrders,
 			},
 		},
 	}
--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -48,8 +48,9 @@
 	ledger *followedStream
 	jobs   [len(jobStreams)]*followedStream
 
-	mu   sync.RWMutex
-	view *ledger.View
+	mu       sync.RWMutex
+	view     *ledger.View
+	vmOrders vmOrders
 	// lastLeaderRecordAt is when the leader's newest record arrived.
 	lastLeaderRecordAt time.Time
 	// listener receives the records of entries while this entry leads.
@@ -59,7 +60,7 @@
 // NewFollower returns a follower that has read nothing.
 func NewFollower(store Store, log hclog.Logger) *Follower {
 	f := &Follower{
-		store: store, log: log.Named("follower"), view: ledger.NewView(),
+		store: store, log: log.Named("follower"), view: ledger.NewView(), vmOrders: vmOrders{},
 		ledger: newFollowedStream(ledgerStream, notJobStream),
 	}
 	for i, name := range jobStreams {
@@ -217,6 +218,7 @@
 		f.log.Warn("cannot decode record", "stream", s.name, "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
+	f.vmOrders.apply(r, time.Now())
 	if id, kind := ledger.JobOf(r); kind != ledger.RecordOther {
 		s.hasJobRecords = true
 		f.view.AddStream(id, s.index)
--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -71,7 +71,9 @@
 	unready bool
 	// previousResigned is set if the previous leader resigned or there was none.
 	previousResigned bool
-	workerList       *workerList
+	// previousStoredVMOrders is set if the previous leader stored its orders for VMs.
+	previousStoredVMOrders bool
+	workerList             *workerList
 	// vmsListedAt is when the newest list of VMs was requested.
 	vmsListedAt time.Time
 }
@@ -221,6 +223,9 @@
 			go l.sendStart(start)
 		}
 	}
+	if l.sched.HasVMOperations() {
+		l.vmController.signalDue()
+	}
 	for id, p := range l.pollers {
 		if _, unstored := l.sched.WorkerActivity(id); !unstored {
 			p.notifyStored()
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -56,6 +56,9 @@
 		l.resignUnready(termCtx)
 		return result.err
 	}
+	if l.previousStoredVMOrders {
+		sched.RestoreVMOrders(l.follower.VMOrders())
+	}
 	l.workerList = newWorkerList(l.decoder, l.log, l.metrics)
 	l.workerList.apply(result.list)
 	sched.SetWorkers(l.workerList.workers, now)
--- a/fleetentry/vmcontroller.go
+++ b/fleetentry/vmcontroller.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/anvilcourse/anvilcourse/elapsed"
 	"github.com/anvilcourse/anvilcourse/periodic"
 
 	"github.com/anvilcourse/anvilcourse/ledger"
@@ -35,19 +36,22 @@
 	vms VMs
 	// relist requests a list at once.
 	relist chan struct{}
+	// due tells that operations may be sent before the next plan.
+	due chan struct{}
 	// inFlight holds an element for each operation in flight.
 	inFlight chan struct{}
 }
 
 // NewVMController returns a controller that uses the interface.
 func NewVMController(vms VMs) *VMController {
-	return &VMController{vms: vms, relist: make(chan struct{}, 1), inFlight: make(chan struct{}, maxVMOperations)}
+	return &VMController{vms: vms, relist: make(chan struct{}, 1), due: make(chan struct{}, 1), inFlight: make(chan struct{}, maxVMOperations)}
 }
 
 // run lists the VMs and executes planned operations until the term ends.
 func (c *VMController) run(l *Leader) func(context.Context) {
 	return func(ctx context.Context) {
 		l.spawn(ctx, func(ctx context.Context) { c.list(ctx, l) })
+		l.spawn(ctx, func(ctx context.Context) { c.sendDue(ctx, l) })
 		periodic.Run(ctx, clockwork.NewRealClock(), planVMsInterval, func(ctx context.Context) { c.plan(ctx, l) })
 	}
 }
@@ -109,6 +113,26 @@
 	}
 }
 
+// signalDue lets operations be sent whose orders have just been stored.
+func (c *VMController) signalDue() { signal(c.due) }
+
+// sendDue sends operations as soon as their orders are stored.
+func (c *VMController) sendDue(ctx context.Context, l *Leader) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.due:
+		}
+		l.mu.Lock()
+		operations := l.sched.TakeVMOperations()
+		l.mu.Unlock()
+		for _, operation := range operations {
+			go c.execute(ctx, l, operation)
+		}
+	}
+}
+
 func (c *VMController) execute(ctx context.Context, l *Leader, operation scheduler.VMOperation) {
 	err := c.send(ctx, l, operation)
 	l.metrics.Add("vm_orders", 1)
@@ -127,6 +151,7 @@
 // to wait for and ends the call: where tokens are not checked, an order that arrives after the
 // next leader's would count as one of two leaders at once.
 func (c *VMController) send(ctx context.Context, l *Leader, operation scheduler.VMOperation) error {
+	due := time.Now()
 	notSent := &provider.Error{Op: "vms.order", Outcome: provider.Refused, Code: provider.CodeLeaseExpired, Message: "the leader lease has expired"}
 	select {
 	case c.inFlight <- struct{}{}:
@@ -135,7 +160,7 @@
 		return notSent
 	}
 	lease := l.journal.VMLeaseLeft(time.Now())
-	if lease <= 0 {
+	if lease <= 0 || elapsed.Max(time.Now(), due) > scheduler.MaxVMOrderWait {
 		return notSent
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(lease, vmOperationTimeout))
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -8,5 +8,6 @@
 	kindResult       = 'r'
 	kindLeader       = 'o'
 	kindWave         = 'w'
+	kindVMOrder      = 'v'
 	kindNoop         = '-'
 )
--- a/ledger/leader.go
+++ b/ledger/leader.go
@@ -14,7 +14,9 @@
 	// AlternateStreams is the set of entries' streams that are used on the store's
 	// slow days.
 	AlternateStreams StreamSet `json:"s,omitempty"`
-	AtMillis         int64     `json:"t"`
+	// StoresVMOrders is set if the leader stores each order for a VM before it sends it.
+	StoresVMOrders bool  `json:"v,omitempty"`
+	AtMillis       int64 `json:"t"`
 }
 
 // LeaderRecord returns the record of the leader's heartbeat.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -4,10 +4,11 @@
 
 // Policies switches on decisions under overload; see settings.Policies.
 type Policies struct {
-	Entitlement   bool
-	Preemption    bool
-	Consolidation bool
-	Lookahead     bool
+	Entitlement    bool
+	Preemption     bool
+	Consolidation  bool
+	Lookahead      bool
+	StoredVMOrders bool
 }
 
 // Config holds the platform's time bounds and the leader's fencing token.
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -49,9 +49,10 @@
 	AdviceRequests []AdviceRequest
 	// PollSoon names workers whose next poll should not wait.
 	PollSoon []string
-	// pendingStarts and handledOutcomes take effect once the batch is stored.
-	pendingStarts   []pendingStart
-	handledOutcomes map[*worker]int64
+	// pendingStarts, pendingOperations and handledOutcomes take effect once the batch is stored.
+	pendingStarts     []pendingStart
+	pendingOperations []VMOperation
+	handledOutcomes   map[*worker]int64
 }
 
 // Empty reports whether the batch requests nothing.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,10 +30,13 @@
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// scheduledJobs holds the jobs with occurrences to come.
-	scheduledJobs   map[*job]struct{}
-	vms             map[string]*vm
-	vmsListedAt     time.Time
-	vmOperations    []VMOperation
+	scheduledJobs map[*job]struct{}
+	vms           map[string]*vm
+	vmsListedAt   time.Time
+	vmOperations  []VMOperation
+	// previousOrders is when the orders of earlier leaders were read, by VM; nil if not
+	// known.
+	previousOrders  map[string]time.Time
 	waves           map[int64]*wave
 	pools           map[string]*poolState
 	arrivals        arrivals
@@ -105,6 +108,7 @@
 		return nil
 	}
 	delete(s.unpersisted, number)
+	s.releaseOperations(b.pendingOperations, now)
 	for w, outcome := range b.handledOutcomes {
 		w.lastRecordedOutcome = max(w.lastRecordedOutcome, outcome)
 	}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -129,6 +129,9 @@
 	if now.Sub(s.tookOverAt) >= s.cfg.PreviousLeaderOperationWindow {
 		return true
 	}
+	if s.freeOfPreviousOrders(v, now) {
+		return true
+	}
 	w := s.workerOf(v)
 	if w == nil || w.info.StartedAtMillis == 0 {
 		return false
@@ -143,7 +146,7 @@
 	if w := s.workerOf(v); w != nil {
 		w.operationPending, v.operationOn = true, w.info.StartedAtMillis
 	}
-	s.vmOperations = append(s.vmOperations, op)
+	s.requestOperation(op)
 	kind := "vm.move"
 	reason := op.Pool
 	if op.Kind == VMMaintain {
--- /dev/null
+++ b/scheduler/vmorders.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/elapsed"
+	"github.com/anvilcourse/anvilcourse/ledger"
+)
+
+const (
+	// MaxVMOrderWait is how long after it has been stored an order for a VM may be sent.
+	MaxVMOrderWait = time.Second
+	// vmOrderDelay covers how long a request to the VM interface may be under way.
+	vmOrderDelay = 1500 * time.Millisecond
+)
+
+// requestOperation requests the VM operation, after its order has been stored if the
+// policy asks for that.
+//
+// It answers the loss of a leader while demand changes: the next leader must not order a
+// VM within seconds of the one before. Without a record of the orders it has to leave
+// alone every VM that could have had one, such as all that are switched off, while pools
+// lack VMs.
+func (s *Scheduler) requestOperation(op VMOperation) {
+	if !s.cfg.Policies.StoredVMOrders {
+		s.vmOperations = append(s.vmOperations, op)
+		return
+	}
+	s.batch.Records = append(s.batch.Records, ledger.VMOrderRecord(op.VM, ledger.VMOrder{FencingToken: s.cfg.FencingToken}))
+	s.batch.pendingOperations = append(s.batch.pendingOperations, op)
+}
+
+// releaseOperations requests operations whose orders are stored, if they are still valid.
+func (s *Scheduler) releaseOperations(operations []VMOperation, now time.Time) {
+	for _, op := range operations {
+		v, known := s.vms[op.VM]
+		if !known || v.operation == nil || *v.operation != op {
+			continue
+		}
+		if now.Sub(v.operationAt) > MaxVMOrderWait || !s.operationStillValid(v, op, now) {
+			s.withdrawOperation(v, op)
+			continue
+		}
+		s.vmOperations = append(s.vmOperations, op)
+	}
+}
+
+// operationStillValid reports whether the operation ends no more runs than when it was
+// decided on.
+func (s *Scheduler) operationStillValid(v *vm, op VMOperation, now time.Time) bool {
+	w := s.workerOf(v)
+	if w == nil || len(w.tasks) == 0 {
+		return true
+	}
+	return op.Kind == VMMaintain && s.withinDisruptionBudgets(w, now)
+}
+
+// withdrawOperation takes back an operation that has not been requested.
+func (s *Scheduler) withdrawOperation(v *vm, op VMOperation) {
+	s.emit(Event{Kind: "vm.order_withdrawn", ID: op.VM, Reason: "its order was stored too late, or the VM has runs that it must not end"})
+	v.operation = nil
+	if w := s.workerOf(v); w != nil {
+		w.operationPending = false
+	}
+	if op.Kind == VMMove {
+		s.undrain(v)
+	}
+}
+
+// HasVMOperations reports whether TakeVMOperations would return any.
+func (s *Scheduler) HasVMOperations() bool { return len(s.vmOperations) > 0 }
+
+// RestoreVMOrders tells a new leader when the orders of earlier leaders were read, by VM.
+// Without it, the orders of earlier leaders are not known.
+func (s *Scheduler) RestoreVMOrders(readAt map[string]time.Time) { s.previousOrders = readAt }
+
+// freeOfPreviousOrders reports whether no earlier leader can have sent the VM an order
+// lately. An order is read after it was stored, so its age is at least that of the read.
+func (s *Scheduler) freeOfPreviousOrders(v *vm, now time.Time) bool {
+	if s.previousOrders == nil {
+		return false
+	}
+	readAt, ordered := s.previousOrders[v.info.Name]
+	return !ordered || elapsed.Min(now, readAt) > s.cfg.PreviousLeaderOperationWindow+MaxVMOrderWait+vmOrderDelay
+}
--- a/settings/policies.go
+++ b/settings/policies.go
@@ -14,4 +14,7 @@
 	Consolidation bool `json:"consolidation"`
 	// Lookahead places tasks by what waits and by what will end soon.
 	Lookahead bool `json:"lookahead"`
+	// StoredVMOrders stores each order for a VM before it is sent, so that the next leader
+	// knows which VMs it may move at once.
+	StoredVMOrders bool `json:"stored_vm_orders"`
 }
