Evacuate an availability zone at an operator's request

Cause: an operator may ask that nothing more be started in a zone until that is taken back; the code knew no such record.

Ruled out: cordoning the zone's VMs, which an operation on a VM ends and a VM list that cannot be read holds up; stopping short and checkpointing tasks there, which costs a restart for runs of some seconds; switching the zone's idle VMs off, two moves each; a copy of the set in the ledger, a second truth beside the operator's records.

Change: every entry follows the records (fleetentry/evacuations.go) and a leader knows the zones before its first decision. It starts nothing there, withdraws assignments that are being stored (gangs whole), repeats no start there, moves long-running tasks within their budgets to where there is room, gets VMs of other zones for the pools, and lets a rack-local step choose another rack (scheduler/evacuation.go, scheduler/relocate.go).

Conclusion: evacuations are served; long-running tasks without a budget, gangs and those of queues with tickets stay until they end.

--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -100,7 +100,7 @@
 	store := platform.NewStore(s.Store)
 	metrics, late := NewMetrics(), lateness.NewMonitor(clockwork.NewRealClock())
 	follower := NewFollower(store, log)
-	operator := NewOperatorWatcher(store, platform.Decoder{}, log)
+	operator := NewOperatorWatcher(store, platform.Decoder{}, metrics, log)
 	appender := NewAppender(store, follower, s.Node)
 	jobService := NewJobService(follower, operator, appender, platform.Decoder{}, metrics, log)
 	var workers Workers = platform.NewWorkers(append(p.workersOptions, platform.WithAllowance(late.Allowance))...)
--- a/fleetentry/leader.go
+++ b/fleetentry/leader.go
@@ -97,6 +97,8 @@
 	l.follower.SetListener(l.handleEntryRecords)
 	l.operator.OnChange(l.handleManifest)
 	defer l.operator.OnChange(nil)
+	l.operator.OnEvacuations(l.handleEvacuations)
+	defer l.operator.OnEvacuations(nil)
 	defer l.follower.SetListener(nil)
 	l.applyMissed()
 	l.spawn(ctx, l.createStreams)
@@ -155,6 +157,16 @@
 	l.wakePlanner()
 }
 
+// handleEvacuations passes the zones being evacuated to the scheduler.
+func (l *Leader) handleEvacuations(zones []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.sched.SetEvacuations(zones, now)
+	l.flush(now)
+	l.wakePlanner()
+}
+
 // wakePlanner lets tasks be placed soon.
 func (l *Leader) wakePlanner() {
 	select {
--- a/fleetentry/operatorwatcher.go
+++ b/fleetentry/operatorwatcher.go
@@ -21,13 +21,18 @@
 	store   Store
 	decoder Decoder
 	log     hclog.Logger
+	metrics *Metrics
 
 	manifest atomic.Pointer[fleet.Manifest]
 	mu       sync.Mutex
 	waves    map[int64]PublishedWave
-	next     int64
-	onChange func(*fleet.Manifest)
-	failing  bool
+	// evacuations holds the availability zones that are being evacuated.
+	evacuations evacuations
+	next        int64
+	onChange    func(*fleet.Manifest)
+	// onEvacuations is called with all zones being evacuated once these have changed.
+	onEvacuations func(zones []string)
+	failing       bool
 }
 
 // PublishedWave is a wave and when this entry first saw it.
@@ -38,8 +43,11 @@
 }
 
 // NewOperatorWatcher returns a watcher that has read nothing.
-func NewOperatorWatcher(store Store, decoder Decoder, log hclog.Logger) *OperatorWatcher {
-	return &OperatorWatcher{store: store, decoder: decoder, log: log.Named("operator"), waves: map[int64]PublishedWave{}, next: -1}
+func NewOperatorWatcher(store Store, decoder Decoder, metrics *Metrics, log hclog.Logger) *OperatorWatcher {
+	return &OperatorWatcher{
+		store: store, decoder: decoder, metrics: metrics, log: log.Named("operator"),
+		waves: map[int64]PublishedWave{}, evacuations: evacuations{}, next: -1,
+	}
 }
 
 // Manifest returns the active manifest, or nil before one is known.
@@ -84,19 +92,12 @@
 func (o *OperatorWatcher) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTailWait+readTimeout)
 	defer cancel()
-	var got fleet.Records
-	var err error
-	if o.next < 0 {
-		got, err = o.store.OperatorRecords(ctx)
-	} else {
-		got, err = o.store.TailOperator(ctx, o.next, operatorTailWait)
-		if code := provider.CodeOf(err); code == provider.CodeTrimmed || code == provider.CodeNotFound {
-			got, err = o.store.OperatorRecords(ctx)
-		}
-	}
+	got, whole, err := o.readRecords(ctx)
 	if err != nil {
 		return err
 	}
+	// A leader must know the zones being evacuated before a manifest lets it start tasks.
+	o.applyEvacuations(got.Items, whole)
 	for _, r := range got.Items {
 		o.applyRecord(r)
 	}
@@ -107,6 +108,19 @@
 	return nil
 }
 
+// readRecords returns the records since the last read; whole is set if these are the newest
+// of all keys instead, because earlier ones were not read or have expired.
+func (o *OperatorWatcher) readRecords(ctx context.Context) (got fleet.Records, whole bool, err error) {
+	if o.next >= 0 {
+		got, err = o.store.TailOperator(ctx, o.next, operatorTailWait)
+		if code := provider.CodeOf(err); code != provider.CodeTrimmed && code != provider.CodeNotFound {
+			return got, false, err
+		}
+	}
+	got, err = o.store.OperatorRecords(ctx)
+	return got, true, err
+}
+
 // applyRecord applies one record. Versions only increase.
 func (o *OperatorWatcher) applyRecord(r fleet.Record) {
 	if m, ok, err := o.decoder.Manifest(r); ok {
--- a/fleetentry/store.go
+++ b/fleetentry/store.go
@@ -54,6 +54,7 @@
 type Decoder interface {
 	Manifest(r fleet.Record) (m *fleet.Manifest, ok bool, err error)
 	Wave(r fleet.Record) (w fleet.Wave, ok bool, err error)
+	Evacuation(r fleet.Record) (e fleet.Evacuation, ok bool, err error)
 	Worker(r fleet.Record) (fleet.Worker, error)
 	Submission(raw []byte) (fleet.Submission, error)
 }
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -59,6 +59,7 @@
 	l.workerList = newWorkerList(l.decoder, l.log, l.metrics)
 	l.workerList.apply(result.list)
 	sched.SetWorkers(l.workerList.workers, now)
+	sched.SetEvacuations(l.operator.Evacuations(), now)
 	l.follower.Read(func(v *ledger.View) {
 		for _, j := range v.Jobs {
 			sched.RestoreJob(j, now)
@@ -170,6 +171,7 @@
 	if m := l.operator.Manifest(); m != nil {
 		l.sched.SetManifest(m, now)
 	}
+	l.sched.SetEvacuations(l.operator.Evacuations(), now)
 	l.flush(now)
 	l.wakePlanner()
 }
--- a/scheduler/budgets.go
+++ b/scheduler/budgets.go
@@ -34,7 +34,10 @@
 // their disruption budgets, so that they restart elsewhere in time. Each step is
 // evicted independently: waiting until all steps on a worker have budget at the same
 // time takes several times as long.
-func (s *Scheduler) evictLongRunning(w *worker, now time.Time) {
+//
+// The reason is logged, and allowed, if given, decides for each task whose step's budget
+// allows the stop.
+func (s *Scheduler) evictLongRunning(w *worker, now time.Time, reason string, allowed func(*task) bool) {
 	if !w.polled || w.missedPolls > 0 || !s.stabilized(now) {
 		return
 	}
@@ -46,8 +49,8 @@
 		if !st.def.HasDisruptionBudget {
 			continue
 		}
-		if st.unavailable(now) < st.def.MaxUnavailable {
-			s.emit(Event{Kind: "task.evicted", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: "its VM is due for maintenance"})
+		if st.unavailable(now) < st.def.MaxUnavailable && (allowed == nil || allowed(t)) {
+			s.emit(Event{Kind: "task.evicted", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: reason})
 			s.requestStop(t, now)
 		}
 	}
--- a/scheduler/donor.go
+++ b/scheduler/donor.go
@@ -34,9 +34,10 @@
 	return a.info.Name < b.info.Name
 }
 
-// movable reports whether the VM is up and empty and has no operation pending.
+// movable reports whether the VM is up and empty, has no operation pending, and is in a zone
+// where tasks may start.
 func (s *Scheduler) movable(v *vm, now time.Time) bool {
-	if !s.acceptsOperation(v, now) || v.drainFor != VMNoOperation || v.emptySince.IsZero() {
+	if !s.acceptsOperation(v, now) || v.drainFor != VMNoOperation || v.emptySince.IsZero() || s.evacuatedVM(v) {
 		return false
 	}
 	if w := s.workerOf(v); w != nil && (w.info.Draining || !w.polled || w.missedPolls > 0) {
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -87,7 +87,7 @@
 func (f *testFleet) vms() []fleet.VM {
 	var list []fleet.VM
 	for id, w := range f.workers {
-		list = append(list, fleet.VM{Name: id[2:], Pool: w.Pool, State: fleet.VMUp, Labels: w.Labels, Capacity: w.Capacity, WorkerID: id})
+		list = append(list, fleet.VM{Name: id[2:], Pool: w.Pool, State: fleet.VMUp, AvailabilityZone: w.AvailabilityZone, Labels: w.Labels, Capacity: w.Capacity, WorkerID: id})
 	}
 	return list
 }
--- a/scheduler/model_leader_test.go
+++ b/scheduler/model_leader_test.go
@@ -39,6 +39,7 @@
 	successor := &modelLeader{s: New(Config{FencingToken: token, LeaseDuration: modelLease, PreviousLeaderLease: modelLeaderLease + modelLease, MaxStopTime: modelMaxStop}, m.now)}
 	successor.s.SetManifest(testManifest(), m.now)
 	successor.s.SetWorkers(maps.Clone(m.registry), m.now)
+	successor.s.SetEvacuations(m.evacuations(), m.now)
 	for _, id := range m.jobIDs() {
 		// A takeover waits for the submissions of the jobs with assignments.
 		if job := m.view.Jobs[id]; len(job.Tasks) == 0 && job.Result.Outcome == ledger.OutcomeNone && m.oneIn(12, "submission is missing") {
@@ -114,7 +115,12 @@
 	for len(leader.stored) > 0 {
 		b := leader.stored[0]
 		leader.stored = leader.stored[1:]
-		for _, start := range leader.s.HandleBatchPersisted(b.Number, m.now) {
+		starts := leader.s.HandleBatchPersisted(b.Number, m.now)
+		for _, start := range starts {
+			w := leader.s.workers[start.Endpoint.WorkerID]
+			require.False(m.t, leader.s.isEvacuated(w.info.AvailabilityZone), "%s starts in a zone being evacuated", start.Request.Task)
+		}
+		for _, start := range starts {
 			m.checkStored(leader, start)
 			m.sendStart(leader, start)
 		}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -16,8 +16,8 @@
 // model runs several leaders and workers with requests that are lost, delayed and
 // repeated, in an order that rapid draws. It checks that no task runs twice at once,
 // that none starts after its success was acknowledged or before its assignment is
-// stored, that no worker exceeds its capacity, and that all jobs end once the faults
-// do.
+// stored, nor in a zone whose evacuation the leader has read, that no worker exceeds its
+// capacity, and that all jobs end once the faults do.
 //
 // It assumes that a worker's restart takes longer than a poll with its retry, so that
 // a leader which polls the worker sees a failed poll before the new incarnation.
@@ -36,6 +36,8 @@
 	healthy bool
 	// maxOutcomes is how many outcomes a response holds.
 	maxOutcomes int
+	// evacuated is the availability zone that the operator evacuates; "" for none.
+	evacuated string
 	// incarnations counts the restarts of workers.
 	incarnations int
 	// mutate disables one mechanism, for tests of the model itself.
@@ -166,6 +168,8 @@
 		m.cancel(jobID(rapid.IntRange(0, 3).Draw(m.t, "job")))
 	case 3:
 		delete(m.registry, m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "expired")].info.ID)
+	case 5:
+		m.drawEvacuation()
 	case 4:
 		m.addFalseRecord(m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "false record")])
 	}
@@ -179,6 +183,24 @@
 	m.expireCalls()
 }
 
+// drawEvacuation evacuates a zone or ends that; the newest leader reads it.
+func (m *model) drawEvacuation() {
+	if m.evacuated = ""; m.oneIn(2, "evacuation") {
+		m.evacuated = fmt.Sprintf("z%d", rapid.IntRange(0, 1).Draw(m.t, "zone"))
+	}
+	m.tracef("evacuation of %q", m.evacuated)
+	leader := m.leaders[len(m.leaders)-1]
+	leader.s.SetEvacuations(m.evacuations(), m.now)
+	m.takeBatch(leader)
+}
+
+func (m *model) evacuations() []string {
+	if m.evacuated == "" {
+		return nil
+	}
+	return []string{m.evacuated}
+}
+
 // cancel stores a client's cancellation; the newest leader reads it.
 func (m *model) cancel(job string) {
 	m.tracef("%s is cancelled", job)
@@ -200,6 +222,8 @@
 	}
 	clear(m.registry)
 	leader := m.leaders[len(m.leaders)-1]
+	m.evacuated = ""
+	leader.s.SetEvacuations(nil, m.now)
 	for end := m.now.Add(modelSettleTime); m.now.Before(end) && m.unfinishedJob() != ""; {
 		m.settleOnce(leader)
 	}
--- a/scheduler/model_worker_test.go
+++ b/scheduler/model_worker_test.go
@@ -43,7 +43,7 @@
 
 func newModelWorker(index int, now time.Time) *modelWorker {
 	w := &modelWorker{up: true, clockStart: now.Add(-time.Hour)}
-	w.info = fleet.Worker{ID: fmt.Sprintf("w-%d", index), Address: fmt.Sprintf("host-%d", index), Pool: testPool, Labels: []string{"a", "r"}, Capacity: fleet.Resources{MilliCPU: 2000, MemMB: 10}, StartedAtMillis: 1}
+	w.info = fleet.Worker{ID: fmt.Sprintf("w-%d", index), Address: fmt.Sprintf("host-%d", index), Pool: testPool, Labels: []string{"a", "r"}, AvailabilityZone: fmt.Sprintf("z%d", index%2), Capacity: fleet.Resources{MilliCPU: 2000, MemMB: 10}, StartedAtMillis: 1}
 	w.reset()
 	return w
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -71,6 +71,7 @@
 // may start within its share of the pool; done is false if the share kept tasks back.
 func (s *Scheduler) placeStep(st *step, pool *poolRound, shares poolShares, now time.Time) (done bool) {
 	workers := pool.workers
+	s.unpinEvacuatedRack(st)
 	if st.occurrence.job.queue.NeedsTicket {
 		s.requestAdvice(st, workers, now)
 	}
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -46,6 +46,9 @@
 	// maintained.
 	minSeparateVMs int
 	draining       int
+	// evacuated is how many of vms are in a zone being evacuated; they also count as
+	// draining.
+	evacuated int
 	// placementStalled reports that a task waits for long despite apparent free
 	// capacity.
 	placementStalled bool
@@ -64,7 +67,7 @@
 	if p.placementStalled && p.incoming == 0 {
 		needed = max(needed, 1)
 	}
-	return max(needed, p.minSeparateVMs+p.draining-len(p.vms)-p.incoming)
+	return max(needed, max(p.minSeparateVMs, p.minimumBeforeEvacuation())+p.draining-len(p.vms)-p.incoming)
 }
 
 // surplus returns how many VMs the pool could do without.
@@ -88,6 +91,10 @@
 		return p
 	}
 	for _, v := range s.vms {
+		if s.evacuatedVM(v) {
+			s.countEvacuated(state(v.info.Pool), v)
+			continue
+		}
 		if v.operation != nil && v.operation.Kind == VMMove {
 			p := state(v.operation.Pool)
 			p.incoming++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,12 +30,14 @@
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// scheduledJobs holds the jobs with occurrences to come.
-	scheduledJobs   map[*job]struct{}
-	vms             map[string]*vm
-	vmsListedAt     time.Time
-	vmOperations    []VMOperation
-	waves           map[int64]*wave
-	pools           map[string]*poolState
+	scheduledJobs map[*job]struct{}
+	vms           map[string]*vm
+	vmsListedAt   time.Time
+	vmOperations  []VMOperation
+	waves         map[int64]*wave
+	pools         map[string]*poolState
+	// evacuations holds the availability zones in which no task may start.
+	evacuations     map[string]*evacuation
 	arrivals        arrivals
 	poolsReportedAt time.Time
 	// began holds the jobs that have begun and of which no record tells it.
@@ -65,6 +67,7 @@
 		vms:                 map[string]*vm{},
 		waves:               map[int64]*wave{},
 		pools:               map[string]*poolState{},
+		evacuations:         map[string]*evacuation{},
 		unpersisted:         map[int64]*Batch{},
 		tookOverAt:          now,
 	}
@@ -108,6 +111,7 @@
 	for w, outcome := range b.handledOutcomes {
 		w.lastRecordedOutcome = max(w.lastRecordedOutcome, outcome)
 	}
+	s.withdrawEvacuatedGangs(b.pendingStarts, now)
 	var out []StartRequest
 	for _, pending := range b.pendingStarts {
 		if pending.task.attempt != pending.attempt {
@@ -130,6 +134,10 @@
 		s.requeue(t, now, "the assignment is no longer valid")
 		return StartRequest{}, false
 	}
+	if w.evacuated {
+		s.requeue(t, now, "the availability zone of the worker is being evacuated")
+		return StartRequest{}, false
+	}
 	t.phase = starting
 	w.extendLease(now, s.cfg.LeaseDuration)
 	return StartRequest{Endpoint: w.endpoint(), Request: fleet.StartRequest{
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -105,11 +105,11 @@
 	}
 }
 
-// StartSettled reports whether the start needs no response any more: its run is known to
-// exist or to have ended, or was given up.
+// StartSettled reports whether the start must not be repeated: its run is known to exist or
+// to have ended, was given up, or would begin in a zone that is being evacuated.
 func (s *Scheduler) StartSettled(request *fleet.StartRequest) bool {
 	t := s.findTask(request.Task)
-	return t != nil && (t.attempt != request.Attempt || t.phase != starting)
+	return t != nil && (t.attempt != request.Attempt || t.phase != starting || t.worker.evacuated)
 }
 
 // HandleStartResponse applies the response to a start request.
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -64,7 +64,7 @@
 		}
 		need, wanted := needs[v.vacateFor]
 		_, ownShortage := needs[v.info.Pool]
-		if !wanted || ownShortage || need.count == 0 {
+		if !wanted || ownShortage || s.evacuatedVM(v) || need.count == 0 {
 			s.undrain(v)
 			continue
 		}
@@ -93,7 +93,7 @@
 // it ends soon.
 func (s *Scheduler) canVacate(v *vm, now time.Time) bool {
 	w := s.workerOf(v)
-	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining || w.maintenanceUrgent {
+	if w == nil || len(w.tasks) == 0 || !w.polled || w.missedPolls > 0 || w.info.Draining || w.maintenanceUrgent || w.evacuated {
 		return false
 	}
 	return v.drainFor == VMNoOperation && s.acceptsOperation(v, now) && s.longRunningCount(v) == 0
@@ -128,7 +128,7 @@
 // vacated returns an empty VM that has been vacated for the pool, or nil.
 func (s *Scheduler) vacated(pool string, now time.Time) *vm {
 	for _, v := range s.vms {
-		if v.vacateFor != pool || v.emptySince.IsZero() || !s.acceptsOperation(v, now) {
+		if v.vacateFor != pool || v.emptySince.IsZero() || s.evacuatedVM(v) || !s.acceptsOperation(v, now) {
 			continue
 		}
 		if w := s.workerOf(v); w != nil && (w.info.Draining || !w.polled || w.missedPolls > 0) {
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -231,5 +231,6 @@
 		}
 	}
 	s.planWaves(now)
+	s.relocate(now)
 	s.planPools(now)
 }
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -150,7 +150,7 @@
 			s.startOperation(v, VMOperation{Kind: VMMaintain, VM: v.info.Name, Wave: w.def.Number}, now)
 			down++
 		} else if worker := s.workerOf(v); worker != nil {
-			s.evictLongRunning(worker, now)
+			s.evictLongRunning(worker, now, "its VM is due for maintenance", nil)
 		}
 	}
 	budget := w.def.MaxUnavailable - down
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -59,6 +59,8 @@
 	// wave ends soon.
 	maintenanceDue    bool
 	maintenanceUrgent bool
+	// evacuated workers are in an availability zone in which no task may start.
+	evacuated bool
 	// ended incarnations get no updates.
 	ended bool
 	// claimedAt is when the list named the incarnation; zero once a status has shown it.
@@ -70,7 +72,7 @@
 
 // schedulable reports whether new tasks may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.polled && w.listed && !w.ended && !w.info.Draining && !w.cordoned &&
+	return w.polled && w.listed && !w.ended && !w.info.Draining && !w.cordoned && !w.evacuated &&
 		w.missedPolls == 0 && now.Sub(w.lastPollAt) < statusFreshFor && !now.Before(w.avoidUntil)
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -56,6 +56,7 @@
 	}
 	info.StartedAtMillis = max(info.StartedAtMillis, w.info.StartedAtMillis)
 	w.info = info
+	w.evacuated = s.isEvacuated(info.AvailabilityZone)
 	w.listed = true
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,11 +52,13 @@
 	outageRNG *rand.Rand
 	// writersRNG draws what operators and other writers do meanwhile.
 	writersRNG *rand.Rand
-	version    int
-	binary     string
-	store      *emulator.Store
-	fleet      *emulator.Fleet
-	entries    []*entry
+	// zonesRNG draws the evacuations of availability zones.
+	zonesRNG *rand.Rand
+	version  int
+	binary   string
+	store    *emulator.Store
+	fleet    *emulator.Fleet
+	entries  []*entry
 }
 
 type entry struct {
@@ -81,14 +83,14 @@
 }
 
 func newTestFleet(t *testing.T, binary string, seed uint64) *testFleet {
-	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), writersRNG: rand.New(rand.NewPCG(seed, 2)), version: 2, binary: binary, store: emulator.NewStore()}
+	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), writersRNG: rand.New(rand.NewPCG(seed, 2)), zonesRNG: rand.New(rand.NewPCG(seed, 3)), version: 2, binary: binary, store: emulator.NewStore()}
 	f.fleet = emulator.NewFleet(f.store)
 	storeServer, vmServer := httptest.NewServer(f.store), httptest.NewServer(f.fleet)
 	t.Cleanup(storeServer.CloseClientConnections)
 	t.Cleanup(vmServer.CloseClientConnections)
 	t.Cleanup(f.fleet.Close)
 	for i := range 4 {
-		require.NoError(t, f.fleet.AddVM(fmt.Sprintf("vm-%d", i), "desk", "z1", fmt.Sprintf("r%d", i), 6000))
+		require.NoError(t, f.fleet.AddVM(fmt.Sprintf("vm-%d", i), "desk", fmt.Sprintf("z%d", 1+i%2), fmt.Sprintf("r%d", i), 6000))
 	}
 	f.fleet.DefineTasks("short", 80*time.Millisecond, 1000, false, false)
 	f.fleet.DefineTasks("long", 900*time.Millisecond, 1000, false, false)
@@ -230,6 +232,7 @@
 		clearFault := f.injectFault()
 		clearOutage, outage := f.injectPartialOutage()
 		endWriters := f.injectWriters()
+		endEvacuation := f.injectEvacuation()
 		for end := time.Now().Add(time.Duration(300+f.rng.IntN(1500)) * time.Millisecond); time.Now().Before(end); {
 			path := fmt.Sprintf("/desk/%016x", f.rng.Uint64())
 			spec := []string{"short", "long"}[f.rng.IntN(2)]
@@ -252,6 +255,7 @@
 		}
 		clearOutage()
 		endWriters()
+		endEvacuation()
 	}
 	for _, path := range accepted {
 		f.awaitCompletion(path)
