--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -36,9 +36,11 @@
 	vmOperations  []VMOperation
 	// previousOrders is when the orders of earlier leaders were read, by VM; nil if not
 	// known.
-	previousOrders  map[string]time.Time
-	waves           map[int64]*wave
-	pools           map[string]*poolState
+	previousOrders map[string]time.Time
+	waves          map[int64]*wave
+	pools          map[string]*poolState
+	// evacuations holds the availability zones in which no task may start.
+	evacuations     map[string]*evacuation
 	arrivals        arrivals
 	poolsReportedAt time.Time
 	// began holds the jobs that have begun and of which no record tells it.
@@ -68,6 +70,7 @@
 		vms:                 map[string]*vm{},
 		waves:               map[int64]*wave{},
 		pools:               map[string]*poolState{},
+		evacuations:         map[string]*evacuation{},
 		unpersisted:         map[int64]*Batch{},
 		tookOverAt:          now,
 	}
@@ -112,6 +115,7 @@
 	for w, outcome := range b.handledOutcomes {
 		w.lastRecordedOutcome = max(w.lastRecordedOutcome, outcome)
 	}
+	s.withdrawEvacuatedGangs(b.pendingStarts, now)
 	var out []StartRequest
 	for _, pending := range b.pendingStarts {
 		if pending.task.attempt != pending.attempt {
@@ -134,6 +138,10 @@
 		s.requeue(t, now, "the assignment is no longer valid")
 		return StartRequest{}, false
 	}
+	if w.evacuated {
+		s.requeue(t, now, "the availability zone of the worker is being evacuated")
+		return StartRequest{}, false
+	}
 	t.phase = starting
 	w.extendLease(now, s.cfg.LeaseDuration)
 	return StartRequest{Endpoint: w.endpoint(), Request: fleet.StartRequest{
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -234,5 +234,6 @@
 		}
 	}
 	s.planWaves(now)
+	s.relocate(now)
 	s.planPools(now)
 }
