--- a/settings/entry.go
+++ b/settings/entry.go
@@ -22,6 +22,16 @@
 	OperatorKeyHashes []string `json:"operator_key_hashes" validate:"min=1,dive,len=64,hexadecimal" help:"the SHA-256 hashes, in hex, of the operators' keys"`
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64 `json:"max_body_bytes" validate:"min=1,max=16777216" help:"bound of a caller's request body"`
+	// ClientMemoryMB bounds what the entry holds of requests that clients send.
+	ClientMemoryMB int64 `json:"client_memory_mb" validate:"min=1" help:"bound of what the entry holds of requests that clients send, in MB; never under two bodies"`
+	// MaxClientConnections bounds clients' open connections; 0 derives it from MaxDescriptors.
+	MaxClientConnections int `json:"max_client_connections" validate:"gte=0" help:"bound of clients' open connections; 0 for a half of the descriptors"`
+	// MaxDescriptors is how many descriptors the entry may open; 0 for the process's limit.
+	MaxDescriptors int64 `json:"max_descriptors" validate:"gte=0" help:"descriptors that the entry may open; 0 for the process's limit"`
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes int `json:"max_header_bytes" validate:"min=4096" help:"bound of a request's headers"`
+	// ClientStall is how long a request may stand still while it is sent or answered.
+	ClientStall Duration `json:"client_stall" validate:"min=1" help:"how long a request may stand still while it is sent, or its answer while it is read"`
 	// DefaultTimeout is the caller's patience when it names none.
 	DefaultTimeout Duration `json:"default_timeout" validate:"min=1" help:"the caller's patience when it names none"`
 	// StopTimeout bounds a graceful stop.
@@ -47,6 +57,9 @@
 func DefaultEntry() Entry {
 	return Entry{
 		MaxBodyBytes:        1 << 20,
+		ClientMemoryMB:      64,
+		MaxHeaderBytes:      32 << 10,
+		ClientStall:         Duration(5 * time.Second),
 		DefaultTimeout:      Duration(10 * time.Second),
 		StopTimeout:         Duration(30 * time.Second),
 		LogRetention:        Duration(10 * time.Minute),
--- a/settings/fleetentry.go
+++ b/settings/fleetentry.go
@@ -20,6 +20,18 @@
 	// ProcessorShare is the part of a core that the entry has.
 	ProcessorShare float64 `json:"processor_share" validate:"gte=0"`
 	MemoryMB       int64   `json:"memory_mb" validate:"gte=0"`
+	// MaxDescriptors is how many descriptors the entry may open; 0 for the process's limit.
+	MaxDescriptors int64 `json:"max_descriptors" validate:"gte=0"`
+	// ClientMemoryMB bounds what the entry holds of requests that clients send; 0 derives it
+	// from MemoryMB.
+	ClientMemoryMB int64 `json:"client_memory_mb" validate:"gte=0"`
+	// MaxClientConnections bounds clients' open connections; 0 derives it from
+	// MaxDescriptors and MemoryMB.
+	MaxClientConnections int `json:"max_client_connections" validate:"gte=0"`
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes int `json:"max_header_bytes" validate:"min=4096"`
+	// ClientStallMS is how long a request may stand still while it is sent or answered.
+	ClientStallMS int64 `json:"client_stall_ms" validate:"min=100"`
 	// VMOrdersPerS is how many moves and maintenance calls the platform takes.
 	VMOrdersPerS float64 `json:"vm_orders_per_s" validate:"gte=0"`
 	// Bounds of the platform.
@@ -54,6 +66,7 @@
 		VMOrdersPerS: 10, MaxLeaseMS: 6000, StopMS: 1000, StopGraceS: 6, KeepStateS: 120,
 		CheckpointS: 2, FarFactor: 2, MoveS: 2, MaintenanceS: 2, VMOrderLeaseMS: 3000,
 		DisruptionAwayMS: 4500, TailGraceMS: 4000, RestoreMS: 600,
+		MaxHeaderBytes: 32 << 10, ClientStallMS: 5000,
 	}
 }
 
