Bound what an entry holds for clients

Cause: bodies were read without a common bound, into buffers that double; a crowd that stops short of its end kept them for good. Headers without end took 1 MB each, parsed many times that. A legal body of many empty steps took over a hundred times its bytes once it was decoded. Nothing bounded connections, or the time for which a request or an unread response may stand still. Ruled out: a bound by the collector's memory limit, which does not bound live memory; a rejection of all newcomers at the bound, which lets the first crowd keep out everyone else. Change: the package ingress, used by both forms. A gate counts each byte of a body before there is a buffer for it, headers beyond 2 KB at sixteen times their bytes, and long responses that wait for their reader. When its bound is met it displaces the requests that hold most and progress least, never one that has been read whole; a part is left for small requests. Connections are bounded, and a newcomer takes the place of one that stands still. The manifest's limit is known before the read. The steps of a job are decoded one by one up to the number that a job may have.

--- a/entry/clientapi.go
+++ b/entry/clientapi.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/settings"
 )
 
@@ -23,10 +23,11 @@
 	settings   settings.Entry
 	dispatcher *dispatch.Dispatcher
 	metrics    *metrics
+	gate       *ingress.Gate
 }
 
-func newClientHandler(s settings.Entry, d *dispatch.Dispatcher, m *metrics, routes []clientRoutes) *gin.Engine {
-	c := &clientAPI{settings: s, dispatcher: d, metrics: m}
+func newClientHandler(s settings.Entry, d *dispatch.Dispatcher, m *metrics, gate *ingress.Gate, routes []clientRoutes) *gin.Engine {
+	c := &clientAPI{settings: s, dispatcher: d, metrics: m, gate: gate}
 	engine := newEngine()
 	engine.POST("/v1/queues/:queue/requests", c.submit)
 	for _, add := range routes {
@@ -66,21 +67,27 @@
 
 // readBody reads the whole request body, or responds with the error.
 func (c *clientAPI) readBody(g *gin.Context) ([]byte, bool) {
-	limited := http.MaxBytesReader(g.Writer, g.Request.Body, c.settings.MaxBodyBytes)
-	body, err := io.ReadAll(limited)
-	if err == nil {
+	body, refusal := c.gate.ReadBody(g.Request, c.settings.MaxBodyBytes)
+	if refusal == nil {
 		return body, true
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeProblem(g, http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body is over the limit of "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-		return nil, false
+	refusal.SetHeaders(g.Writer.Header())
+	title, detail := refusalTitles[refusal.Status], refusal.Message
+	if refusal.Status == http.StatusRequestEntityTooLarge {
+		detail = "the body is over the limit of " + strconv.FormatInt(c.settings.MaxBodyBytes, 10) + " bytes"
 	}
-	writeProblem(g, http.StatusBadRequest, "unreadable_body", "the body cannot be read: "+err.Error())
+	writeProblem(g, refusal.Status, title, detail)
 	return nil, false
 }
 
+// refusalTitles name the reasons for which a body is not read.
+var refusalTitles = map[int]string{
+	http.StatusRequestEntityTooLarge: "body_too_large",
+	http.StatusBadRequest:            "unreadable_body",
+	http.StatusRequestTimeout:        "body_timeout",
+	http.StatusServiceUnavailable:    "no_room",
+}
+
 // parseTimeout parses a timeout in seconds. It returns 0 for an empty text.
 func parseTimeout(text string) (time.Duration, error) {
 	if text == "" {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/logstream"
 	"github.com/anvilcourse/anvilcourse/peer"
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -43,6 +44,7 @@
 	Readiness    *readiness
 	Metrics      *metrics
 	Traffic      *traffic
+	Gate         *ingress.Gate
 	RecordEvents *recordEvents
 
 	BackgroundTasks []backgroundTask `group:"tasks"`
@@ -78,12 +80,12 @@
 	}
 	d.peerServer = peer.NewServer(d.Traffic.peers.Listener(listeners[0]), peerRoutes(d.PeerRoutes), d.Logger)
 	d.operatorServer = newHTTPServer(d.Operators.handler(d.OperatorRoutes))
-	d.clientServer = newHTTPServer(newClientHandler(d.Settings, d.Dispatcher, d.Metrics, d.ClientRoutes))
+	d.clientServer = d.Gate.Server(newClientHandler(d.Settings, d.Dispatcher, d.Metrics, d.Gate, d.ClientRoutes))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.run(d.peerServer.Serve)
 	d.run(func() { _ = d.operatorServer.Serve(listeners[1]) })
-	d.run(func() { _ = d.clientServer.Serve(listeners[2]) })
+	d.run(func() { _ = d.clientServer.Serve(d.Gate.Listener(listeners[2])) })
 	for _, work := range append(d.BackgroundTasks, backgroundTask{name: "join", run: d.join}) {
 		d.run(func() { work.run(ctx) })
 	}
--- a/entry/jobapi.go
+++ b/entry/jobapi.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/api"
 	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/job"
 	"github.com/anvilcourse/anvilcourse/settings"
 	"github.com/anvilcourse/anvilcourse/statemachine"
@@ -26,8 +27,8 @@
 	runner     *job.Runner
 }
 
-func newJobRoutes(s settings.Entry, d *dispatch.Dispatcher, runner *job.Runner) clientRoutes {
-	j := &jobAPI{clients: &clientAPI{settings: s}, dispatcher: d, runner: runner}
+func newJobRoutes(s settings.Entry, d *dispatch.Dispatcher, runner *job.Runner, gate *ingress.Gate) clientRoutes {
+	j := &jobAPI{clients: &clientAPI{settings: s, gate: gate}, dispatcher: d, runner: runner}
 	return func(engine *gin.Engine) {
 		engine.POST("/v1/queues/:queue/jobs", j.accept)
 		engine.GET("/v1/jobs/:job", j.get)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/anvilcourse/anvilcourse/dispatch"
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/quota"
 )
 
@@ -19,7 +20,7 @@
 	rejections *expvar.Map
 }
 
-func newMetrics(c *control, d *dispatch.Dispatcher, inDoubt *dispatch.InDoubtSet, ledger *quota.Ledger, t *traffic, demand *demandMonitor) *metrics {
+func newMetrics(c *control, d *dispatch.Dispatcher, inDoubt *dispatch.InDoubtSet, ledger *quota.Ledger, t *traffic, demand *demandMonitor, gate *ingress.Gate) *metrics {
 	m := &metrics{vars: new(expvar.Map), outcomes: new(expvar.Map), rejections: new(expvar.Map)}
 	m.vars.Set("requests", m.outcomes)
 	m.vars.Set("requests_without_answer", m.rejections)
@@ -32,6 +33,7 @@
 	m.gauge("removed_entries", func() any { return countRemovedEntries(c.State()) })
 	m.gauge("teams", func() any { return ledger.UsageByTeam() })
 	m.gauge("vms_needed", func() any { return demand.requiredVMs() })
+	m.gauge("clients", func() any { return gate.Counters() })
 	m.gauge("platform_bytes_in", func() any { return t.platform.In() })
 	m.gauge("platform_bytes_out", func() any { return t.platform.Out() })
 	m.gauge("peer_bytes_in", func() any { return t.peers.In() })
--- a/entry/operatorbody.go
+++ b/entry/operatorbody.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -15,7 +16,13 @@
 
 // readStrict decodes and validates the JSON body, or responds with the error.
 func readStrict(g *gin.Context, out any) bool {
+	g.Request.Body = http.MaxBytesReader(g.Writer, g.Request.Body, maxOperatorBody+1)
 	body, err := g.GetRawData()
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		writeProblem(g, http.StatusRequestEntityTooLarge, "body_too_large", "the body is over "+strconv.Itoa(maxOperatorBody)+" bytes")
+		return false
+	}
 	if err != nil {
 		writeProblem(g, http.StatusBadRequest, "unreadable_body", "the body cannot be read: "+err.Error())
 		return false
--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	maxSteps = 256
+	// MaxSteps is how many steps a job has at most.
+	MaxSteps = 256
 	// maxTasks bounds the memory that one job can take.
 	maxTasks = 20_000
 	// maxOccurrences limits the occurrences of a job.
 	maxOccurrences = 1_000_000
 	// maxDueMillis is the last millisecond of the year 9999, in Unix time.
 	maxDueMillis = 253_402_300_799_999
-	// maxEstimate bounds the estimate of a task: several times the sum over maxSteps is
+	// maxEstimate bounds the estimate of a task: several times the sum over MaxSteps is
 	// a time.Duration.
 	maxEstimate = 30 * 24 * time.Hour
 )
@@ -89,8 +90,8 @@
 	if len(s.Steps) == 0 {
 		return errors.New("the job has no steps")
 	}
-	if len(s.Steps) > maxSteps {
-		return errors.Newf("the job has %d steps, more than %d", len(s.Steps), maxSteps)
+	if len(s.Steps) > MaxSteps {
+		return errors.Newf("the job has %d steps, more than %d", len(s.Steps), MaxSteps)
 	}
 	if s.Occurrences < 0 || s.Occurrences > maxOccurrences {
 		return errors.Newf("the job repeats %d times, outside 0 to %d", s.Occurrences, maxOccurrences)
--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/scheduler"
@@ -24,10 +25,6 @@
 	drainFraction = 0.45
 	// closeFraction is the part for the last responses.
 	closeFraction = 0.2
-	// headerTimeout bounds the read of a call's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout closes idle client connections.
-	idleTimeout = 60 * time.Second
 	// maxReadyStaleness is the staleness up to which the entry is ready.
 	maxReadyStaleness = 1500 * time.Millisecond
 	// memoryLimitFraction is the garbage collector's limit as a part of the VM's
@@ -51,6 +48,7 @@
 	appender   *Appender
 	jobService *JobService
 	handler    http.Handler
+	gate       *ingress.Gate
 
 	leader   atomic.Pointer[Leader]
 	stopping atomic.Bool
@@ -68,14 +66,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	if err := d.listen(d.settings.Callers, d.handler); err != nil {
+	if err := d.listen(d.settings.Callers, d.handler, d.gate); err != nil {
 		return err
 	}
-	if err := d.listen(d.settings.Readiness, http.HandlerFunc(d.serveReadiness)); err != nil {
+	probes := newProbeGate(d.log)
+	if err := d.listen(d.settings.Readiness, http.HandlerFunc(d.serveReadiness), probes); err != nil {
 		return err
 	}
 	if d.settings.Metrics != "" {
-		if err := d.listen(d.settings.Metrics, http.HandlerFunc(d.serveMetrics)); err != nil {
+		if err := d.listen(d.settings.Metrics, http.HandlerFunc(d.serveMetrics), probes); err != nil {
 			// An entry can serve without metrics.
 			d.log.Warn("cannot listen on the metrics address", "address", d.settings.Metrics, "error", err)
 		}
@@ -96,15 +95,15 @@
 	}()
 }
 
-func (d *Daemon) listen(address string, handler http.Handler) error {
+func (d *Daemon) listen(address string, handler http.Handler, gate *ingress.Gate) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := gate.Server(handler)
 	d.servers = append(d.servers, s)
 	go func() {
-		if err := s.Serve(l); err != nil && !d.stopping.Load() {
+		if err := s.Serve(gate.Listener(l)); err != nil && !d.stopping.Load() {
 			d.log.Error("server stopped", "address", address, "error", err)
 		}
 	}()
@@ -124,7 +123,16 @@
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	// A client that disconnected needs no response.
-	_ = json.NewEncoder(w).Encode(d.metrics.snapshot())
+	_ = json.NewEncoder(w).Encode(d.snapshot())
+}
+
+// snapshot returns all counters of the entry.
+func (d *Daemon) snapshot() map[string]any {
+	out := d.metrics.snapshot()
+	for name, n := range d.gate.Counters() {
+		out[name] = n
+	}
+	return out
 }
 
 // runElections campaigns whenever the fleet has no leader.
--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -98,6 +98,7 @@
 	s.VMOrderLeaseMS, s.StopMS = 1000, 100
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: testLog})
 	store := platform.NewStore(s.Store)
+	gate := newClientGate(s, log)
 	metrics, late := NewMetrics(), lateness.NewMonitor(clockwork.NewRealClock())
 	follower := NewFollower(store, log)
 	operator := NewOperatorWatcher(store, platform.Decoder{}, log)
@@ -108,7 +109,7 @@
 		workers = p.wrapWorkers(workers)
 	}
 	d := newDaemon(s, store, workers, platform.NewVMs(s.VMs, s.Node), platform.NewAdvice(s.Store),
-		platform.Decoder{}, log, metrics, follower, operator, appender, jobService, platform.NewClientHandler(jobService), late)
+		platform.Decoder{}, log, metrics, follower, operator, appender, jobService, platform.NewClientHandler(jobService, gate, operator.maxBodyBytes), gate, late)
 	require.NoError(p.t, d.Start(p.t.Context()))
 	p.mu.Lock()
 	p.entries = append(p.entries, d)
--- a/fleetentry/module.go
+++ b/fleetentry/module.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/anvilcourse/anvilcourse/ingress"
 	"github.com/anvilcourse/anvilcourse/lateness"
 	"github.com/anvilcourse/anvilcourse/platform"
 	"github.com/anvilcourse/anvilcourse/settings"
@@ -35,7 +36,10 @@
 			NewOperatorWatcher,
 			func(s settings.FleetEntry, store Store, f *Follower) *Appender { return NewAppender(store, f, s.Node) },
 			NewJobService,
-			func(c *JobService) http.Handler { return platform.NewClientHandler(c) },
+			newClientGate,
+			func(c *JobService, gate *ingress.Gate, o *OperatorWatcher) http.Handler {
+				return platform.NewClientHandler(c, gate, o.maxBodyBytes)
+			},
 			newDaemon,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, d *Daemon, sink *LogSink) {
@@ -52,9 +56,9 @@
 }
 
 func newDaemon(s settings.FleetEntry, store Store, w Workers, v VMs, a Advice, dec Decoder, log hclog.Logger,
-	m *Metrics, f *Follower, o *OperatorWatcher, app *Appender, c *JobService, h http.Handler, late *lateness.Monitor) *Daemon {
+	m *Metrics, f *Follower, o *OperatorWatcher, app *Appender, c *JobService, h http.Handler, gate *ingress.Gate, late *lateness.Monitor) *Daemon {
 	return &Daemon{
 		settings: s, store: store, workers: w, vms: v, advice: a, decoder: dec, log: log, metrics: m,
-		follower: f, operator: o, appender: app, jobService: c, handler: h, lateness: late,
+		follower: f, operator: o, appender: app, jobService: c, handler: h, gate: gate, lateness: late,
 	}
 }
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,75 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// unreadTimeout bounds how long the server reads what a handler has left of a body, so that
+// its client sees the response before the connection ends.
+const unreadTimeout = 500 * time.Millisecond
+
+type connKey struct{}
+
+// Server returns a server whose requests the gate counts. It has to serve on a listener of
+// the gate.
+func (g *Gate) Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           g.handler(handler),
+		ReadHeaderTimeout: g.limits.HeaderTimeout,
+		IdleTimeout:       g.limits.IdleTimeout,
+		MaxHeaderBytes:    g.limits.HeaderBytes,
+		ConnState:         g.follow,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+}
+
+// follow follows the states of a connection.
+func (g *Gate) follow(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.phase.Store(phaseServed)
+	case http.StateIdle:
+		g.releaseAll(c)
+		c.begin(phaseIdle, time.Now())
+	}
+}
+
+// handler releases what a request holds when it has been served.
+func (g *Gate) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if g.pressed() {
+			w.Header().Set("Connection", "close")
+		}
+		c.readWhole = false
+		defer func() {
+			g.releaseAll(c)
+			if r.ContentLength != 0 && !c.readWhole {
+				c.extendRead(time.Now().Add(unreadTimeout))
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// connOf returns the request's connection, or one that stands for it in the counts if the
+// gate does not know it.
+func (g *Gate) connOf(r *http.Request) *conn {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return c
+	}
+	return &conn{gate: g}
+}
