Count clients' requests for less, and bound an append's bytes

Cause: the accounting cost 6 % of an HTTP request without work, most of it two deadlines a body and one a response. The first bytes of a body counted as header. Beside that, an append joined up to 256 waiting calls whatever their size: with many large legal bodies at once the store, which takes 2 MB in a call, refused them all, with the ordinary calls between them; so did one record larger than the store takes, which a legal body can give. Ruled out: no accounting for small bodies: a crowd of them would be unbounded. Change: one look a quarter of the stall time ends what stands still, in place of deadlines; times follow the steady clock. An append takes calls up to 1 MB; a record that no store takes is refused by itself, as too large.

--- a/fleetentry/appender.go
+++ b/fleetentry/appender.go
@@ -12,6 +12,11 @@
 const (
 	// maxBatchCalls bounds the calls of one append.
 	maxBatchCalls = 256
+	// maxBatchBytes bounds the records of one append: half of what the store takes in one
+	// call.
+	maxBatchBytes = 1 << 20
+	// maxRecordBytes is the largest record that the store takes.
+	maxRecordBytes = 256 << 10
 	// batchDelay lets the records of several callers share an append.
 	batchDelay = 3 * time.Millisecond
 	// appendRetryDelay is the delay before a failed append is retried.
@@ -21,6 +26,11 @@
 	refusalRetryWindow = 130 * time.Millisecond
 )
 
+// errRecordTooLarge says that the store takes no record of the call's size.
+var errRecordTooLarge = &provider.Error{
+	Op: "ledger.append", Outcome: provider.Refused, Code: provider.CodeInvalid, Message: "the store takes no record of this size",
+}
+
 // Appender batches the records of concurrent callers. A record may be appended more
 // than once.
 type Appender struct {
@@ -62,6 +72,10 @@
 // Append returns once the records are stored. The error's outcome is Refused only if
 // no attempt can have taken effect.
 func (a *Appender) Append(ctx context.Context, records []fleet.Record, deadline time.Time) error {
+	if size := recordBytes(records); size > maxRecordBytes {
+		// An append with it would fail for all the calls that share it.
+		return errRecordTooLarge
+	}
 	retryRefusalsUntil := time.Now().Add(refusalRetryWindow)
 	if deadline.Before(retryRefusalsUntil) {
 		retryRefusalsUntil = deadline
@@ -96,25 +110,54 @@
 // Run serves calls until the context ends. One batch is in flight at a time: calls
 // that arrive meanwhile share the next append.
 func (a *Appender) Run(ctx context.Context) {
+	// left is a call that did not fit into the batch before.
+	var left *appendCall
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-a.queue:
+		first := left
+		if first == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case first = <-a.queue:
+			}
 			sleep(ctx, batchDelay)
-			batch := []*appendCall{first}
-			for len(batch) < maxBatchCalls {
-				select {
-				case next := <-a.queue:
-					batch = append(batch, next)
-					continue
-				default:
-				}
-				break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		var batch []*appendCall
+		batch, left = a.collect(first)
+		a.appendBatch(ctx, batch)
+	}
+}
+
+// collect returns the calls that wait, as many as one append takes, and the one after them
+// if that does not fit.
+func (a *Appender) collect(first *appendCall) (batch []*appendCall, left *appendCall) {
+	batch = []*appendCall{first}
+	size := recordBytes(first.records)
+	for len(batch) < maxBatchCalls {
+		select {
+		case next := <-a.queue:
+			size += recordBytes(next.records)
+			if size > maxBatchBytes {
+				return batch, next
 			}
-			a.appendBatch(ctx, batch)
+			batch = append(batch, next)
+		default:
+			return batch, nil
 		}
 	}
+	return batch, nil
+}
+
+// recordBytes is what the records take in the store.
+func recordBytes(records []fleet.Record) int {
+	size := 0
+	for i := range records {
+		size += 1 + len(records[i].Key) + len(records[i].Value)
+	}
+	return size
 }
 
 // appendBatch appends one batch, with retries while its callers wait.
--- a/fleetentry/jobservice.go
+++ b/fleetentry/jobservice.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -160,6 +161,8 @@
 	switch {
 	case err == nil:
 		return fleet.Reply{Kind: fleet.ReplyAccepted}
+	case errors.Is(err, errRecordTooLarge):
+		return fleet.Reply{Kind: fleet.ReplyTooLarge, Message: err.Error()}
 	case provider.OutcomeOf(err) == provider.Refused:
 		return fleet.Reply{Kind: fleet.ReplyRejected, RetryAfter: storeLostRetryAfter, Message: err.Error()}
 	default:
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -44,8 +44,6 @@
 	conn  *conn
 	limit int64
 	buf   []byte
-	// deadlineAt is when the deadline of reads was last set.
-	deadlineAt, startedAt time.Time
 }
 
 // ReadBody reads the whole body of a request, at most limit bytes. What it takes is held
@@ -58,8 +56,9 @@
 	if r.ContentLength > limit {
 		return nil, g.refuse(errTooLarge, now)
 	}
-	b := &bodyReader{gate: g, conn: g.connOf(r), limit: limit, startedAt: now}
+	b := &bodyReader{gate: g, conn: g.connOf(r), limit: limit}
 	b.conn.begin(phaseBody, now)
+	g.watch()
 	err := b.read(r)
 	if err == nil {
 		err = g.whole(b.conn)
@@ -74,7 +73,6 @@
 		return nil, g.refuse(err, time.Now())
 	}
 	b.conn.readWhole = true
-	b.conn.extendRead(time.Time{})
 	return b.buf, nil
 }
 
@@ -96,7 +94,6 @@
 				return err
 			}
 		}
-		b.extend(time.Now())
 		n, err := r.Body.Read(b.buf[len(b.buf):cap(b.buf)])
 		b.buf = b.buf[:len(b.buf)+n]
 		if err == io.EOF {
@@ -133,21 +130,10 @@
 	return nil
 }
 
-// extend lets the read go on while the body comes, at minRate or faster.
-func (b *bodyReader) extend(now time.Time) {
-	stall := b.gate.limits.Stall
-	if now.Sub(b.deadlineAt) < stall/4 {
-		return
-	}
-	b.deadlineAt = now
-	latest := b.startedAt.Add(stall + time.Duration(len(b.buf))*time.Second/minRate)
-	if deadline := now.Add(stall); deadline.Before(latest) {
-		latest = deadline
-	}
-	b.conn.extendRead(latest)
-}
-
-var errTooLarge = errors.New("the body is larger than allowed")
+var (
+	errTooLarge = errors.New("the body is larger than allowed")
+	errStalled  = errors.New("the body has stood still")
+)
 
 // refuse counts the reason and returns the refusal for it.
 func (g *Gate) refuse(err error, now time.Time) *Refusal {
@@ -158,7 +144,7 @@
 	case errors.Is(err, errNoRoom), errors.Is(err, errDisplaced):
 		g.counters.count(reasonFull, now)
 		return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Message: err.Error()}
-	case isTimeout(err):
+	case errors.Is(err, errStalled), isTimeout(err):
 		g.counters.count(reasonStalled, now)
 		return &Refusal{Status: http.StatusRequestTimeout, Message: "the body has not come in time"}
 	default:
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -11,11 +11,12 @@
 	// goodRate is the rate, in bytes a second, at which a request does not fall behind: a
 	// quarter of the slowest link that clients have.
 	goodRate = 64 << 10
-	// freeHeaderBytes is the part of a header that the connection's own cost covers.
-	freeHeaderBytes = 2 << 10
+	// freeHeaderBytes is the part of a header that the connection's own cost covers: the
+	// server's first read, which may hold the begin of the body, too.
+	freeHeaderBytes = 4 << 10
 	// headerWeight is how many bytes a byte of a header takes once it is parsed: the
 	// shortest lines are a key and a value of a map each.
-	headerWeight = 16
+	headerWeight = 8
 	// writePiece is how much is written at once; longer responses are counted.
 	writePiece = 64 << 10
 	// freeWriteBytes is the size of a response that the connection's own cost covers.
@@ -31,6 +32,11 @@
 	phaseServed
 )
 
+// epoch is the origin of the times of connections. They follow the steady clock.
+var epoch = time.Now()
+
+func nanos(t time.Time) int64 { return int64(t.Sub(epoch)) }
+
 // conn is a client's connection and what is held for its request.
 type conn struct {
 	net.Conn
@@ -39,14 +45,14 @@
 
 	phase     atomic.Int32
 	displaced atomic.Bool
-	// startedAt, movedAt and writingSince are Unix times in nanoseconds: when the request
+	// startedAt, movedAt and writingSince are nanoseconds from epoch: when the request
 	// began, when its last bytes came and since when a write waits, 0 for no write.
 	startedAt, movedAt, writingSince atomic.Int64
 	// received is how many bytes of the request have come since startedAt.
 	received atomic.Int64
-	// held and gone are guarded by the gate's lock.
-	held int64
-	gone bool
+	// held is written under the gate's lock, which guards gone and stalled, too.
+	held          atomic.Int64
+	gone, stalled bool
 	// readWhole says that the body of the request being served has been read; only the
 	// request's handler uses it.
 	readWhole bool
@@ -57,8 +63,8 @@
 
 // begin starts a phase in which the client has to send.
 func (c *conn) begin(phase int32, now time.Time) {
-	c.startedAt.Store(now.UnixNano())
-	c.movedAt.Store(now.UnixNano())
+	c.startedAt.Store(nanos(now))
+	c.movedAt.Store(nanos(now))
 	c.received.Store(0)
 	c.phase.Store(phase)
 }
@@ -66,7 +72,7 @@
 // lag is how far the client is behind: the time for which it has stood still, or by which
 // it is slower than goodRate. It is 0 while the entry has the request.
 func (c *conn) lag(now time.Time) time.Duration {
-	at := now.UnixNano()
+	at := nanos(now)
 	switch c.phase.Load() {
 	case phaseServed:
 		if since := c.writingSince.Load(); since != 0 {
@@ -93,7 +99,7 @@
 	case phaseIdle:
 		c.begin(phaseHeader, time.Now())
 	default:
-		c.movedAt.Store(time.Now().UnixNano())
+		c.movedAt.Store(nanos(time.Now()))
 	}
 	received := c.received.Add(int64(n))
 	if c.phase.Load() != phaseHeader || received <= freeHeaderBytes {
@@ -101,14 +107,14 @@
 	}
 	counted := min(int64(n), received-freeHeaderBytes)
 	if holdErr := c.gate.hold(c, counted*headerWeight, 0); holdErr != nil {
-		c.gate.counters.count(reasonHeader, time.Now())
+		c.gate.refuseHeader(c)
 		// The HTTP server ends a connection whose read fails without a response.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: holdErr}
 	}
 	return n, err
 }
 
-// Write implements net.Conn. Each piece has the stall time to be taken by the client.
+// Write implements net.Conn. The client has the stall time to take each piece.
 func (c *conn) Write(p []byte) (int, error) {
 	if len(p) > freeWriteBytes {
 		c.gate.force(c, int64(len(p)))
@@ -117,16 +123,10 @@
 	defer c.writingSince.Store(0)
 	written := 0
 	for {
-		now := time.Now()
-		c.writingSince.Store(now.UnixNano())
-		if err := c.SetWriteDeadline(now.Add(c.gate.limits.Stall)); err != nil {
-			return written, err
-		}
+		c.writingSince.Store(nanos(time.Now()))
+		c.gate.watch()
 		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
 		written += n
-		if err != nil && isTimeout(err) {
-			c.gate.counters.count(reasonSlowReader, now)
-		}
 		if err != nil || written == len(p) {
 			return written, err
 		}
--- a/ingress/displace.go
+++ b/ingress/displace.go
@@ -23,25 +23,27 @@
 	}
 	g.holdScannedAt = now
 	victims := g.behind(minHoldLag, now, func(other *conn, lag time.Duration) float64 {
-		if other == c || other.held == 0 {
+		if other == c || other.held.Load() == 0 {
 			return 0
 		}
-		return lag.Seconds() * float64(other.held) * float64(g.hosts[other.host].held)
+		return lag.Seconds() * float64(other.held.Load()) * float64(g.hosts[other.host].held)
 	})
 	for _, v := range victims {
 		if need <= 0 {
 			return
 		}
-		need -= v.held
-		g.giveUp(v, now)
+		need -= v.held.Load()
+		g.giveUp(v, reasonDisplaced, now)
 	}
 }
 
 // giveUp ends the request's read, or its connection if its response waits for the reader.
-func (g *Gate) giveUp(v *conn, now time.Time) {
-	v.displaced.Store(true)
-	g.leaving += v.held
-	g.counters.count(reasonDisplaced, now)
+func (g *Gate) giveUp(v *conn, reason string, now time.Time) {
+	if v.displaced.Swap(true) {
+		return
+	}
+	g.leaving += v.held.Load()
+	g.counters.count(reason, now)
 	if v.phase.Load() == phaseServed {
 		go v.Close()
 		return
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -38,7 +38,9 @@
 type Gate struct {
 	limits   Limits
 	counters counters
-	// turnedAwayAt is when a connection last found no place, in Unix nanoseconds.
+	// watching says that clients who stand still will be looked for.
+	watching atomic.Bool
+	// turnedAwayAt is when a connection last found no place, in nanoseconds from epoch.
 	turnedAwayAt atomic.Int64
 
 	mu    sync.Mutex
@@ -48,6 +50,8 @@
 	hosts         map[string]*hostUse
 	// freed is closed, and replaced, when bytes are released.
 	freed chan struct{}
+	// waiting is how many requests wait for it.
+	waiting int
 	// holdScannedAt and connScannedAt are when the connections were last looked through for
 	// bytes and, in vain, for a place.
 	holdScannedAt, connScannedAt time.Time
@@ -71,7 +75,7 @@
 // no client keeps its place by sending request after request.
 func (g *Gate) pressed() bool {
 	at := g.turnedAwayAt.Load()
-	return at != 0 && time.Now().UnixNano()-at < int64(pressedTime)
+	return at != 0 && nanos(time.Now())-at < int64(pressedTime)
 }
 
 // Counters returns what the gate holds and whom it has turned away, by reason.
@@ -111,8 +115,12 @@
 // await waits, without the lock, until bytes are released or the time is over.
 func (g *Gate) await(most time.Duration) {
 	freed := g.freed
+	g.waiting++
 	g.mu.Unlock()
-	defer g.mu.Lock()
+	defer func() {
+		g.mu.Lock()
+		g.waiting--
+	}()
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
@@ -123,7 +131,7 @@
 
 // room is how many bytes may be held in all for the connection's request to grow by n.
 func (g *Gate) room(c *conn, n int64) int64 {
-	if c.held+n <= smallRequestBytes {
+	if c.held.Load()+n <= smallRequestBytes {
 		return g.limits.HeldBytes
 	}
 	return int64(float64(g.limits.HeldBytes) * largeShare)
@@ -145,7 +153,7 @@
 	if c.gone {
 		return
 	}
-	c.held += n
+	c.held.Add(n)
 	g.held += n
 	if use, known := g.hosts[c.host]; known {
 		use.held += n
@@ -153,7 +161,7 @@
 	if c.displaced.Load() {
 		g.leaving += n
 	}
-	if n < 0 {
+	if n < 0 && g.waiting > 0 {
 		close(g.freed)
 		g.freed = make(chan struct{})
 	}
@@ -168,11 +176,19 @@
 
 // releaseAll returns all that the connection holds.
 func (g *Gate) releaseAll(c *conn) {
+	if c.held.Load() == 0 {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.held > 0 {
-		g.add(c, -c.held)
-	}
+	g.add(c, -c.held.Load())
+}
+
+// refuseHeader gives up a connection whose header finds no room.
+func (g *Gate) refuseHeader(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.giveUp(c, reasonHeader, time.Now())
 }
 
 // whole marks the connection's request as read whole, unless it has been displaced.
@@ -182,6 +198,9 @@
 	if c.displaced.Load() {
 		return errDisplaced
 	}
+	if c.stalled {
+		return errStalled
+	}
 	c.phase.Store(phaseServed)
 	return nil
 }
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -36,7 +36,7 @@
 	c.begin(phaseHeader, now)
 	victim, admitted := g.enter(c, now)
 	if !admitted {
-		g.turnedAwayAt.Store(now.UnixNano())
+		g.turnedAwayAt.Store(nanos(now))
 		g.counters.count(reasonConnections, now)
 		return nil
 	}
@@ -81,9 +81,7 @@
 		return
 	}
 	delete(g.conns, c)
-	if c.held != 0 {
-		g.add(c, -c.held)
-	}
+	g.add(c, -c.held.Load())
 	c.gone = true
 	use := g.hosts[c.host]
 	use.conns--
--- a/pressure/platform_test.go
+++ b/pressure/platform_test.go
@@ -32,7 +32,11 @@
 
 // startPlatform starts the emulated platform and one entry of a small VM, and waits
 // until the entry serves.
-func startPlatform(t *testing.T) entryUnderTest {
+func startPlatform(t *testing.T) entryUnderTest { return startPlatformWith(t, 0) }
+
+// startPlatformWith lets the entry have that many connections of clients; 0 for what it
+// derives.
+func startPlatformWith(t *testing.T, connections int) entryUnderTest {
 	store := emulator.NewStore()
 	fleet := emulator.NewFleet(store)
 	t.Cleanup(fleet.Close)
@@ -48,7 +52,7 @@
 	s := settings.DefaultFleetEntry()
 	s.Node, s.AvailabilityZone, s.Store, s.VMs = "entry-0", "z1", storeServer.Listener.Addr().String(), vmServer.Listener.Addr().String()
 	s.Callers, s.Readiness, s.StopGraceS = addresses[0], addresses[1], 1
-	s.MemoryMB, s.MaxDescriptors = platformMB, platformDescriptors
+	s.MemoryMB, s.MaxDescriptors, s.MaxClientConnections = platformMB, platformDescriptors, connections
 	raw, err := json.Marshal(s)
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.json")
