--- a/fleetentry/clientgate.go
+++ b/fleetentry/clientgate.go
@@ -22,9 +22,9 @@
 	// kernel holds unread.
 	connectionMemoryFraction = 1.0 / 8
 	connectionBytes          = 32 << 10
-	// connectionFraction is the part of the descriptors for clients: a leader needs the most
-	// of them for workers.
-	connectionFraction = 1.0 / 8
+	// connectionFraction is the part of the descriptors for clients, several times what the
+	// clients of a large fleet have open in all: a leader needs nearly all others for workers.
+	connectionFraction = 1.0 / 16
 	// reservedDescriptors are those that no socket may use.
 	reservedDescriptors = 200
 	// minClientMB and minConnections are for VMs whose limits the settings do not name.
