--- a/ingress/body.go
+++ b/ingress/body.go
@@ -73,6 +73,10 @@
 		return nil, g.refuse(err, time.Now())
 	}
 	b.conn.readWhole = true
+	if b.conn.Conn == nil {
+		// No handler of the gate releases it later.
+		g.releaseAll(b.conn)
+	}
 	return b.buf, nil
 }
 
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -270,3 +270,47 @@
 		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/conns, "B/conn")
 	}
 }
+
+// TestWrite_EndsAReaderThatStandsStill writes more than the kernel holds for a client that
+// does not read.
+func TestWrite_EndsAReaderThatStandsStill(t *testing.T) {
+	limits := testLimits()
+	limits.Stall = 100 * time.Millisecond
+	g := NewGate(limits, hclog.NewNullLogger())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 64<<20))
+		ended <- err
+	}))
+	go func() { _ = server.Serve(g.Listener(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	send(t, l.Addr().String(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Error(t, <-ended)
+	require.EqualValues(t, 1, g.Counters()["clients_closed_slow_reader"])
+	require.Eventually(t, func() bool { return heldBytes(g) == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// TestConnections_EndWithTheirResponseWhilePressed fills the places with clients that send
+// request after request: each loses its place once a newcomer has found none.
+func TestConnections_EndWithTheirResponseWhilePressed(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 1
+	_, address := startGate(t, limits)
+	busy := send(t, address, post(1, "x"))
+	reader := bufio.NewReader(busy)
+	exchange := func() *http.Response {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		return resp
+	}
+	require.False(t, exchange().Close)
+	status, _, _ := answer(t, send(t, address, ""))
+	require.Zero(t, status, "the newcomer finds no place")
+	_, err := io.WriteString(busy, post(1, "x"))
+	require.NoError(t, err)
+	require.True(t, exchange().Close)
+}
