Leave a wave's last rounds to VMs that are away

Cause: a wave left its VMs for the last round that fits all of them together.

Ruled out: interrupting short tasks for VMs that nobody can reach; taking the silent rack's VMs as done.

Change: the pace of a wave is a decision of its own (scheduler/wavepace.go). While VMs are away, those within reach are drained as soon as their rounds and those of the absent VMs no longer fit in what is left, also in busy pools, up to half of one; VMs that are back go first. The limit and the disruption budgets stand as before, and so does a wave without absent VMs.

Before and after: TestWave_RackDarkInTheMiddle is red without the policy and green with it.

--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 	// Kind names the event, such as "task.requeued": the subject, a dot and what
 	// happened.
 	Kind string
-	// ID identifies the task, job, worker, VM, pool or zone.
+	// ID identifies the task, job, worker, VM, pool, zone or wave.
 	ID string
 	// Reason gives the inputs of the decision.
 	Reason string
@@ -16,11 +16,11 @@
 	Attempt int
 }
 
-// SubjectKind returns what the ID identifies: a request, a worker, a VM, a pool or an
-// availability zone.
+// SubjectKind returns what the ID identifies: a request, a worker, a VM, a pool, an
+// availability zone or a wave.
 func (e *Event) SubjectKind() string {
 	switch subject, _, _ := strings.Cut(e.Kind, "."); subject {
-	case "worker", "vm", "pool", "zone":
+	case "worker", "vm", "pool", "zone", "wave":
 		return subject
 	default:
 		return "request"
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -22,6 +22,10 @@
 	finishedCount int64
 	// startup is how long a long-running task takes to become ready.
 	startup time.Duration
+	// silent workers answer no polls, and their VMs are down.
+	silent map[string]bool
+	// maintainedUntil is until when the list shows VMs as under maintenance.
+	maintainedUntil map[string]time.Time
 	// attempts counts the runs of each task, recorded are the records that advance stored.
 	attempts map[fleet.TaskID]int
 	recorded []ledgerRecord
@@ -55,7 +59,7 @@
 }
 
 func newTestFleet(t testing.TB) *testFleet {
-	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{}, attempts: map[fleet.TaskID]int{},
+	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{}, attempts: map[fleet.TaskID]int{}, silent: map[string]bool{}, maintainedUntil: map[string]time.Time{},
 		runs: map[string]map[fleet.TaskID]*fakeRun{}, finished: map[string][]fleet.FinishedRun{}}
 	f.s = f.newLeader(1)
 	return f
@@ -87,7 +91,13 @@
 func (f *testFleet) vms() []fleet.VM {
 	var list []fleet.VM
 	for id, w := range f.workers {
-		list = append(list, fleet.VM{Name: id[2:], Pool: w.Pool, State: fleet.VMUp, AvailabilityZone: w.AvailabilityZone, Labels: w.Labels, Capacity: w.Capacity, WorkerID: id})
+		v := fleet.VM{Name: id[2:], Pool: w.Pool, State: fleet.VMUp, AvailabilityZone: w.AvailabilityZone, Labels: w.Labels, Capacity: w.Capacity, WorkerID: id}
+		if f.now.Before(f.maintainedUntil[v.Name]) {
+			v.State, v.WorkerID = fleet.VMInMaintenance, ""
+		} else if f.silent[id] {
+			v.State, v.WorkerID = fleet.VMDown, ""
+		}
+		list = append(list, v)
 	}
 	return list
 }
@@ -110,6 +120,10 @@
 	if !known {
 		return
 	}
+	if f.silent[id] {
+		f.s.HandlePollFailure(f.s.workers[id].endpoint(), unknownOutcome(), f.now)
+		return
+	}
 	status := fleet.WorkerStatus{ClockMillis: f.now.UnixMilli(), StartedAtMillis: f.workers[id].StartedAtMillis}
 	remaining := f.finished[id][:0]
 	for _, finished := range f.finished[id] {
--- a/scheduler/waves.go
+++ b/scheduler/waves.go
@@ -17,6 +17,12 @@
 	// answeredAt is when each VM's maintenance request succeeded.
 	answeredAt map[string]time.Time
 	completed  bool
+	// awaySince is since when VMs that are still to be maintained have been away;
+	// wasAway holds those that are back.
+	awaySince map[string]time.Time
+	wasAway   map[string]bool
+	// pressed reports that the log tells of the pace.
+	pressed bool
 }
 
 const (
@@ -27,11 +33,9 @@
 	lateDrainTimeout = 300 * time.Millisecond
 	// maxPoolShareDown is the fraction of a pool that a wave on schedule takes at once.
 	maxPoolShareDown = 0.25
-	// urgentRounds is the number of rounds of maintenance before its end from which a
-	// wave needs all its VMs.
-	urgentRounds = 2
-	// waveReserve is the fraction of the wave's time reserved for delays.
-	waveReserve = 0.3
+	// maxPoolSharePressed is the same for a wave that has to get ahead: half of each pool
+	// goes on serving.
+	maxPoolSharePressed = 0.5
 )
 
 // SetWave adds a wave that the operator published, with its state in the ledger.
@@ -42,7 +46,7 @@
 		}
 		return
 	}
-	w := &wave{def: def, firstSeenAt: firstSeen, startedVMs: map[string]bool{}, answeredAt: map[string]time.Time{}}
+	w := &wave{def: def, firstSeenAt: firstSeen, startedVMs: map[string]bool{}, answeredAt: map[string]time.Time{}, awaySince: map[string]time.Time{}, wasAway: map[string]bool{}}
 	for _, name := range startedVMs {
 		w.startedVMs[name] = true
 	}
@@ -143,10 +147,10 @@
 			waiting = append(waiting, v)
 		}
 	}
-	late := s.behindSchedule(w, now)
+	pace := s.paceOf(w, now)
 	sort.Slice(draining, func(i, k int) bool { return s.runCount(draining[i]) < s.runCount(draining[k]) })
 	for _, v := range draining {
-		if down < w.def.MaxUnavailable && s.stabilized(now) && s.acceptsOperation(v, now) && s.mayMaintain(v, late, now) {
+		if down < w.def.MaxUnavailable && s.stabilized(now) && s.acceptsOperation(v, now) && s.mayMaintain(v, pace == paceLate, now) {
 			s.startOperation(v, VMOperation{Kind: VMMaintain, VM: v.info.Name, Wave: w.def.Number}, now)
 			down++
 		} else if worker := s.workerOf(v); worker != nil {
@@ -159,7 +163,7 @@
 			budget--
 		}
 	}
-	s.startDrains(w, waiting, budget, late, now)
+	s.startDrains(w, waiting, budget, pace, now)
 }
 
 // underMaintenance reports whether the VM may still be down for its maintenance.
@@ -170,20 +174,6 @@
 	return v.operation != nil && v.operation.Kind == VMMaintain
 }
 
-// endsSoon reports whether the wave's time is over in a few rounds of maintenance.
-func (s *Scheduler) endsSoon(w *wave, now time.Time) bool {
-	left := w.def.MaxDuration - now.Sub(w.firstSeenAt)
-	return left < urgentRounds*(s.cfg.MaintenanceTime+drainTimeout)
-}
-
-// behindSchedule reports whether the wave risks missing its time limit.
-func (s *Scheduler) behindSchedule(w *wave, now time.Time) bool {
-	rounds := (s.pendingVMs(w) + w.def.MaxUnavailable - 1) / w.def.MaxUnavailable
-	need := time.Duration(rounds) * (s.cfg.MaintenanceTime + drainTimeout)
-	left := w.def.MaxDuration - now.Sub(w.firstSeenAt)
-	return need > left-time.Duration(float64(w.def.MaxDuration)*waveReserve)/2
-}
-
 func (s *Scheduler) runCount(v *vm) int {
 	if w := s.workerOf(v); w != nil {
 		return len(w.tasks)
@@ -192,13 +182,17 @@
 }
 
 // startDrains picks the VMs that are drained next: spare ones first, then those with
-// the fewest tasks, from pools that have few VMs down.
-func (s *Scheduler) startDrains(w *wave, waiting []*vm, budget int, late bool, now time.Time) {
+// the fewest tasks, from pools that have few VMs down. A wave that has to get ahead takes
+// those first that have been away: they may leave again.
+func (s *Scheduler) startDrains(w *wave, waiting []*vm, budget int, pace wavePace, now time.Time) {
 	sort.Slice(waiting, func(i, k int) bool {
 		a, b := waiting[i], waiting[k]
 		if spareA, spareB := s.isSpare(a.info.Pool), s.isSpare(b.info.Pool); spareA != spareB {
 			return spareA
 		}
+		if pace != paceRelaxed && w.wasAway[a.info.Name] != w.wasAway[b.info.Name] {
+			return w.wasAway[a.info.Name]
+		}
 		if na, nb := s.longRunningCount(a), s.longRunningCount(b); na != nb {
 			return na < nb
 		}
@@ -219,8 +213,7 @@
 			return
 		}
 		pool := v.info.Pool
-		maxDown := max(1, int(float64(size[pool])*maxPoolShareDown))
-		if !late && !s.isSpare(pool) && (down[pool] >= maxDown || s.highlyUtilized(pool)) && s.runCount(v) > 0 {
+		if s.runCount(v) > 0 && !s.isSpare(pool) && !s.mayDrain(pool, down[pool], size[pool], pace) {
 			continue
 		}
 		s.drain(v, VMMaintain, now)
