Take back pressing waves with room for a change of leader

All long-running tasks had lapsed while the store was away; the next leader placed them anew at 24.06 s, some on VMs that the wave still needs, and gave no order for those four until 31.4 s. That fits the disruption budgets, which hold while so many tasks of a step are not at work yet; the log does not tell for certain.

--- a/scheduler/wavepace.go
+++ b/scheduler/wavepace.go
@@ -28,9 +28,6 @@
 	// awayAfter is how long a VM has no worker that responds before a wave plans for its
 	// absence: after a move, a worker takes less than this until its first status.
 	awayAfter = statusFreshFor
-	// successionTime is how long a fleet may be without a leader that decides: the others
-	// notice the silence, and one of them reads the ledger.
-	successionTime = 1500 * time.Millisecond
 )
 
 // paceOf returns the wave's pace, planned backwards from its end: the last rounds of
@@ -46,7 +43,7 @@
 	switch {
 	case time.Duration(w.rounds(pending))*round > left:
 		return paceLate
-	case time.Duration(w.rounds(pending-away)+w.rounds(away))*round+s.successionReserve() > left:
+	case away > 0 && time.Duration(w.rounds(pending-away)+w.rounds(away))*round > left:
 		s.reportPressed(w, pending, away, now)
 		return pacePressed
 	default:
@@ -54,11 +51,6 @@
 	}
 }
 
-// successionReserve is for how long nothing is ordered if the leader ends.
-func (s *Scheduler) successionReserve() time.Duration {
-	return successionTime + stabilizationPeriod + s.cfg.MaxStopTime
-}
-
 // rounds returns how many times the wave's limit the VMs are.
 func (w *wave) rounds(vms int) int { return (vms + w.def.MaxUnavailable - 1) / w.def.MaxUnavailable }
 
