--- a/scheduler/wavepace_test.go
+++ b/scheduler/wavepace_test.go
@@ -76,3 +76,45 @@
 	}
 	require.Len(t, maintained, len(vms), "the wave is not over in time")
 }
+
+// TestWave_BudgetsTakeLonger replays a wave in a full pool whose VMs all have a task of one
+// step, of which one may be unavailable: the moves of these tasks take most of the wave's time
+// and must begin with it.
+func TestWave_BudgetsTakeLonger(t *testing.T) {
+	const duration = 24 * time.Second
+	f := newTestFleet(t)
+	f.removeSparePool()
+	f.startup = 1700 * time.Millisecond
+	var vms []string
+	for i := range 8 {
+		vms = append(vms, fmt.Sprintf("a%02d", i))
+		f.addVM(vms[i], testPool, 4)
+	}
+	f.addVM("b", testPool, 4)
+	step := longRunningStep(8, 1)
+	step.MaxPerWorker = 1
+	f.s.Submit(f.newJob("serve", step), f.now)
+	f.advance(3 * time.Second)
+	jobs := 0
+	load := func() []VMOperation {
+		f.s.Submit(f.newJob(jobID(jobs), fleet.Step{Count: 6, EstimateMillis: 400}), f.now)
+		jobs++
+		return f.advanceAndPlan(100 * time.Millisecond)
+	}
+	for range 10 {
+		load()
+	}
+	began := f.now
+	f.s.SetWave(fleet.Wave{Number: 1, VMs: vms, MaxDuration: duration, MaxUnavailable: 8}, f.now, nil)
+	maintained := map[string]bool{}
+	for f.now.Sub(began) < duration {
+		for _, o := range load() {
+			others := total(f.running("serve")) - f.running("serve")["w-"+o.VM]
+			require.GreaterOrEqual(t, others, 7, "more tasks are unavailable than the budget allows")
+			maintained[o.VM] = true
+			f.maintainedUntil[o.VM] = f.now.Add(f.s.cfg.MaintenanceTime)
+			f.maintain(o)
+		}
+	}
+	require.Len(t, maintained, len(vms), "the wave is not over in time")
+}
