--- a/scheduler/wavepace.go
+++ b/scheduler/wavepace.go
@@ -46,9 +46,6 @@
 	case away > 0 && time.Duration(w.rounds(pending-away)+w.rounds(away))*round > left:
 		s.reportPressed(w, pending, away, now)
 		return pacePressed
-	case pending > 0 && s.budgetTime(w)+round > left:
-		s.reportPressed(w, pending, away, now)
-		return pacePressed
 	default:
 		return paceRelaxed
 	}
@@ -63,8 +60,8 @@
 		return
 	}
 	w.pressed = true
-	s.emit(Event{Kind: "wave.pressed", ID: fmt.Sprint(w.def.Number), Reason: fmt.Sprintf("%d VMs are left, %d of them away, %d may be down at once; the disruption budgets take %d ms or more, %d ms are left",
-		pending, away, w.def.MaxUnavailable, s.budgetTime(w).Milliseconds(), (w.def.MaxDuration - now.Sub(w.firstSeenAt)).Milliseconds())})
+	s.emit(Event{Kind: "wave.pressed", ID: fmt.Sprint(w.def.Number), Reason: fmt.Sprintf("%d VMs are left, %d of them away, %d may be down at once; %d ms are left",
+		pending, away, w.def.MaxUnavailable, (w.def.MaxDuration - now.Sub(w.firstSeenAt)).Milliseconds())})
 }
 
 // countAway counts the VMs of the wave that are still to be maintained and have been away
