Revive no run by a status that its end has overtaken

A task was stopped, and a waiting poll returned its end; 8 ms later the response to a poll that was sent later, but answered before the stop, still showed the run. The leader adopted the run, counted the task as available, and stopped a third one of a step of which two may be missing. Waves can meet that as well.

Ruled out: ordering statuses by the time of their polls, which is what failed; by the worker's clock alone, which has the same millisecond for both at times.

Change: a task remembers its last run whose end a worker has listed, with the worker's incarnation, and a status that shows that run has no say about it. Another incarnation may still execute a delayed start, which is adopted or stopped as before. The tests of evacuations are made stricter where taking out a guard left them green.

Conclusion: an end that a worker has listed is final for that incarnation.

--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -59,6 +59,8 @@
 	f.advance(100 * time.Millisecond)
 	require.Equal(t, 8, f.runsIn("z0", "before"))
 	f.s.SetEvacuations([]string{"z0"}, f.now)
+	require.True(t, f.s.canVacate(f.s.vms["z1a"], f.now))
+	require.False(t, f.s.canVacate(f.s.vms["z0a"], f.now), "a VM is emptied for a pool where it would be of no use")
 	f.s.Submit(f.newJob("during", shortStep(16)), f.now)
 	for range 20 {
 		f.advance(50 * time.Millisecond)
@@ -171,15 +173,23 @@
 	require.Equal(t, []VMOperation{{Kind: VMMove, VM: "z1s", Pool: testPool}}, f.advanceAndPlan(300*time.Millisecond))
 }
 
-// TestEvacuation_VacatedVMIsKept evacuates the zone of a VM that is emptied for another pool.
-func TestEvacuation_VacatedVMIsKept(t *testing.T) {
-	f := newZoneFleet(t, "z0")
+// TestEvacuation_VacatedVMIsReplaced evacuates the zone of a VM that is emptied for another
+// pool, which gets one of another zone instead.
+func TestEvacuation_VacatedVMIsReplaced(t *testing.T) {
+	f := newZoneFleet(t, "z0", "z1", "z2")
 	v := f.s.vms["z0a"]
 	f.s.drain(v, VMMove, f.now)
 	v.vacateFor = otherPool
 	f.s.SetEvacuations([]string{"z0"}, f.now)
-	f.s.Submit(&fleet.Submission{ID: "other", Queue: "books", Steps: []fleet.Step{{Count: 9, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 500}}, ArrivedMillis: f.now.UnixMilli()}, f.now)
-	require.Empty(t, f.advanceAndPlan(500*time.Millisecond), "a VM in the zone is moved in vain")
+	f.addZoneVM("o", otherPool, "z1", 1)
+	other := f.newJob("other", fleet.Step{Count: 4, EstimateMillis: 500})
+	other.Queue = "books"
+	f.s.Submit(other, f.now)
+	operations := f.advanceAndPlan(500 * time.Millisecond)
+	require.NotEmpty(t, operations)
+	for _, o := range operations {
+		require.NotEqual(t, "z0", f.workers["w-"+o.VM].AvailabilityZone, "a VM in the zone is moved in vain")
+	}
 	require.Equal(t, VMNoOperation, v.drainFor)
 }
 
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -90,6 +90,7 @@
 
 func (s *Scheduler) applyOutcome(t *task, finished *fleet.FinishedRun, now time.Time) {
 	s.markBegan(t, now)
+	t.ended = endedRunOn(t.worker, finished.Attempt)
 	if t.step.def.Checkpointing && finished.Checkpoint != "" {
 		t.checkpoint = finished.Checkpoint
 	}
--- a/scheduler/stray.go
+++ b/scheduler/stray.go
@@ -16,10 +16,30 @@
 	stopRequestedAt time.Time
 }
 
+// endedRun identifies a run that has ended. A worker refuses to start it again, but its next
+// incarnation may execute a start that was delayed.
+type endedRun struct {
+	attempt     int
+	workerID    string
+	incarnation int64
+}
+
+func endedRunOn(w *worker, attempt int) endedRun {
+	return endedRun{attempt: attempt, workerID: w.info.ID, incarnation: w.info.StartedAtMillis}
+}
+
 // handleUnassignedRun handles a run that the worker shows and that is not assigned to it.
 // It returns the task if the run was adopted.
+//
+// A run whose end the worker has listed is not there: the status is older than that end. A
+// poll that waits for ends is answered by one, while a later poll was answered before it, and
+// responses overtake each other. A task that such a status made run again would count as
+// available, and let another be stopped beyond the disruption budget.
 func (s *Scheduler) handleUnassignedRun(w *worker, run *fleet.ActiveRun, sent, now time.Time) *task {
 	t := s.findTask(run.Task)
+	if t != nil && w.info.StartedAtMillis != 0 && t.ended == endedRunOn(w, run.Attempt) {
+		return nil
+	}
 	current := t != nil && !sent.Before(w.newestPollSent)
 	if current && t.canAdopt(run) {
 		s.adoptRun(t, w, now)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -47,6 +47,8 @@
 	// absentAfter is when a stop, or a refusal as superseded, was answered; a poll sent
 	// later that does not show the run proves that it has ended. Zero for none.
 	absentAfter time.Time
+	// ended is the last run whose end a worker has listed.
+	ended endedRun
 	// stopRequestedAt is when the last stop request was issued.
 	stopRequestedAt time.Time
 	// avoid is the worker on which the last run failed, until avoidUntil.
