Check a configuration before it is published

Cause: an operator saw only in an entry's log that a manifest was not activated, and nowhere that a route gets no calls, that a key is held twice or what a version takes away. Ruled out: a check of its own reading: it would accept what entries refuse. What needs the fleet, such as pools without VMs and labels that no VM has, is left out: the command calls no one. Change: anvilcourse check-config, which reads with the entries' code; errors and warnings by path, differences to the one in force with what is taken away first, text or JSON, exit codes 0, 1 and 2.

--- a/command/run.go
+++ b/command/run.go
@@ -37,6 +37,7 @@
 	c.Register(&standinCommand{output: out}, "daemons")
 	c.Register(&demoCommand{output: out}, "trying out")
 	c.Register(&checkSettingsCommand{output: out}, "settings")
+	c.Register(&checkConfigCommand{output: out}, "settings")
 	c.Register(&replayCommand{output: out}, "trying out")
 	c.Register(&versionCommand{output: out}, "")
 	c.Register(&applyCommand{operatorCommand: operatorCommand{output: out}}, "operating")
