Let refusals reach clients that still send

The entry closed the connection with unread bytes, which resets it; a client that sends on then loses the reply that is under way. Ruled out: the HTTP server's own wait: it is passed over if the request ends its connection, and it reads nothing meanwhile. Conclusion: a refused client sees why.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -45,6 +45,8 @@
 
 	phase     atomic.Int32
 	displaced atomic.Bool
+	// unread says that the client may still be sending a body that is not read.
+	unread atomic.Bool
 	// startedAt, movedAt and writingSince are nanoseconds from epoch: when the request
 	// began, when its last bytes came and since when a write waits, 0 for no write.
 	startedAt, movedAt, writingSince atomic.Int64
@@ -143,6 +145,9 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.unread.Swap(false) {
+		c.linger()
+	}
 	c.closed.Do(func() { c.gate.remove(c) })
 	return c.Conn.Close()
 }
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -314,3 +314,21 @@
 	require.NoError(t, err)
 	require.True(t, exchange().Close)
 }
+
+// TestReadBody_RefusalReachesAClientThatStillSends sends bodies over the limit with a client
+// that reads responses while it sends, and ends its connections with each request. Before
+// connections lingered, a third of the refusals were lost to a reset.
+func TestReadBody_RefusalReachesAClientThatStillSends(t *testing.T) {
+	_, address := startGate(t, testLimits())
+	body := strings.Repeat("x", 4*testLimit+1)
+	client := http.Client{Timeout: 20 * time.Second}
+	for n := range 200 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Close = n%2 == 0
+		resp, err := client.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	}
+}
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -42,8 +42,8 @@
 	}
 	if victim != nil {
 		g.counters.count(reasonConnections, now)
-		// The victim is given up whatever its close returns.
-		_ = victim.Close()
+		// The victim is given up whatever its close returns, and when.
+		go victim.Close()
 	}
 	return c
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,10 +7,6 @@
 	"time"
 )
 
-// unreadTimeout bounds how long the server reads what a handler has left of a body, so that
-// its client sees the response before the connection ends.
-const unreadTimeout = 500 * time.Millisecond
-
 type connKey struct{}
 
 // Server returns a server whose requests the gate counts. It has to serve on a listener of
@@ -39,6 +35,7 @@
 		c.phase.Store(phaseServed)
 	case http.StateIdle:
 		g.releaseAll(c)
+		c.unread.Store(false)
 		c.begin(phaseIdle, time.Now())
 	}
 }
@@ -58,7 +55,7 @@
 		defer func() {
 			g.releaseAll(c)
 			if r.ContentLength != 0 && !c.readWhole {
-				c.extendRead(time.Now().Add(unreadTimeout))
+				c.leaveUnread(r)
 			}
 		}()
 		next.ServeHTTP(w, r)
@@ -73,3 +70,12 @@
 	}
 	return &conn{gate: g}
 }
+
+// leaveUnread prepares the end of a request whose body has not been read whole. The server
+// reads a part of the rest for a bounded time; the connection lingers where that is not all.
+func (c *conn) leaveUnread(r *http.Request) {
+	c.extendRead(time.Now().Add(unreadTimeout))
+	c.unread.Store(true)
+	// The server waits by itself, without a read, for a body that it has left.
+	r.Body = http.NoBody
+}
