Keep asking clients for their bodies where a handler leaves them

Cause: a client that waits to be asked for its body (Expect: 100-continue) and is refused without an end of its connection would wait half a second for the reply: the body was replaced before the server had seen that it was never asked for. Ruled out: no replacement at all: the server then waits half a second without a read for every large body that a handler leaves. Change: the body of such a request stays; a test of both, served and refused. Conclusion: refusals of such clients come at once.

--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -332,3 +332,24 @@
 		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 	}
 }
+
+// TestReadBody_ClientThatWaitsToBeAsked sends headers only: the entry asks for a body that it
+// reads, and refuses one over the limit at once.
+func TestReadBody_ClientThatWaitsToBeAsked(t *testing.T) {
+	_, address := startGate(t, testLimits())
+	head := "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+	conn := send(t, address, fmt.Sprintf(head, 3))
+	reader := bufio.NewReader(conn)
+	line, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "100 Continue")
+	_, err = io.WriteString(conn, "abc")
+	require.NoError(t, err)
+	_, err = reader.ReadString('\n')
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	status, _, _ := answer(t, send(t, address, fmt.Sprintf(head, testLimit+1)))
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -76,6 +76,9 @@
 func (c *conn) leaveUnread(r *http.Request) {
 	c.extendRead(time.Now().Add(unreadTimeout))
 	c.unread.Store(true)
-	// The server waits by itself, without a read, for a body that it has left.
-	r.Body = http.NoBody
+	if r.Header.Get("Expect") == "" {
+		// The server waits by itself, without a read, for a body that it has left. One that is
+		// not sent before the server asks for it is known to the server by its type.
+		r.Body = http.NoBody
+	}
 }
