--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -314,3 +314,42 @@
 	require.NoError(t, err)
 	require.True(t, exchange().Close)
 }
+
+// TestReadBody_RefusalReachesAClientThatStillSends sends bodies over the limit with a client
+// that reads responses while it sends, and ends its connections with each request. Before
+// connections lingered, a third of the refusals were lost to a reset.
+func TestReadBody_RefusalReachesAClientThatStillSends(t *testing.T) {
+	_, address := startGate(t, testLimits())
+	body := strings.Repeat("x", 4*testLimit+1)
+	client := http.Client{Timeout: 20 * time.Second}
+	for n := range 200 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Close = n%2 == 0
+		resp, err := client.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	}
+}
+
+// TestReadBody_ClientThatWaitsToBeAsked sends headers only: the entry asks for a body that it
+// reads, and refuses one over the limit at once.
+func TestReadBody_ClientThatWaitsToBeAsked(t *testing.T) {
+	_, address := startGate(t, testLimits())
+	head := "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+	conn := send(t, address, fmt.Sprintf(head, 3))
+	reader := bufio.NewReader(conn)
+	line, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "100 Continue")
+	_, err = io.WriteString(conn, "abc")
+	require.NoError(t, err)
+	_, err = reader.ReadString('\n')
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	status, _, _ := answer(t, send(t, address, fmt.Sprintf(head, testLimit+1)))
+	require.Equal(t, http.StatusRequestEntityTooLarge, status)
+}
