Stop checkpointing tasks that hold VMs for the next turn

Cause: when demand goes from one queue to the next, VMs of the pool whose turn is over come free only as their last task ends, and the one with the fewest cores in use is not the one that is empty first. Shortages that come and go with single arrivals gave all vacating VMs back, which then filled again.

Ruled out: stopping all tasks of a VM, since those without checkpoints lose their work; stopping work that can be on time with no whole place elsewhere, which makes it late; stopping at once where a task that cannot be stopped holds the VM for longer.

Change: with the consolidation policy on, VMs are chosen by when they can be empty, by a stop or by the expected end of their tasks. Tasks that save checkpoints and have clearly longer to run than a stop and a resume take are stopped if they can only be late, or if other VMs of the pool have a whole place for each. Nothing is stopped just after a takeover. The fake workers of the tests report true progress and give checkpoints at a stop.

Conclusion: the VMs follow within a stop and a few plans where tasks save checkpoints; where a stop takes as long as the rest of the tasks, nothing is stopped.

--- /dev/null
+++ b/scheduler/consolidate_test.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
+
+// turnChange is a change of turns: the desk pool has all VMs, nearly full of tasks that
+// are spread over them, and a backlog that can only be late; then the books queue asks for
+// most of the fleet.
+type turnChange struct {
+	policies Policies
+	stop     time.Duration
+	restore  time.Duration
+	// saves reports whether the job with the number saves checkpoints.
+	saves func(i int) bool
+	// moving holds the VMs that are on their way.
+	moving map[string]movingVM
+}
+
+type movingVM struct {
+	info  fleet.VM
+	until time.Time
+}
+
+// turnResult tells how the change went.
+type turnResult struct {
+	// halfMovedAfter is how long after the surge began half of the VMs that may move had
+	// their move requested; zero for never.
+	halfMovedAfter time.Duration
+	moves          int
+	booksOnTime    float64
+	stops          int
+}
+
+const turnVMs = 20
+
+// play runs the change for four seconds of the surge.
+func (c turnChange) play(t *testing.T) turnResult {
+	f := newTestFleet(t)
+	f.s.cfg.Policies, f.s.cfg.MaxStopTime, f.s.cfg.RestoreTime, f.s.cfg.MoveTime = c.policies, c.stop, c.restore, time.Second
+	c.moving = map[string]movingVM{}
+	for i := range turnVMs {
+		f.addVM(fmt.Sprintf("d%02d", i), testPool, 8)
+	}
+	for i := range minPoolVMs {
+		f.addVM(fmt.Sprintf("o%02d", i), otherPool, 8)
+	}
+	f.advance(3 * time.Second) // Nobody stops runs just after a takeover.
+	c.playTurn(f)
+	var out turnResult
+	var jobs []*fleet.Submission
+	start := f.now
+	for f.now.Sub(start) < 4*time.Second {
+		for range 2 {
+			job := f.newJob(fmt.Sprintf("b%015x", len(jobs)), fleet.Step{Count: 4, EstimateMillis: 800})
+			job.Queue = "books"
+			jobs = append(jobs, job)
+			f.s.Submit(job, f.now)
+		}
+		out.moves += c.advance(f, 100*time.Millisecond)
+		if out.halfMovedAfter == 0 && out.moves >= (turnVMs-minPoolVMs)/2 {
+			out.halfMovedAfter = f.now.Sub(start)
+		}
+	}
+	for _, job := range jobs {
+		if j := f.s.jobs[job.ID]; j.finished {
+			out.booksOnTime++
+		}
+	}
+	out.booksOnTime /= float64(len(jobs))
+	out.stops = f.events["task.consolidated"]
+	for id, n := range f.attempts {
+		require.LessOrEqual(t, n, 1+maxStopsForOthers, "%s is stopped too often", id)
+		require.Zero(t, f.s.findTask(id).failures, "a stop counts as a failure")
+	}
+	return out
+}
+
+// playTurn lets the desk queue have its turn: four times what its pool holds, then nothing
+// more, until all that waits can only be late.
+func (c *turnChange) playTurn(f *testFleet) {
+	n := 0
+	for range 25 {
+		for range 60 {
+			f.s.Submit(f.newJob(jobID(n), fleet.Step{EstimateMillis: int64(300 + 200*(n%9)), Checkpointing: c.saves(n)}), f.now)
+			n++
+		}
+		c.advance(f, 100*time.Millisecond)
+	}
+	c.advance(f, 2500*time.Millisecond)
+}
+
+// mean plays the change some times: the order in which VMs are listed differs.
+func (c turnChange) mean(t *testing.T) turnResult {
+	const plays = 4
+	var out turnResult
+	for range plays {
+		one := c.play(t)
+		require.NotZero(t, one.halfMovedAfter)
+		out.halfMovedAfter += one.halfMovedAfter / plays
+		out.booksOnTime += one.booksOnTime / plays
+		out.stops += one.stops
+	}
+	return out
+}
+
+// advance plays the fleet and the platform, which moves VMs, and returns the moves.
+func (c *turnChange) advance(f *testFleet, d time.Duration) (moves int) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.advance(50 * time.Millisecond)
+		for name, m := range c.moving {
+			if f.now.After(m.until) {
+				delete(c.moving, name)
+				f.addWorker("w-"+name, m.info.Pool, 8)
+				w := f.workers["w-"+name]
+				w.StartedAtMillis = f.now.UnixMilli()
+				f.workers["w-"+name] = w
+				f.s.SetWorkers(f.workers, f.now)
+			}
+		}
+		list := f.vms()
+		for _, m := range c.moving {
+			list = append(list, m.info)
+		}
+		f.s.SetVMs(list, f.now, f.now)
+		f.s.PlanVMs(f.now)
+		for _, o := range f.s.TakeVMOperations() {
+			id := "w-" + o.VM
+			require.Empty(f.t, f.runs[id], "a move ends runs")
+			info := fleet.VM{Name: o.VM, Pool: o.Pool, State: fleet.VMMoving, Capacity: f.workers[id].Capacity}
+			c.moving[o.VM] = movingVM{info: info, until: f.now.Add(f.s.cfg.MoveTime)}
+			delete(f.workers, id)
+			f.s.HandleVMOperation(o, nil, f.now)
+			if o.Pool == otherPool {
+				moves++
+			}
+		}
+		f.applyBatches()
+	}
+	return moves
+}
+
+func mostSave(i int) bool { return i%5 != 4 }
+
+// TestConsolidation_TurnChanges replays the change of turns. The VMs must follow within a
+// stop and a few plans, where waiting for their last tasks takes as long as the longest of
+// these, and more of the next queue's work must be on time.
+func TestConsolidation_TurnChanges(t *testing.T) {
+	load := turnChange{stop: 400 * time.Millisecond, restore: 100 * time.Millisecond, saves: mostSave}
+	before := load.mean(t)
+	load.policies.Consolidation = true
+	after := load.mean(t)
+	t.Logf("before %+v, after %+v", before, after)
+	require.Zero(t, before.stops)
+	require.Positive(t, after.stops)
+	require.Less(t, after.halfMovedAfter, 1400*time.Millisecond)
+	require.Greater(t, before.halfMovedAfter, after.halfMovedAfter+300*time.Millisecond, "the load does not show the fault")
+	require.Greater(t, after.booksOnTime, before.booksOnTime)
+}
+
+// TestConsolidation_StopGainsNothing plays the change of turns where a stop and a resume
+// take as long as most of what is left of the tasks: they end by themselves.
+func TestConsolidation_StopGainsNothing(t *testing.T) {
+	load := turnChange{stop: 900 * time.Millisecond, restore: 600 * time.Millisecond, saves: mostSave, policies: Policies{Consolidation: true}}
+	require.Zero(t, load.play(t).stops)
+}
+
+// TestConsolidation_KeepsOnTimeWork vacates VMs whose work is on time: it is stopped where
+// the pool has whole places for it elsewhere, and none of it becomes late.
+func TestConsolidation_KeepsOnTimeWork(t *testing.T) {
+	for _, c := range []struct {
+		cores, perVM int64
+		estimates    []int64
+		stops        bool
+	}{{cores: 1, perVM: 4, estimates: []int64{3000, 400}, stops: true}, {cores: 3, perVM: 2, estimates: []int64{3000}}} {
+		f := newTestFleet(t)
+		f.s.cfg.Policies.Consolidation = true
+		f.s.cfg.MaxStopTime, f.s.cfg.RestoreTime, f.s.cfg.MoveTime = 400*time.Millisecond, 100*time.Millisecond, time.Second
+		for i := range turnVMs {
+			f.addVM(fmt.Sprintf("d%02d", i), testPool, 8)
+		}
+		for i := range minPoolVMs {
+			f.addVM(fmt.Sprintf("o%02d", i), otherPool, 8)
+		}
+		f.advance(3 * time.Second)
+		var long []string
+		for i := range turnVMs * int(c.perVM) {
+			for _, estimate := range c.estimates {
+				job := f.newJob(jobID(2*i+int(estimate/3000)), fleet.Step{EstimateMillis: estimate, Checkpointing: true, Need: fleet.Resources{MilliCPU: c.cores * 1000}})
+				f.s.Submit(job, f.now)
+				f.s.Place(f.now) // One after the other, so that each VM gets both.
+				f.applyBatches()
+				if estimate == 3000 {
+					long = append(long, job.ID)
+				}
+			}
+		}
+		turn := turnChange{moving: map[string]movingVM{}}
+		turn.advance(f, 900*time.Millisecond)
+		f.submitBooks(turnVMs)
+		turn.advance(f, 4400*time.Millisecond)
+		for _, id := range long {
+			require.True(t, f.s.jobs[id].finished, "%s is late", id)
+		}
+		require.Equal(t, c.stops, f.events["task.consolidated"] > 0, "%d stops, %d VMs vacated", f.events["task.consolidated"], f.events["vm.vacate"])
+		require.Positive(t, f.events["vm.vacate"])
+	}
+}
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -25,6 +25,8 @@
 	// attempts counts the runs of each task, recorded are the records that advance stored.
 	attempts map[fleet.TaskID]int
 	recorded []ledgerRecord
+	// events counts the events that advance has taken, by kind.
+	events map[string]int
 	// runTime overrides how long the runs of a task take; nil for the estimate.
 	runTime func(task fleet.TaskID) time.Duration
 }
@@ -34,6 +36,15 @@
 	startedAt   time.Time
 	until       time.Time
 	longRunning bool
+	// length is the work of the whole task, saved what the checkpoint of its start holds,
+	// restore how long the run takes to resume from it.
+	length, saved, restore time.Duration
+	checkpointing          bool
+}
+
+// progress returns the work that the run has saved and done.
+func (r *fakeRun) progress(now time.Time) time.Duration {
+	return min(r.length, r.saved+max(0, now.Sub(r.startedAt)-r.restore))
 }
 
 const (
@@ -55,7 +66,7 @@
 }
 
 func newTestFleet(t testing.TB) *testFleet {
-	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{}, attempts: map[fleet.TaskID]int{},
+	f := &testFleet{t: t, now: time.UnixMilli(1_700_000_000_000), workers: map[string]fleet.Worker{}, attempts: map[fleet.TaskID]int{}, events: map[string]int{},
 		runs: map[string]map[fleet.TaskID]*fakeRun{}, finished: map[string][]fleet.FinishedRun{}}
 	f.s = f.newLeader(1)
 	return f
@@ -131,15 +142,24 @@
 }
 
 func (f *testFleet) percent(run *fakeRun) int {
-	if run.longRunning && f.now.Sub(run.startedAt) < f.startup {
+	switch {
+	case run.longRunning && f.now.Sub(run.startedAt) < f.startup:
 		return 50
+	case run.longRunning || run.length == 0:
+		return 100
+	default:
+		return int(100 * run.progress(f.now) / run.length)
 	}
-	return 100
 }
 
 func (f *testFleet) finishRun(id string, task fleet.TaskID, outcome fleet.RunOutcome) {
 	f.finishedCount++
-	f.finished[id] = append(f.finished[id], fleet.FinishedRun{Number: f.finishedCount, Task: task, Attempt: f.runs[id][task].attempt, Outcome: outcome})
+	run := f.runs[id][task]
+	finished := fleet.FinishedRun{Number: f.finishedCount, Task: task, Attempt: run.attempt, Outcome: outcome}
+	if run.checkpointing {
+		finished.Checkpoint = run.progress(f.now).String()
+	}
+	f.finished[id] = append(f.finished[id], finished)
 	delete(f.runs[id], task)
 }
 
@@ -147,6 +167,7 @@
 func (f *testFleet) applyBatches() []ledgerRecord {
 	var out []ledgerRecord
 	for range 8 {
+		f.takeEvents()
 		batch := f.s.TakeBatch()
 		if batch.Empty() {
 			return out
@@ -168,6 +189,13 @@
 	return out
 }
 
+// takeEvents counts the events by kind.
+func (f *testFleet) takeEvents() {
+	for _, e := range f.s.TakeEvents() {
+		f.events[e.Kind]++
+	}
+}
+
 type ledgerRecord fleet.Record
 
 func (f *testFleet) startRun(start StartRequest) {
@@ -182,7 +210,14 @@
 	if f.runTime != nil {
 		length = f.runTime(start.Request.Task)
 	}
-	f.runs[id][start.Request.Task] = &fakeRun{attempt: start.Request.Attempt, startedAt: f.now, until: f.now.Add(length), longRunning: t.step.def.LongRunning}
+	run := &fakeRun{attempt: start.Request.Attempt, startedAt: f.now, longRunning: t.step.def.LongRunning, length: length, checkpointing: t.step.def.Checkpointing}
+	if start.Request.Checkpoint != "" {
+		saved, err := time.ParseDuration(start.Request.Checkpoint)
+		require.NoError(f.t, err)
+		run.saved, run.restore = saved, f.s.cfg.RestoreTime
+	}
+	run.until = f.now.Add(run.restore + length - run.saved)
+	f.runs[id][start.Request.Task] = run
 	used := fleet.Resources{}
 	for task := range f.runs[id] {
 		used = used.Plus(f.s.findTask(task).resources())
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -35,6 +35,8 @@
 	placedLate bool
 	// movedFromSlowWorker reports that the task has been moved off a slow worker.
 	movedFromSlowWorker bool
+	// stopsForOthers counts the runs that were stopped for other work.
+	stopsForOthers int
 	// confirmedAt is when the worker confirmed the run.
 	confirmedAt time.Time
 	// shownOn is the incarnation of the worker on which a status has shown the run; 0
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -13,10 +13,18 @@
 // VMs become empty by themselves only seconds later, when the next turn is nearly over.
 func (s *Scheduler) vacate(now time.Time) {
 	short := s.unmetShortages()
-	s.releaseVacating(short)
+	next := s.vacatable
+	if s.cfg.Policies.Consolidation {
+		c := s.newConsolidation(now)
+		next = c.next
+		c.releaseUnwanted(short)
+		defer c.stopHolders()
+	} else {
+		s.releaseVacating(short)
+	}
 	for _, need := range short {
 		for range need.count {
-			v := s.vacatable(need.pool, now)
+			v := next(need.pool, now)
 			if v == nil {
 				break
 			}
@@ -121,7 +129,7 @@
 		p.capacity += w.used.MilliCPU
 	}
 	s.drain(v, VMMove, now)
-	v.vacateFor = pool
+	v.vacateFor, v.wantedAt = pool, now
 	s.emit(Event{Kind: "vm.vacate", ID: v.info.Name, Reason: pool, Worker: v.info.WorkerID})
 }
 
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -25,6 +25,8 @@
 	wave           int64
 	// vacateFor is the pool that gets the VM once it is empty.
 	vacateFor string
+	// wantedAt is when that pool last needed the VM.
+	wantedAt time.Time
 	// emptySince is when the last run on the VM ended, or when its worker joined its
 	// pool; zero while it has runs.
 	emptySince time.Time
