Stop late checkpointing tasks for steps that can be on time

Cause: a running task never gives way. In a pool full of work that has become late, a step that can still be on time waits until enough of it ends by itself, and is late, too.

Ruled out: stopping for single tasks of a step, since a job is late with its last one; stopping whatever ends latest, since a step whose room becomes free in time by itself needs none; leaving the freed room to whoever comes, since smaller tasks take it first.

Change: with the preemption policy on, a step that can be on time, waits for nothing but room and would start too late by the expected ends of the pool's runs gets room for all its waiting tasks or none: checkpointing tasks that can only be late give way first, then those of queues that come later if they stay on time. The least CPU is stopped for each task, the room is kept for it for as long as the stops may take. A task is stopped for others at most twice, a team loses at most half of what it runs in a pool in 2 s, teams are hit by their weights, and nothing is stopped just after a takeover.

Conclusion: late work gives way where it loses nothing but the time of its stop.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -14,6 +14,9 @@
 	pools := s.newRound(now)
 	s.computePressures(pools, now)
 	steps := s.rankedSteps(pools, now)
+	if s.cfg.Policies.Preemption {
+		defer s.preempt(steps, pools, now)
+	}
 	for len(steps) > 0 {
 		group := equalUrgency(steps)
 		steps = steps[len(group):]
@@ -156,8 +159,13 @@
 
 // isFeasible reports whether the task may run on the worker at all.
 func (s *Scheduler) isFeasible(t *task, w *worker, now time.Time) bool {
+	return w.fits(t, now) && s.allows(t, w, now)
+}
+
+// allows reports whether the task may run on the worker, whatever room that has.
+func (s *Scheduler) allows(t *task, w *worker, now time.Time) bool {
 	def := t.step.def
-	if !w.free().Fits(t.resources()) || w.cordoned {
+	if w.cordoned {
 		return false
 	}
 	if def.Label != "" && !w.info.HasLabel(def.Label) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,10 @@
 	// shortUse is what each team uses of each pool with tasks that end by themselves, in
 	// millicores.
 	shortUse map[poolTeam]int64
+	// teamHits is what has lately been stopped of each team's work for others.
+	teamHits map[poolTeam]teamHits
+	// preemptedAt is when work was last looked for that must be stopped for other work.
+	preemptedAt time.Time
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
 	// scheduledJobs holds the jobs with occurrences to come.
@@ -59,6 +63,7 @@
 		refutedIncarnations: map[string]int64{},
 		teams:               map[string]*team{},
 		shortUse:            map[poolTeam]int64{},
+		teamHits:            map[poolTeam]teamHits{},
 		ready:               map[*step]struct{}{},
 		scheduledJobs:       map[*job]struct{}{},
 		previouslyFinished:  map[string]*fleet.Submission{},
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -37,6 +37,10 @@
 	movedFromSlowWorker bool
 	// stopsForOthers counts the runs that were stopped for other work.
 	stopsForOthers int
+	// nominated is the worker on which room is being freed for the task, until
+	// nominatedUntil.
+	nominated      *worker
+	nominatedUntil time.Time
 	// confirmedAt is when the worker confirmed the run.
 	confirmedAt time.Time
 	// shownOn is the incarnation of the worker on which a status has shown the run; 0
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,6 +13,8 @@
 	// used is the capacity of its assigned runs, stopping ones included.
 	used  fleet.Resources
 	tasks map[fleet.TaskID]*task
+	// nominated holds the tasks for which room is being freed here.
+	nominated []*task
 	// unassignedUse is the capacity used by runs that are not assigned.
 	unassignedUse fleet.Resources
 	// unassignedByTeam is the part of it that counts against the limit of a team.
