Vacate VMs by what comes after the present runs

Cause: at the end of a queue's turn its runs hold all VMs, so that the pool had no surplus until they had ended or were late, though little came after them. VMs that were being vacated went back to their pool each time the next queue's arrivals dipped for 0.6 s.

Ruled out: counting on the running work that is late only, as before; taking VMs from a pool whose waiting work that can be on time is more than its free room.

Change: under the consolidation policy a pool's surplus is what it has for new tasks less the load that arrives, or the steps that follow the present runs of jobs that can be on time, and the waiting work. VMs go on being vacated for the time that arrivals are kept, 1.2 s.

--- a/scheduler/consolidate.go
+++ b/scheduler/consolidate.go
@@ -21,6 +21,8 @@
 	candidates []vacateCandidate
 	// slack is how long each occurrence may still be held up and be on time.
 	slack map[*occurrence]time.Duration
+	// demands is what each pool needs once its present runs have ended.
+	demands map[string]*turnDemand
 	// room is what stopped tasks that can be on time may take.
 	room elsewhere
 }
@@ -32,7 +34,7 @@
 	emptyAt time.Time
 }
 
-func (s *Scheduler) newConsolidation(now time.Time) *consolidation {
+func (s *Scheduler) newConsolidation(short []poolShortage, now time.Time) *consolidation {
 	c := &consolidation{s: s, now: now, slack: map[*occurrence]time.Duration{}, room: elsewhere{free: map[string]map[*worker]int64{}}}
 	for name, p := range s.pools {
 		if p.waiting > 0 {
@@ -45,6 +47,9 @@
 			}
 		}
 	}
+	if len(short) > 0 || len(s.vacatingVMs()) > 0 {
+		c.demands = c.turnDemands()
+	}
 	return c
 }
 
@@ -55,7 +60,7 @@
 	}
 	c.candidates = []vacateCandidate{}
 	for name, p := range c.s.pools {
-		if c.s.isSpare(name) || p.surplusOnTime() == 0 {
+		if c.s.isSpare(name) || c.surplus(name) == 0 {
 			continue
 		}
 		for _, v := range p.vms {
@@ -82,16 +87,27 @@
 	c.rank()
 	for i := range c.candidates {
 		v := c.candidates[i].vm
-		if v == nil || v.info.Pool == to || c.s.pools[v.info.Pool].surplusOnTime() == 0 {
+		if v == nil || v.info.Pool == to || c.surplus(v.info.Pool) == 0 {
 			continue
 		}
 		c.candidates[i].vm = nil
-		c.room.without(c.s.workerOf(v))
+		c.close(v)
 		return v
 	}
 	return nil
 }
 
+// close takes the VM out of what its pool has for new tasks.
+func (c *consolidation) close(v *vm) {
+	w := c.s.workerOf(v)
+	c.room.without(w)
+	d := c.demands[v.info.Pool]
+	if w.schedulable(c.now) {
+		d.open -= v.info.Capacity.MilliCPU
+		d.free -= max(0, w.free().MilliCPU)
+	}
+}
+
 // forecast returns when the VM can be empty and which tasks must be stopped for that: all
 // that would run on for longer than those that cannot be stopped.
 func (c *consolidation) forecast(v *vm) (emptyAt time.Time, stops []*task) {
--- a/scheduler/consolidate_test.go
+++ b/scheduler/consolidate_test.go
@@ -19,6 +19,8 @@
 	restore  time.Duration
 	// saves reports whether the job with the number saves checkpoints.
 	saves func(i int) bool
+	// pause is how long after the end of the turn the next one begins.
+	pause time.Duration
 	// moving holds the VMs that are on their way.
 	moving map[string]movingVM
 }
@@ -83,7 +85,7 @@
 }
 
 // playTurn lets the desk queue have its turn: four times what its pool holds, then nothing
-// more, until all that waits can only be late.
+// more. All that waits can only be late 2.5 s later.
 func (c *turnChange) playTurn(f *testFleet) {
 	n := 0
 	for range 25 {
@@ -93,7 +95,7 @@
 		}
 		c.advance(f, 100*time.Millisecond)
 	}
-	c.advance(f, 2500*time.Millisecond)
+	c.advance(f, c.pause)
 }
 
 // mean plays the change some times: the order in which VMs are listed differs.
@@ -152,7 +154,7 @@
 // stop and a few plans, where waiting for their last tasks takes as long as the longest of
 // these, and more of the next queue's work must be on time.
 func TestConsolidation_TurnChanges(t *testing.T) {
-	load := turnChange{stop: 400 * time.Millisecond, restore: 100 * time.Millisecond, saves: mostSave}
+	load := turnChange{stop: 400 * time.Millisecond, restore: 100 * time.Millisecond, saves: mostSave, pause: 2500 * time.Millisecond}
 	before := load.mean(t)
 	load.policies.Consolidation = true
 	after := load.mean(t)
@@ -167,7 +169,7 @@
 // TestConsolidation_StopGainsNothing plays the change of turns where a stop and a resume
 // take as long as most of what is left of the tasks: they end by themselves.
 func TestConsolidation_StopGainsNothing(t *testing.T) {
-	load := turnChange{stop: 900 * time.Millisecond, restore: 600 * time.Millisecond, saves: mostSave, policies: Policies{Consolidation: true}}
+	load := turnChange{stop: 900 * time.Millisecond, restore: 600 * time.Millisecond, saves: mostSave, pause: 2500 * time.Millisecond, policies: Policies{Consolidation: true}}
 	require.Zero(t, load.play(t).stops)
 }
 
@@ -212,3 +214,15 @@
 		require.Positive(t, f.events["vm.vacate"])
 	}
 }
+
+// TestConsolidation_EndOfATurn begins the next turn just as the last one ends: its runs
+// hold all VMs, but little comes after them, and what waits is about to be late. VMs must
+// follow though nothing is stopped.
+func TestConsolidation_EndOfATurn(t *testing.T) {
+	load := turnChange{stop: 400 * time.Millisecond, restore: 100 * time.Millisecond, saves: func(int) bool { return false }, pause: 1200 * time.Millisecond}
+	before := load.mean(t)
+	load.policies.Consolidation = true
+	after := load.mean(t)
+	t.Logf("before %+v, after %+v", before, after)
+	require.Greater(t, before.halfMovedAfter, after.halfMovedAfter)
+}
--- a/scheduler/release.go
+++ b/scheduler/release.go
@@ -6,9 +6,9 @@
 )
 
 // vacateHold is for how long a VM goes on being vacated after the last plan that wanted
-// it: the demand is a mean over the longest window of arrivals, and a VM that is given
-// back gets tasks at once that hold it anew.
-const vacateHold = 600 * time.Millisecond
+// it: the demand is a mean over the longest window of arrivals, of which the one before
+// tells whether it grows, and a VM that is given back gets tasks at once that hold it anew.
+const vacateHold = arrivalRetention
 
 // vacatingVMs returns the VMs that are being vacated for another pool, in order.
 func (s *Scheduler) vacatingVMs() []*vm {
@@ -48,8 +48,8 @@
 		kept = append(kept, v)
 	}
 	lacking := map[string]int{}
-	for name, p := range c.s.pools {
-		lacking[name] = p.shortageOnTime()
+	for _, v := range kept {
+		lacking[v.info.Pool] = c.lacking(v.info.Pool)
 	}
 	for i := len(kept) - 1; i >= 0; i-- {
 		if v := kept[i]; lacking[v.info.Pool] > 0 {
@@ -71,13 +71,3 @@
 	sort.SliceStable(vms, func(i, k int) bool { return emptyAt[vms[i]].Before(emptyAt[vms[k]]) })
 	return vms
 }
-
-// shortageOnTime returns how many more VMs the pool could use for work that can be on
-// time.
-func (p *poolState) shortageOnTime() int {
-	if p.vmCapacity == 0 {
-		return 0
-	}
-	deficit := max(p.running-p.runningLate, p.arriving) + p.waiting - p.capacity
-	return max(0, int((deficit+p.vmCapacity-1)/p.vmCapacity), p.minSeparateVMs+p.draining-len(p.vms)-p.incoming)
-}
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -15,7 +15,7 @@
 	short := s.unmetShortages()
 	next := s.vacatable
 	if s.cfg.Policies.Consolidation {
-		c := s.newConsolidation(now)
+		c := s.newConsolidation(short, now)
 		next = c.next
 		c.releaseUnwanted(short)
 		defer c.stopHolders()
