Let the scheduler's model stop runs on purpose

Ruled out: tests of chosen orders alone, which miss the ones that nobody thought of.

The model also checks that a run goes on from progress which a run of its task has saved, and that no job fails.

--- a/scheduler/model_calls_test.go
+++ b/scheduler/model_calls_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -185,12 +186,27 @@
 	})
 	status := fleet.WorkerStatus{ClockMillis: w.clock(m.now), StartedAtMillis: w.info.StartedAtMillis}
 	for _, id := range w.taskIDs() {
-		status.Active = append(status.Active, fleet.ActiveRun{Task: id, Attempt: w.runs[id].attempt, Percent: 50})
+		saved := w.runs[id].checkpoint(m.now)
+		m.noteSaved(id, saved)
+		status.Active = append(status.Active, fleet.ActiveRun{Task: id, Attempt: w.runs[id].attempt, Percent: 50, Checkpoint: saved})
+	}
+	for _, finished := range w.finished {
+		m.noteSaved(finished.Task, finished.Checkpoint)
 	}
 	addOutcomes(&status, w.finished, m.maxOutcomes)
 	return status
 }
 
+// noteSaved notes a checkpoint that a run of the task has yielded.
+func (m *model) noteSaved(id fleet.TaskID, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	saved, err := time.ParseDuration(checkpoint)
+	require.NoError(m.t, err)
+	m.mostSaved[id] = max(m.mostSaved[id], saved)
+}
+
 // addOutcomes adds the oldest outcomes, at most as many as a response holds.
 func addOutcomes(status *fleet.WorkerStatus, finished []fleet.FinishedRun, limit int) {
 	status.Finished = slices.Clone(finished[:min(len(finished), limit)])
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -16,8 +16,9 @@
 // model runs several leaders and workers with requests that are lost, delayed and
 // repeated, in an order that rapid draws. It checks that no task runs twice at once,
 // that none starts after its success was acknowledged or before its assignment is
-// stored, that no worker exceeds its capacity, and that all jobs end once the faults
-// do.
+// stored, that no worker exceeds its capacity, that a run goes on from progress which a
+// run of its task has saved, and that all jobs end once the faults do, none of them as
+// failed: runs that are stopped for other work, at any moment, are no failures.
 //
 // It assumes that a worker's restart takes longer than a poll with its retry, so that
 // a leader which polls the worker sees a failed poll before the new incarnation.
@@ -32,6 +33,8 @@
 	starts       []*modelStart
 	polls        []*modelPoll
 	acknowledged map[fleet.TaskID]bool
+	// mostSaved is the most progress that a run of each task has told.
+	mostSaved map[fleet.TaskID]time.Duration
 	// healthy is set once no more faults are drawn.
 	healthy bool
 	// maxOutcomes is how many outcomes a response holds.
@@ -60,7 +63,7 @@
 )
 
 func newModel(t *rapid.T, mutate func(*Scheduler), without ...string) *model {
-	m := &model{t: t, now: time.UnixMilli(1_700_000_000_000), view: ledger.NewView(), registry: map[string]fleet.Worker{}, acknowledged: map[fleet.TaskID]bool{}, mutate: mutate, without: without, maxOutcomes: modelMaxOutcomes}
+	m := &model{t: t, now: time.UnixMilli(1_700_000_000_000), view: ledger.NewView(), registry: map[string]fleet.Worker{}, acknowledged: map[fleet.TaskID]bool{}, mostSaved: map[fleet.TaskID]time.Duration{}, mutate: mutate, without: without, maxOutcomes: modelMaxOutcomes}
 	if m.oneIn(2, "few outcomes") {
 		m.maxOutcomes = modelFewOutcomes
 	}
@@ -70,7 +73,7 @@
 	}
 	for i := range 4 {
 		sub := fleet.Submission{ID: jobID(i), Queue: "desk", ArrivedMillis: m.now.UnixMilli(), Steps: []fleet.Step{
-			{Count: 2, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300}, {Count: 1, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300, DependsOn: []int{0}}}}
+			{Count: 2, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300, Checkpointing: i%2 == 0}, {Count: 1, Need: fleet.Resources{MilliCPU: 1000}, EstimateMillis: 300, DependsOn: []int{0}}}}
 		require.NoError(t, m.view.Apply(ledger.SubmissionRecord(sub)))
 	}
 	m.takeOver()
@@ -102,7 +105,7 @@
 	leader := m.drawLeader()
 	w := m.workers[rapid.IntRange(0, modelWorkers-1).Draw(m.t, "worker")]
 	m.advance(time.Millisecond)
-	switch rapid.IntRange(0, 19).Draw(m.t, "step") {
+	switch rapid.IntRange(0, 20).Draw(m.t, "step") {
 	case 0, 1:
 		m.advance(time.Duration(rapid.IntRange(20, 400).Draw(m.t, "ms")) * time.Millisecond)
 	case 2, 3, 4:
@@ -129,6 +132,8 @@
 		m.submitMissing(leader)
 	case 19:
 		m.drawRare()
+	case 20:
+		m.stopOnPurpose(leader, w)
 	}
 }
 
@@ -204,6 +209,9 @@
 		m.settleOnce(leader)
 	}
 	require.Empty(m.t, m.unfinishedJob(), "a job has not ended")
+	for _, id := range m.jobIDs() {
+		require.NotEqual(m.t, ledger.OutcomeFailed, m.view.Jobs[id].Result.Outcome, "%s has failed, and none of its runs has", id)
+	}
 }
 
 // settleOnce lets everything happen once that is due.
--- a/scheduler/model_worker_test.go
+++ b/scheduler/model_worker_test.go
@@ -39,6 +39,19 @@
 	attempt int
 	until   time.Time
 	stopAt  time.Time
+	// saves reports that the run saves its progress, startedAt is when its work began and
+	// saved the work that it began with.
+	saves     bool
+	startedAt time.Time
+	saved     time.Duration
+}
+
+// checkpoint returns the progress that the run has saved; "" if it saves none.
+func (r *modelRun) checkpoint(now time.Time) string {
+	if !r.saves {
+		return ""
+	}
+	return min(modelRunTime, r.saved+now.Sub(r.startedAt)).String()
 }
 
 func newModelWorker(index int, now time.Time) *modelWorker {
@@ -88,7 +101,11 @@
 	w.finishedCount++
 	w.endedAt[w.finishedCount] = now
 	w.highestAttempt[id] = max(w.highestAttempt[id], w.runs[id].attempt)
-	w.finished = append(w.finished, fleet.FinishedRun{Number: w.finishedCount, Task: id, Attempt: w.runs[id].attempt, Outcome: outcome})
+	finished := fleet.FinishedRun{Number: w.finishedCount, Task: id, Attempt: w.runs[id].attempt, Outcome: outcome}
+	if outcome == fleet.RunStopped {
+		finished.Checkpoint = w.runs[id].checkpoint(now)
+	}
+	w.finished = append(w.finished, finished)
 	delete(w.runs, id)
 }
 
@@ -209,11 +226,60 @@
 		require.False(m.t, duplicate, "%s runs on %s and starts on %s", id, other.info.ID, w.info.ID)
 	}
 	require.False(m.t, m.acknowledged[id], "%s starts after its success was acknowledged", id)
-	w.runs[id] = &modelRun{attempt: request.Attempt, until: m.now.Add(modelRunTime)}
+	run = &modelRun{attempt: request.Attempt, startedAt: m.now, saves: m.saves(id)}
+	if request.Checkpoint != "" {
+		require.True(m.t, run.saves, "%s starts from a checkpoint that it cannot have", id)
+		saved, err := time.ParseDuration(request.Checkpoint)
+		require.NoError(m.t, err)
+		require.LessOrEqual(m.t, saved, m.mostSaved[id], "%s starts from a checkpoint that no run of it has yielded", id)
+		run.saved = saved
+	}
+	run.until = m.now.Add(modelRunTime - run.saved)
+	w.runs[id] = run
 	require.LessOrEqual(m.t, len(w.runs), 2, "%s exceeds its capacity", w.info.ID)
 	return nil
 }
 
+// saves reports whether the runs of the task save their progress.
+func (m *model) saves(id fleet.TaskID) bool {
+	return m.view.Jobs[id.Job].Submission.Steps[id.Step].Checkpointing
+}
+
+// stopOnPurpose stops a running task that saves its progress, and keeps room for a task
+// that waits, as for more urgent work and for VMs that are vacated, at any moment.
+func (m *model) stopOnPurpose(leader *modelLeader, w *modelWorker) {
+	known, exists := leader.s.workers[w.info.ID]
+	if !exists {
+		return
+	}
+	for _, id := range m.taskIDs() {
+		t := leader.s.findTask(id)
+		switch {
+		case t == nil:
+		case t.phase == running && t.worker == known && t.step.def.Checkpointing && !t.step.occurrence.job.finished:
+			m.tracef("leader %d stops %s for other work", leader.s.cfg.FencingToken, id)
+			leader.s.stopForOthers(t, "task.preempted", "", m.now)
+			m.takeBatch(leader)
+			return
+		case t.phase == waiting && t.step.ready() && m.oneIn(3, "room is kept"):
+			leader.s.nominate(t, known, m.now)
+		}
+	}
+}
+
+// taskIDs returns all tasks in order.
+func (m *model) taskIDs() []fleet.TaskID {
+	var out []fleet.TaskID
+	for _, job := range m.jobIDs() {
+		for i, st := range m.view.Jobs[job].Submission.Steps {
+			for n := range st.Count {
+				out = append(out, fleet.TaskID{Job: job, Step: i, Index: n})
+			}
+		}
+	}
+	return out
+}
+
 // stop executes a stop, unless it is lost, and handles the response. A leader that does
 // not know the worker's address sends none.
 func (m *model) stop(leader *modelLeader, stop StopRequest) {
