Vacate no VM that takes longer than the turn to be empty

Ruled out: giving VMs back as soon as the shortage is gone, since they fill again.

Change: a VM begins to be vacated only if it is expected to be empty within 2 s, and one that its pool does not want now goes to another pool with a shortage.

Conclusion: VMs with long tasks serve their own pool on.

--- a/scheduler/consolidate.go
+++ b/scheduler/consolidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -27,6 +28,11 @@
 	room elsewhere
 }
 
+// maxVacateTime is the longest that a VM is expected to take to be empty when it begins to
+// be vacated. Its free room is lost to its own pool meanwhile, and the move comes on top:
+// the work that waits for it now is late by then.
+const maxVacateTime = 2 * time.Second
+
 // vacateCandidate is a VM with the time at which it can be empty.
 type vacateCandidate struct {
 	vm      *vm
@@ -70,6 +76,7 @@
 			}
 		}
 	}
+	c.candidates = slices.DeleteFunc(c.candidates, func(v vacateCandidate) bool { return v.emptyAt.After(c.now.Add(maxVacateTime)) })
 	sort.Slice(c.candidates, func(i, k int) bool {
 		a, b := c.candidates[i], c.candidates[k]
 		switch {
--- a/scheduler/release.go
+++ b/scheduler/release.go
@@ -41,6 +41,9 @@
 			need.count--
 			v.wantedAt = c.now
 		}
+	}
+	for _, v := range vacating {
+		c.redirect(v, short)
 		if c.now.Sub(v.wantedAt) > vacateHold {
 			c.s.undrain(v)
 			continue
@@ -59,6 +62,21 @@
 	}
 }
 
+// redirect vacates the VM for another pool that has an unmet shortage if its own does not
+// want it now.
+func (c *consolidation) redirect(v *vm, short []poolShortage) {
+	if v.wantedAt.Equal(c.now) {
+		return
+	}
+	for i := range short {
+		if need := &short[i]; need.count > 0 && need.pool != v.info.Pool {
+			need.count--
+			v.vacateFor, v.wantedAt = need.pool, c.now
+			return
+		}
+	}
+}
+
 // byEmptyTime orders the VMs by when they can be empty.
 func (c *consolidation) byEmptyTime(vms []*vm) []*vm {
 	emptyAt := make(map[*vm]time.Time, len(vms))
