--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -43,7 +43,7 @@
 // kinds returns the kinds of the events since the last call, by zone.
 func (f *testFleet) zoneEvents(zone string) []string {
 	var out []string
-	for _, e := range f.s.TakeEvents() {
+	for _, e := range f.readEvents() {
 		if e.SubjectKind() == "zone" && e.ID == zone {
 			out = append(out, e.Kind)
 		}
@@ -220,7 +220,7 @@
 	f := newZoneFleet(t, "z0", "z1")
 	f.s.Submit(f.newJob("serve", longRunningStep(4, 2)), f.now)
 	f.advance(3 * time.Second)
-	f.s.TakeEvents()
+	f.readEvents()
 	f.s.SetEvacuations([]string{"z0", "z1"}, f.now)
 	require.Contains(t, f.zoneEvents("z0 z1"), "zone.none_left")
 	f.s.Submit(f.newJob("job", shortStep(4)), f.now)
@@ -237,7 +237,7 @@
 // TestEvacuation_UnknownZone changes nothing until a worker appears there.
 func TestEvacuation_UnknownZone(t *testing.T) {
 	f := newZoneFleet(t, "z0")
-	f.s.TakeEvents()
+	f.readEvents()
 	f.s.SetEvacuations([]string{"elsewhere"}, f.now)
 	require.Equal(t, []string{"zone.evacuation_unknown"}, f.zoneEvents("elsewhere"))
 	f.s.Submit(f.newJob("job", shortStep(8)), f.now)
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -14,7 +14,7 @@
 // eventsOf returns the events of the kind since the last call.
 func (f *testFleet) eventsOf(kind string) []Event {
 	var out []Event
-	for _, e := range f.s.TakeEvents() {
+	for _, e := range f.readEvents() {
 		if e.Kind == kind {
 			out = append(out, e)
 		}
@@ -63,7 +63,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := twoWorkers(t)
 			start := f.placeJob("j")
-			f.s.TakeEvents()
+			f.readEvents()
 			c.giveUp(f, start)
 			events := f.eventsOf("task.requeued")
 			require.Len(t, events, 1)
@@ -94,7 +94,7 @@
 		}
 		return status
 	}
-	f.s.TakeEvents()
+	f.readEvents()
 	f.s.HandleStatus(other, ends(fleet.RunDone, start.Request.Task, taskOf("unknown", 0)), f.now, f.now)
 	ignored := f.eventsOf("outcome.ignored")
 	require.Len(t, ignored, 2)
