Place tasks by what waits and by what will end soon

Cause: a wide task waits while smaller ones behind it take each gap; tasks that end at different times share VMs, which therefore empty late; estimates are off by half and more for whole steps, so that jobs are ranked as late that are not. recordNoRoom and mayFit look at cores only. Change: with the policy lookahead: expected ends by rate, siblings and queue; steps' durations from their seen runs, also for ranks and deadlines; reservations with EASY backfill over all resources; a small part of the score for ends and for memory beside cores. In both states a round searches only workers with room for the smallest need that waits, and computes paths once a change. Off, decisions are as before.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -8,7 +8,8 @@
 )
 
 // placeGang places all members at once, on one rack where that helps.
-func (s *Scheduler) placeGang(st *step, workers []*worker, now time.Time) {
+func (s *Scheduler) placeGang(st *step, pool *poolRound, now time.Time) {
+	workers := pool.open
 	if st.waiting < len(st.tasks)-st.done || st.waiting == 0 {
 		return // Not all members of the last run have ended yet.
 	}
@@ -26,7 +27,7 @@
 	}
 	if st.def.RackLocal || st.def.DataRack != "" {
 		for _, rack := range racksOf(workers, st.def.DataRack) {
-			if s.placeGangOn(st, workersOfRack(workers, rack), now) {
+			if s.placeGangOn(st, workersOfRack(workers, rack), pool, now) {
 				return
 			}
 		}
@@ -34,11 +35,11 @@
 			return
 		}
 	}
-	s.placeGangOn(st, workers, now)
+	s.placeGangOn(st, workers, pool, now)
 }
 
 // placeGangOn places all members on the workers, or none.
-func (s *Scheduler) placeGangOn(st *step, workers []*worker, now time.Time) bool {
+func (s *Scheduler) placeGangOn(st *step, workers []*worker, pool *poolRound, now time.Time) bool {
 	attempt, checkpoint := 0, ""
 	for _, t := range st.tasks {
 		if t.attempt > attempt {
@@ -53,7 +54,7 @@
 		if t.phase != waiting {
 			continue
 		}
-		w := s.chooseWorker(t, workers, now)
+		w := s.chooseWorker(t, workers, pool, now)
 		if w == nil {
 			for _, undo := range placed {
 				s.releaseResources(undo)
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -22,6 +22,8 @@
 	finishedCount int64
 	// startup is how long a long-running task takes to become ready.
 	startup time.Duration
+	// progress lets runs report how far they are; else they report their end at once.
+	progress bool
 	// attempts counts the runs of each task, recorded are the records that advance stored.
 	attempts map[fleet.TaskID]int
 	recorded []ledgerRecord
@@ -134,6 +136,9 @@
 	if run.longRunning && f.now.Sub(run.startedAt) < f.startup {
 		return 50
 	}
+	if length := run.until.Sub(run.startedAt); f.progress && !run.longRunning && length > 0 {
+		return int(min(100, 100*f.now.Sub(run.startedAt)/length))
+	}
 	return 100
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -10,9 +10,8 @@
 type job struct {
 	sub   *fleet.Submission
 	queue fleet.Queue
-	// criticalPath and coreSeconds are computed once.
-	criticalPath time.Duration
-	coreSeconds  float64
+	// coreSeconds is computed once.
+	coreSeconds float64
 	// arrivedAt is when the job arrived, by the leader's clock.
 	arrivedAt time.Time
 	// longRunning jobs run until they are cancelled.
@@ -41,18 +40,42 @@
 	finished bool
 	// remainingTasks counts the tasks that are not done.
 	remainingTasks int
+	// wholePath and remainingPath are the longest paths through all steps and through the
+	// unfinished ones. They are computed once while pathKnown is set and the number of
+	// tasks that are not done is pathRemaining.
+	wholePath, remainingPath time.Duration
+	pathRemaining            int
+	pathKnown                bool
 	// remainingCoreSeconds is the estimate of the work that is not done.
 	remainingCoreSeconds float64
 }
 
 // deadline returns until when the occurrence is on time.
 func (o *occurrence) deadline() time.Time {
-	stretched := time.Duration(float64(o.job.criticalPath) * o.job.queue.Stretch)
+	o.computePaths()
+	stretched := time.Duration(float64(o.wholePath) * o.job.queue.Stretch)
 	return o.due.Add(stretched + o.job.queue.LatencyObjective)
 }
 
-// remainingCriticalPath returns the longest estimated path through unfinished steps.
+// remainingCriticalPath returns the longest expected path through unfinished steps.
 func (o *occurrence) remainingCriticalPath() time.Duration {
+	o.computePaths()
+	return o.remainingPath
+}
+
+// computePaths computes the paths anew if a step has ended or its runs have shown another
+// duration: a round asks for them several times for each step that waits.
+func (o *occurrence) computePaths() {
+	if o.pathKnown && o.pathRemaining == o.remainingTasks {
+		return
+	}
+	o.wholePath = o.longestPath(false)
+	o.remainingPath = o.longestPath(true)
+	o.pathKnown, o.pathRemaining = true, o.remainingTasks
+}
+
+// longestPath returns the longest path through the steps, or through the unfinished ones.
+func (o *occurrence) longestPath(unfinished bool) time.Duration {
 	longest := time.Duration(0)
 	var buffer [16]time.Duration
 	finishTimes := buffer[:0]
@@ -61,8 +84,8 @@
 		for _, dependency := range s.def.DependsOn {
 			start = max(start, finishTimes[dependency])
 		}
-		if s.done < len(s.tasks) {
-			duration = s.def.Estimate()
+		if !unfinished || s.done < len(s.tasks) {
+			duration = s.duration()
 		}
 		finishTimes = append(finishTimes, start+duration)
 		longest = max(longest, start+duration)
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -100,6 +100,7 @@
 			s.requeue(t, now, "the run of a long-running task ended")
 			return
 		}
+		s.recordRun(t, now)
 		gang := t.step
 		s.completeTask(t, now)
 		if gang.def.Gang {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -8,10 +8,11 @@
 
 // Place assigns waiting tasks to workers with free capacity, most urgent first.
 func (s *Scheduler) Place(now time.Time) {
-	if len(s.ready) == 0 {
+	if len(s.ready) == 0 && len(s.reservations) == 0 {
 		return
 	}
 	pools := s.newRound(now)
+	s.reviewReservations(pools, now)
 	s.computePressures(pools, now)
 	steps := s.rankedSteps(pools, now)
 	for len(steps) > 0 {
@@ -33,6 +34,12 @@
 	for st := range s.ready {
 		if pool := pools[st.occurrence.job.queue.Pool]; pool != nil {
 			out = append(out, rankedStep{step: st, rank: rankOf(st, estimateMargin(pool.pressure), now)})
+			pool.addWaiting(st)
+		}
+	}
+	for _, pool := range pools {
+		if pool.steps > 0 {
+			pool.findOpen()
 		}
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].rank.before(out[k].rank) })
@@ -70,9 +77,8 @@
 // placeStep places as many tasks of the step as there is capacity for, and as its team
 // may start within its share of the pool; done is false if the share kept tasks back.
 func (s *Scheduler) placeStep(st *step, pool *poolRound, shares poolShares, now time.Time) (done bool) {
-	workers := pool.workers
 	if st.occurrence.job.queue.NeedsTicket {
-		s.requestAdvice(st, workers, now)
+		s.requestAdvice(st, pool.workers, now)
 	}
 	use := poolTeam{st.occurrence.job.queue.Pool, st.occurrence.job.team}
 	limited := !st.def.LongRunning
@@ -80,7 +86,7 @@
 		return false
 	}
 	if st.def.Gang {
-		s.placeGang(st, workers, now)
+		s.placeGang(st, pool, now)
 		return true
 	}
 	for _, t := range st.tasks {
@@ -96,17 +102,20 @@
 		if !st.occurrence.job.hasTeamCapacityFor(st.def.Need) {
 			return true
 		}
-		if !pool.mayFit(t.resources()) {
-			pool.recordNoRoom(st)
+		if !s.mayFit(t, pool) {
+			s.handleNoRoom(t, pool, now)
 			return true
 		}
-		w := s.chooseWorker(t, workers, now)
+		w := s.chooseWorker(t, pool.open, pool, now)
 		if w == nil {
 			if t.avoid != "" {
 				continue
 			}
 			pool.updateLargestFree()
-			pool.recordNoRoom(st)
+			if s.cfg.Policies.Lookahead {
+				pool.recordFailedSearch(st, t.resources(), s.expectedRun(st))
+			}
+			s.handleNoRoom(t, pool, now)
 			return true
 		}
 		s.assign(t, w, now)
@@ -114,10 +123,31 @@
 	return true
 }
 
+// handleNoRoom follows a search that found no worker for the task.
+func (s *Scheduler) handleNoRoom(t *task, pool *poolRound, now time.Time) {
+	pool.recordNoRoom(t.step)
+	if s.cfg.Policies.Lookahead {
+		s.reserve(t, pool, now)
+	}
+}
+
+// mayFit reports whether a worker of the pool may have room for the task.
+func (s *Scheduler) mayFit(t *task, pool *poolRound) bool {
+	need := t.resources()
+	if !pool.mayFit(need) {
+		return false
+	}
+	if !s.cfg.Policies.Lookahead || s.reservations[t.step] != nil {
+		return true
+	}
+	return !pool.searchFails(t.step, need, s.expectedRun(t.step))
+}
+
 // assign assigns the task to the worker; its start is requested once that is stored.
 func (s *Scheduler) assign(t *task, w *worker, now time.Time) {
 	t.attempt++
 	t.phase = persisting
+	t.resumed = t.checkpoint != ""
 	t.step.waiting--
 	if t.step.def.RackLocal {
 		t.step.rack = w.info.Rack()
@@ -126,6 +156,7 @@
 	t.placedLate = rankOf(t.step, 0, now).class >= classLate
 	s.emit(Event{Kind: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: t.assignmentReason(w, now)})
 	s.reserveResources(t, w)
+	s.noteAssignment(t, w, now)
 	s.recordAssignment(t)
 	s.batch.pendingStarts = append(s.batch.pendingStarts, pendingStart{task: t, attempt: t.attempt})
 	s.updateReady(t.step)
@@ -139,15 +170,25 @@
 	return fmt.Sprintf("slack %d ms, %d free millicores, status %d ms old", slack.Milliseconds(), w.free().MilliCPU, now.Sub(w.lastPollAt).Milliseconds())
 }
 
-// chooseWorker returns the best feasible worker for the task, or nil.
-func (s *Scheduler) chooseWorker(t *task, workers []*worker, now time.Time) *worker {
+// chooseWorker returns the best feasible worker for the task, or nil. Work that may
+// keep a wide task waiting has no room on a reserved worker.
+func (s *Scheduler) chooseWorker(t *task, workers []*worker, pool *poolRound, now time.Time) *worker {
 	var best *worker
 	bestScore := 0.0
+	lookahead := s.cfg.Policies.Lookahead
+	var end time.Time
+	if lookahead {
+		end = now.Add(s.expectedRun(t.step))
+	}
 	for _, w := range workers {
-		if !s.isFeasible(t, w, now) {
+		if !s.isFeasible(t, w, now) || w.reservation != nil && w.reservation.keepsOff(t, end) {
 			continue
 		}
-		if score := scoreWorker(t, w); best == nil || score > bestScore {
+		score := scoreWorker(t, w)
+		if lookahead && !t.step.def.LongRunning {
+			score += s.packingScore(t, w, end, pool, now)
+		}
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
--- a/scheduler/poolround.go
+++ b/scheduler/poolround.go
@@ -20,6 +20,22 @@
 	largestFree int64
 	// largest is the most that a worker holds when it is empty, by each resource.
 	largest fleet.Resources
+	// used is what the tasks on the workers use, running is their number.
+	used    fleet.Resources
+	running int
+	// waiting is what all waiting tasks need: its shape tells which leftover is of use.
+	waiting fleet.Resources
+	// steps counts the steps with tasks that wait; smallest is the least that any of their
+	// tasks needs of each resource, and open holds the workers with room for that: of a
+	// full pool, few are searched.
+	steps    int
+	smallest fleet.Resources
+	open     []*worker
+	// reservations counts the pool's reservations, reservationSearches the searches for
+	// new ones in this round.
+	reservations, reservationSearches int
+	// failed holds the searches that found no worker.
+	failed []failedSearch
 	// blocked is set once a step of a team within its share finds no room.
 	blocked bool
 }
@@ -40,6 +56,8 @@
 			out[w.info.Pool] = p
 		}
 		p.workers = append(p.workers, w)
+		p.used = p.used.Plus(w.used)
+		p.running += len(w.tasks)
 		p.largestFree = max(p.largestFree, w.free().MilliCPU)
 		capacity := w.info.Capacity
 		p.largest = fleet.Resources{
@@ -65,9 +83,37 @@
 // recordNoRoom marks the pool as blocked by the step, unless it waits for more than room:
 // one that no worker can hold, or that only some workers may run, holds nobody up.
 func (p *poolRound) recordNoRoom(st *step) {
-	def := st.def
-	constrained := def.LongRunning || def.Label != "" || def.MaxPerWorker > 0 || def.RackLocal || st.occurrence.job.queue.NeedsTicket
-	if !constrained && p.largest.Fits(def.Need) {
+	if !waitsForMoreThanRoom(st) && p.largest.Fits(st.def.Need) {
 		p.blocked = true
 	}
 }
+
+// waitsForMoreThanRoom reports whether only some workers may run the step's tasks.
+func waitsForMoreThanRoom(st *step) bool {
+	def := st.def
+	return def.LongRunning || def.Label != "" || def.MaxPerWorker > 0 || def.RackLocal || st.occurrence.job.queue.NeedsTicket
+}
+
+// addWaiting counts the step's waiting tasks in what waits.
+func (p *poolRound) addWaiting(st *step) {
+	need := st.tasks[0].resources()
+	if p.steps++; p.steps == 1 {
+		p.smallest = need
+	}
+	p.smallest = fleet.Resources{MilliCPU: min(p.smallest.MilliCPU, need.MilliCPU), MemMB: min(p.smallest.MemMB, need.MemMB), GPU: min(p.smallest.GPU, need.GPU)}
+	if st.def.LongRunning || st.def.BestEffort {
+		return
+	}
+	n := int64(st.waiting)
+	p.waiting = p.waiting.Plus(fleet.Resources{MilliCPU: n * st.def.Need.MilliCPU, MemMB: n * st.def.Need.MemMB})
+}
+
+// findOpen finds the workers that have room for the smallest needs.
+func (p *poolRound) findOpen() {
+	p.open = make([]*worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		if w.free().Fits(p.smallest) {
+			p.open = append(p.open, w)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,6 +29,10 @@
 	shortUse map[poolTeam]int64
 	// ready holds the steps with tasks to place.
 	ready map[*step]struct{}
+	// reservations holds the workers that are kept for steps, runRatios how the runs of
+	// each queue compared with their estimates.
+	reservations map[*step]*reservation
+	runRatios    map[string]*runRatios
 	// scheduledJobs holds the jobs with occurrences to come.
 	scheduledJobs   map[*job]struct{}
 	vms             map[string]*vm
@@ -60,6 +64,8 @@
 		teams:               map[string]*team{},
 		shortUse:            map[poolTeam]int64{},
 		ready:               map[*step]struct{}{},
+		reservations:        map[*step]*reservation{},
+		runRatios:           map[string]*runRatios{},
 		scheduledJobs:       map[*job]struct{}{},
 		previouslyFinished:  map[string]*fleet.Submission{},
 		vms:                 map[string]*vm{},
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -86,6 +86,11 @@
 			t.runningSince = now
 		}
 		t.progress, t.usage = run.Percent, run.Usage
+		if !t.observed {
+			if took, known := t.projectedRun(); known {
+				s.observeRun(t, took)
+			}
+		}
 		if t.step.def.Checkpointing && run.Checkpoint != "" {
 			t.checkpoint = run.Checkpoint
 		}
--- a/scheduler/step.go
+++ b/scheduler/step.go
@@ -22,6 +22,9 @@
 	// readySince is since when tasks of the step have waited to be placed; zero for
 	// none.
 	readySince time.Time
+	seen       seenRuns
+	// reservedBefore reports that the step has had a reservation.
+	reservedBefore bool
 	// rack is the rack of the placed tasks of a rack-local step.
 	rack string
 	// gangDone reports that a member of the gang has succeeded; a new leader derives it
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -165,7 +165,7 @@
 
 func (s *Scheduler) addJob(sub *fleet.Submission, arrivedAt time.Time) *job {
 	j := &job{
-		sub: sub, arrivedAt: arrivedAt, criticalPath: sub.CriticalPath(), coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
+		sub: sub, arrivedAt: arrivedAt, coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
 		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
 	}
 	s.applyManifest(j)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -62,6 +62,9 @@
 	throttledAt  time.Time
 	runningSince time.Time
 	ticket       string
+	// resumed reports that the run started from a checkpoint, observed that its step has
+	// counted it among the runs seen.
+	resumed, observed bool
 }
 
 // resources returns the capacity that the task uses on its worker. Best-effort tasks
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -59,6 +59,11 @@
 	// wave ends soon.
 	maintenanceDue    bool
 	maintenanceUrgent bool
+	// reservation keeps the worker for a step that waits; nil for none.
+	reservation *reservation
+	// endsAt is when its last task was expected to end at endsComputedAt.
+	endsAt         time.Time
+	endsComputedAt time.Time
 	// ended incarnations get no updates.
 	ended bool
 	// claimedAt is when the list named the incarnation; zero once a status has shown it.
