--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -13,7 +13,7 @@
 	wideFactor = 1.5
 	// workersPerReservation bounds the reservations of a pool: the rest of it is never
 	// kept from small work.
-	workersPerReservation = 8
+	workersPerReservation = 32
 	// maxReservationSearches bounds for how many steps of a pool a worker to reserve is
 	// searched in one round, and maxReservationCandidates the workers that are looked at
 	// for each: their cost must not grow with the pool.
