Check the guarantees of the model also with the lookahead

Cause: reservations and packing choose other workers, and end with workers, takeovers and cancels, which the drawn schedules of the model hold. Ruled out: a model of its own; the guarantees are the same. Change: TestModel_GuaranteesHoldWithLookahead runs the same schedules with the policy on. Before and after: 2,000 schedules by hand hold. Conclusion: the model covers both states of the policy.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -257,3 +257,8 @@
 func TestModel_GuaranteesHold(t *testing.T) {
 	rapid.Check(t, checkModel(nil))
 }
+
+// TestModel_GuaranteesHoldWithLookahead checks them with reservations and packing.
+func TestModel_GuaranteesHoldWithLookahead(t *testing.T) {
+	rapid.Check(t, checkModel(func(s *Scheduler) { s.cfg.Policies.Lookahead = true }))
+}
