Give vacating VMs back to a wave that ends soon

Cause: a VM that began to be vacated before its wave was urgent stays reserved for its move, and the wave passes it over.

Change: such a VM is given back with the next plan.

Conclusion: moves and waves do not hold each other up.

--- a/scheduler/consolidate_test.go
+++ b/scheduler/consolidate_test.go
@@ -271,4 +271,9 @@
 	}
 	require.Equal(t, 1, redirected)
 	require.Equal(t, vacating, names(), "VMs are given back with the first dip of the demand")
+	for _, w := range f.s.workers {
+		w.maintenanceUrgent = true
+	}
+	c.releaseUnwanted([]poolShortage{{pool: "third", count: 1}})
+	require.Empty(t, names(), "VMs that a wave needs now are held for a move")
 }
--- a/scheduler/release.go
+++ b/scheduler/release.go
@@ -22,8 +22,8 @@
 	return out
 }
 
-// releaseUnwanted lets VMs take tasks again that no pool has needed for a while, and as
-// many as their own pool lacks for work that can be on time: those that would be empty
+// releaseUnwanted lets VMs take tasks again that no pool has needed for a while or that a
+// wave needs now, and as many as their own pool lacks for work that can be on time: those that would be empty
 // last. It counts the others as met shortages.
 //
 // It answers shortages that come and go with single arrivals during the change of turns.
@@ -44,7 +44,9 @@
 	}
 	for _, v := range vacating {
 		c.redirect(v, short)
-		if c.now.Sub(v.wantedAt) > vacateHold {
+		w := c.s.workerOf(v)
+		urgent := w != nil && w.maintenanceUrgent
+		if urgent || c.now.Sub(v.wantedAt) > vacateHold {
 			c.s.undrain(v)
 			continue
 		}
