Limit teams' demand to their part of a short fleet

Cause: one team's surge counts whole as demand when pools are sized, up to six times the fleet, so that its queue keeps VMs that the next queue's turn needs. Change: a division of the fleet by tier, team weight and queue priority limits the demand of each pool while the pools ask for more than the fleet holds; jobs beyond their team's rate come after those that have value; pools of lower priority number get VMs first.

--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -28,6 +28,8 @@
 	at          time.Time
 	pool        string
 	coreSeconds float64
+	// key is the part of the fleet's demand that the job belongs to.
+	key demandKey
 }
 
 // arrivals holds the recently submitted work, oldest first.
@@ -103,3 +105,19 @@
 	growth := rate - p.previousWork/arrivalWindows[0].Seconds() - noise
 	return rate + min(max(0, growth), maxGrowth*rate)
 }
+
+// shares returns how the work that arrived last divides by the parts of each pool's
+// demand: the fractions of a pool add up to one.
+func (a arrivals) shares(now time.Time) map[demandKey]float64 {
+	work, total := map[demandKey]float64{}, map[string]float64{}
+	for _, one := range a {
+		if now.Sub(one.at) <= arrivalWindows[0] {
+			work[one.key] += one.coreSeconds
+			total[one.pool] += one.coreSeconds
+		}
+	}
+	for key := range work {
+		work[key] /= max(math.SmallestNonzeroFloat64, total[key.pool])
+	}
+	return work
+}
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 	// Kind names the event, such as "task.requeued": the subject, a dot and what
 	// happened.
 	Kind string
-	// ID identifies the task, job, worker, VM or pool.
+	// ID identifies the task, job, worker, VM, pool or team.
 	ID string
 	// Reason gives the inputs of the decision.
 	Reason string
@@ -16,10 +16,10 @@
 	Attempt int
 }
 
-// SubjectKind returns what the ID identifies: a request, a worker, a VM or a pool.
+// SubjectKind returns what the ID identifies: a request, a worker, a VM, a pool or a team.
 func (e *Event) SubjectKind() string {
 	switch subject, _, _ := strings.Cut(e.Kind, "."); subject {
-	case "worker", "vm", "pool":
+	case "worker", "vm", "pool", "team":
 		return subject
 	default:
 		return "request"
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -29,6 +29,8 @@
 	// team is nil for clients without an API key; limit is the team's.
 	team  *team
 	limit fleet.Resources
+	// beyond jobs arrived beyond their team's allowance.
+	beyond bool
 }
 
 // occurrence is one pass through the steps of a job.
--- a/scheduler/poolreport.go
+++ b/scheduler/poolreport.go
@@ -23,8 +23,12 @@
 	sort.Strings(names)
 	for _, name := range names {
 		p := s.pools[name]
+		limit := ""
+		if p.limited {
+			limit = fmt.Sprintf(", of which %d are entitled in a short fleet", p.entitled)
+		}
 		s.emit(Event{Kind: "pool.planned", ID: name, Reason: fmt.Sprintf(
-			"%d VMs and %d incoming, %d millicores for a demand of %d: %d running, %d waiting, %d arriving; the list of VMs is %d ms old",
-			len(p.vms), p.incoming, p.capacity, p.demand, p.running, p.waiting, p.arriving, now.Sub(s.vmsListedAt).Milliseconds())})
+			"%d VMs and %d incoming, %d millicores for a demand of %d: %d running, %d waiting, %d arriving%s; the list of VMs is %d ms old",
+			len(p.vms), p.incoming, p.capacity, p.demand, p.running, p.waiting, p.arriving, limit, now.Sub(s.vmsListedAt).Milliseconds())})
 	}
 }
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -39,6 +39,16 @@
 	// runningLate is the part of running whose jobs could only be late when it was
 	// placed.
 	runningLate int64
+	// lasting is the part of the demand of tasks that run until they are cancelled.
+	lasting int64
+	// limited reports that the fleet is short and the demand is limited to entitled: what
+	// the teams that use the pool are entitled to, long-running tasks included.
+	limited  bool
+	entitled int64
+	// priority is the lowest priority number among the pool's demands, if it has any in
+	// a short fleet.
+	priority    int
+	hasPriority bool
 	// vmCapacity is the CPU of one VM.
 	vmCapacity int64
 	// minSeparateVMs is how many VMs a step needs whose tasks must not share one;
@@ -76,6 +86,18 @@
 	return max(0, min(int(excess), len(p.vms)+p.incoming-p.draining-max(minPoolVMs, p.minSeparateVMs)))
 }
 
+// servedBefore orders the pools that get VMs: in a fleet that is short by priority, then by
+// the largest shortage.
+func (p *poolState) servedBefore(other *poolState) bool {
+	if p.limited && other.limited && p.hasPriority && other.hasPriority && p.priority != other.priority {
+		return p.priority < other.priority
+	}
+	if a, b := p.shortage(), other.shortage(); a != b {
+		return a > b
+	}
+	return p.name < other.name
+}
+
 // computePoolStates computes every pool's capacity and demand.
 func (s *Scheduler) computePoolStates(now time.Time) map[string]*poolState {
 	out := map[string]*poolState{}
@@ -123,6 +145,9 @@
 			if t.placedLate {
 				p.runningLate += t.step.def.Need.MilliCPU
 			}
+			if t.step.def.LongRunning {
+				p.lasting += t.step.def.Need.MilliCPU
+			}
 		}
 	}
 	for _, j := range s.jobs {
@@ -154,6 +179,12 @@
 		p := state(st.occurrence.job.queue.Pool)
 		p.waiting += int64(st.waiting) * st.def.Need.MilliCPU
 		p.demand += int64(st.waiting) * st.def.Need.MilliCPU
+		if st.def.LongRunning {
+			p.lasting += int64(st.waiting) * st.def.Need.MilliCPU
+		}
+	}
+	if s.cfg.Policies.Entitlement {
+		s.limitDemands(out, now)
 	}
 	return out
 }
@@ -176,10 +207,7 @@
 		}
 	}
 	sort.Slice(names, func(i, k int) bool {
-		if a, b := s.pools[names[i]].shortage(), s.pools[names[k]].shortage(); a != b {
-			return a > b
-		}
-		return names[i] < names[k]
+		return s.pools[names[i]].servedBefore(s.pools[names[k]])
 	})
 	for _, name := range names {
 		need := s.pools[name]
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -26,6 +26,9 @@
 	classTight
 	// classLate is work of jobs that can only be late.
 	classLate
+	// classBeyond is work of jobs beyond their team's allowance that has value, while
+	// the pool is under pressure.
+	classBeyond
 	// classWorthless is work of jobs that end too late to be of use.
 	classWorthless
 )
@@ -78,6 +81,9 @@
 	remaining := o.remainingCriticalPath()
 	deadline := o.deadline()
 	r.class = classOf(now.Add(remaining), time.Duration(margin*float64(remaining)), o.due, deadline)
+	if o.job.beyond && margin > 0 && r.class < classBeyond {
+		r.class = classBeyond
+	}
 	if r.class != classWorthless {
 		r.score = float64(deadline.Add(-remaining).UnixMilli())
 	}
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -24,20 +24,31 @@
 // and the others share what that leaves. Jobs without a team count as one team of mean
 // weight.
 func computeShares(capacity int64, demands []teamDemand) poolShares {
-	total, weights, teams := int64(0), 0.0, 0
+	total, teams := int64(0), 0
 	for _, d := range demands {
 		total += d.demand
 		if d.team != nil {
-			weights += float64(d.team.weight)
 			teams++
 		}
 	}
 	if total <= capacity || teams == 0 {
 		return poolShares{}
 	}
+	return poolShares{millicores: shareOut(capacity, demands)}
+}
+
+// shareOut returns each team's part of the capacity, by max-min fairness.
+func shareOut(capacity int64, demands []teamDemand) map[*team]int64 {
+	weights, teams := 0.0, 0
+	for _, d := range demands {
+		if d.team != nil {
+			weights += float64(d.team.weight)
+			teams++
+		}
+	}
 	weightOf := func(t *team) float64 {
 		if t == nil {
-			return weights / float64(teams)
+			return max(1, weights) / float64(max(1, teams))
 		}
 		return float64(t.weight)
 	}
@@ -57,7 +68,7 @@
 		left -= share
 		weightLeft -= w
 	}
-	return poolShares{millicores: shares}
+	return shares
 }
 
 // exceeded reports whether the team uses its whole share of the full pool.
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -15,6 +15,7 @@
 	}
 	if stored.Result.Outcome != ledger.OutcomeNone {
 		s.previouslyFinished[stored.Submission.ID] = stored.Submission
+		s.beyondAllowance(stored.Submission, now.Add(-ageOf(stored.Submission, now)))
 		for id := range stored.Tasks {
 			// The leader before could not store the rest of the job's end.
 			s.batch.Records = append(s.batch.Records, ledger.AssignmentTombstone(id))
@@ -140,7 +141,7 @@
 	}
 	j := s.addJob(sub, now.Add(-min(ageOf(sub, now), maxSubmissionAge)))
 	if !j.longRunning && !sub.HasSchedule() {
-		s.arrivals.add(arrival{at: now, pool: j.queue.Pool, coreSeconds: j.coreSeconds})
+		s.arrivals.add(arrival{at: now, pool: j.queue.Pool, coreSeconds: j.coreSeconds, key: j.demandKey(j.queue.Pool)})
 	}
 }
 
@@ -169,6 +170,7 @@
 		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
 	}
 	s.applyManifest(j)
+	j.beyond = s.beyondAllowance(sub, arrivedAt)
 	if j.queue.Pool == "" {
 		s.emit(Event{Kind: "job.queue_unknown", ID: sub.ID, Reason: fmt.Sprintf("neither manifest %d nor the job's record defines queue %s", s.manifest.Version, sub.Queue)})
 	}
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/anvilcourse/anvilcourse/fleet"
+import (
+	"time"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+)
 
 // team holds a team's current usage.
 type team struct {
@@ -8,6 +12,13 @@
 	used fleet.Resources
 	// weight is as the newest job or manifest tells; it only divides full pools.
 	weight int64
+	// allowance measures the team's jobs against its weight; jobsBeyond counts those
+	// beyond it.
+	allowance  allowance
+	jobsBeyond int
+	// overSince and lastOver are when the team was first and last found to ask for more
+	// of a short fleet than it is entitled to; overSince is zero while it is not.
+	overSince, lastOver time.Time
 }
 
 // hasTeamCapacityFor reports whether the need fits in the limit of the job's team.
--- a/scheduler/vacate.go
+++ b/scheduler/vacate.go
@@ -31,7 +31,7 @@
 	count int
 }
 
-// unmetShortages returns the shortages that remain, largest first.
+// unmetShortages returns the shortages that remain, the one to be met first in front.
 func (s *Scheduler) unmetShortages() []poolShortage {
 	var out []poolShortage
 	for name, p := range s.pools {
@@ -42,10 +42,7 @@
 		}
 	}
 	sort.Slice(out, func(i, k int) bool {
-		if out[i].count != out[k].count {
-			return out[i].count > out[k].count
-		}
-		return out[i].pool < out[k].pool
+		return s.pools[out[i].pool].servedBefore(s.pools[out[k].pool])
 	})
 	return out
 }
@@ -146,6 +143,9 @@
 		return 0
 	}
 	demand := max(p.running-p.runningLate, p.arriving) + p.waiting
+	if p.limited {
+		demand = min(demand, p.entitled)
+	}
 	excess := (p.capacity - demand) / p.vmCapacity
 	return max(0, min(int(excess), len(p.vms)+p.incoming-p.draining-max(minPoolVMs, p.minSeparateVMs)))
 }
