Count VMs that are emptied as capacity of the fleet

Cause: VMs that are emptied for another pool counted with what runs on them only, so that a fleet seemed to shrink as they emptied, every pool's entitled demand with it, and the emptied VMs were given back to the surge. Seen in the replay of a surge beside the next queue's turn: nine of nine VMs emptied, five given back. Ruled out: the time that tasks take to end.

--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -60,7 +60,7 @@
 	l.workerList.apply(result.list)
 	sched.SetWorkers(l.workerList.workers, now)
 	l.follower.Read(func(v *ledger.View) {
-		for _, j := range v.Jobs {
+		for _, j := range v.JobsByArrival() {
 			sched.RestoreJob(j, now)
 		}
 	})
--- a/scheduler/allowance.go
+++ b/scheduler/allowance.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
@@ -49,3 +52,17 @@
 	t.jobsBeyond++
 	return true
 }
+
+// reportInvalidWeights logs each team with a weight below one once; it counts as one.
+func (s *Scheduler) reportInvalidWeights() {
+	if !s.cfg.Policies.Entitlement {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.manifest.Teams)) {
+		weight := s.manifest.Teams[name].Weight
+		if t := s.teamByName(name); t != nil && weight < 1 && !t.weightReported {
+			t.weightReported = true
+			s.emit(Event{Kind: "team.weight_invalid", ID: name, Reason: fmt.Sprintf("weight %d counts as 1", weight)})
+		}
+	}
+}
--- a/scheduler/fleetdemand.go
+++ b/scheduler/fleetdemand.go
@@ -13,17 +13,17 @@
 func (s *Scheduler) limitDemands(pools map[string]*poolState, now time.Time) {
 	capacity, total := int64(0), int64(0)
 	for _, p := range pools {
-		capacity += p.capacity - p.lasting
+		capacity += p.capacity + p.vacating - p.lasting
 		total += p.demand - p.lasting
 	}
-	if total <= capacity {
-		s.reportEntitlement(nil, nil, now)
-		return
+	var demands map[demandKey]int64
+	var division fleetDivision
+	if total > capacity {
+		demands = s.demandParts(pools, now)
+		division = divideFleet(capacity, demands)
 	}
-	demands := s.demandParts(pools, now)
-	division := divideFleet(capacity, demands)
+	s.reportEntitlement(demands, division, now)
 	if division == nil {
-		s.reportEntitlement(nil, nil, now)
 		return
 	}
 	given := division.pools()
@@ -37,7 +37,6 @@
 			p.priority, p.hasPriority = key.priority, true
 		}
 	}
-	s.reportEntitlement(demands, division, now)
 }
 
 // demandParts splits the pools' demands, without long-running tasks, by team, priority and
--- a/scheduler/manifest.go
+++ b/scheduler/manifest.go
@@ -11,6 +11,7 @@
 // SetManifest applies a manifest.
 func (s *Scheduler) SetManifest(m *fleet.Manifest, now time.Time) {
 	s.manifest = m
+	s.reportInvalidWeights()
 	for _, j := range s.jobs {
 		before := j.queue.MaxAttempts
 		s.applyManifest(j)
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -39,6 +39,9 @@
 	// runningLate is the part of running whose jobs could only be late when it was
 	// placed.
 	runningLate int64
+	// vacating is the free CPU of VMs that are emptied for other pools: capacity lacks
+	// it, the fleet does not.
+	vacating int64
 	// lasting is the part of the demand of tasks that run until they are cancelled.
 	lasting int64
 	// limited reports that the fleet is short and the demand is limited to entitled: what
@@ -130,6 +133,9 @@
 			case w != nil && w.cordoned:
 				p.draining++
 				p.capacity += w.used.MilliCPU
+				if v.drainFor == VMMove {
+					p.vacating += v.info.Capacity.MilliCPU - w.used.MilliCPU
+				}
 			case w != nil && w.schedulable(now) || s.isSpare(v.info.Pool):
 				p.capacity += v.info.Capacity.MilliCPU
 			}
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -81,8 +81,8 @@
 	remaining := o.remainingCriticalPath()
 	deadline := o.deadline()
 	r.class = classOf(now.Add(remaining), time.Duration(margin*float64(remaining)), o.due, deadline)
-	if o.job.beyond && margin > 0 && r.class < classBeyond {
-		r.class = classBeyond
+	if o.job.beyond && margin > 0 {
+		r.class = max(r.class, classBeyond)
 	}
 	if r.class != classWorthless {
 		r.score = float64(deadline.Add(-remaining).UnixMilli())
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -16,6 +16,8 @@
 	// beyond it.
 	allowance  allowance
 	jobsBeyond int
+	// weightReported is set once a weight below one has been logged.
+	weightReported bool
 	// overSince and lastOver are when the team was first and last found to ask for more
 	// of a short fleet than it is entitled to; overSince is zero while it is not.
 	overSince, lastOver time.Time
