--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -64,7 +64,7 @@
 	sched.SetWorkers(l.workerList.workers, now)
 	sched.SetEvacuations(l.operator.Evacuations(), now)
 	l.follower.Read(func(v *ledger.View) {
-		for _, j := range v.Jobs {
+		for _, j := range v.JobsByArrival() {
 			sched.RestoreJob(j, now)
 		}
 	})
