Let the soak's entries decide with all policies

Cause: the soak knew none of the parts under overload. Ruled out: switching them on for the regressions, which were found without. Change: entries of other seeds run with entitlement, preemption, consolidation, lookahead and stored orders.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -56,6 +57,9 @@
 	zonesRNG *rand.Rand
 	version  int
 	binary   string
+	// policies are what the entries decide under overload: all of it, but in the
+	// regressions, which were found without.
+	policies settings.Policies
 	store    *emulator.Store
 	fleet    *emulator.Fleet
 	entries  []*entry
@@ -84,6 +88,9 @@
 
 func newTestFleet(t *testing.T, binary string, seed uint64) *testFleet {
 	f := &testFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), outageRNG: rand.New(rand.NewPCG(seed, 1)), writersRNG: rand.New(rand.NewPCG(seed, 2)), zonesRNG: rand.New(rand.NewPCG(seed, 3)), version: 2, binary: binary, store: emulator.NewStore()}
+	if !slices.Contains(regressions, seed) {
+		f.policies = settings.Policies{Entitlement: true, Preemption: true, Consolidation: true, Lookahead: true, StoredVMOrders: true}
+	}
 	f.fleet = emulator.NewFleet(f.store)
 	storeServer, vmServer := httptest.NewServer(f.store), httptest.NewServer(f.fleet)
 	t.Cleanup(storeServer.CloseClientConnections)
@@ -108,6 +115,7 @@
 	s := settings.DefaultFleetEntry()
 	s.Node, s.AvailabilityZone, s.Store, s.VMs = fmt.Sprintf("entry-%d", i), "z1", proxy.Address(), vms
 	s.Callers, s.Readiness, s.StopGraceS, s.StopMS = freeAddress(f.t), freeAddress(f.t), 1, 100
+	s.Policies = f.policies
 	raw, err := json.Marshal(s)
 	require.NoError(f.t, err)
 	e := &entry{proxy: proxy, settingsPath: filepath.Join(f.t.TempDir(), "settings.json"), clientAddress: s.Callers}
