Count no wait at the gate against a client, run nothing of one given up

Ruled out: a longer lag before a request may be displaced, which lets crowds hold their room.

Before and after: TestHold_WaitIsNoLag and TestWhole_NotAfterTheConnectionIsGone are the reviewer's, red before; ingress with the race detector and platform are green after.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -50,6 +50,8 @@
 	// startedAt, movedAt and writingSince are nanoseconds from epoch: when the request
 	// began, when its last bytes came and since when a write waits, 0 for no write.
 	startedAt, movedAt, writingSince atomic.Int64
+	// atGate is set while the request waits for room, which is no fault of its client.
+	atGate atomic.Bool
 	// received is how many bytes of the request have come since startedAt.
 	received atomic.Int64
 	// held is written under the gate's lock, which guards gone and stalled, too.
@@ -71,10 +73,25 @@
 	c.phase.Store(phase)
 }
 
+// waitAtGate marks the request as waiting for room. The function that it returns ends that,
+// and leaves the time out of what the client has taken.
+func (c *conn) waitAtGate() func() {
+	began := time.Now()
+	c.atGate.Store(true)
+	return func() {
+		c.startedAt.Add(int64(time.Since(began)))
+		c.movedAt.Store(nanos(time.Now()))
+		c.atGate.Store(false)
+	}
+}
+
 // lag is how far the client is behind: the time for which it has stood still, or by which
 // it is slower than goodRate. It is 0 while the entry has the request.
 func (c *conn) lag(now time.Time) time.Duration {
 	at := nanos(now)
+	if c.atGate.Load() {
+		return 0
+	}
 	switch c.phase.Load() {
 	case phaseServed:
 		if since := c.writingSince.Load(); since != 0 {
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -96,6 +96,7 @@
 		return g.take(c, n)
 	}
 	deadline := time.Now().Add(patience)
+	defer c.waitAtGate()()
 	for {
 		now := time.Now()
 		g.displace(c, n, now)
@@ -195,7 +196,7 @@
 func (g *Gate) whole(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.displaced.Load() {
+	if c.displaced.Load() || c.gone {
 		return errDisplaced
 	}
 	if c.stalled {
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -276,3 +277,43 @@
 	status, _, _ := answer(t, send(t, address, fmt.Sprintf(head, testLimit+1)))
 	require.Equal(t, http.StatusRequestEntityTooLarge, status)
 }
+
+// TestHold_WaitIsNoLag lets two requests wait for room: the one that gets it has not been
+// asked for a byte yet, and must not be displaced for the time for which it waited.
+func TestHold_WaitIsNoLag(t *testing.T) {
+	g := NewGate(Limits{HeldBytes: 10_000, Connections: 10, Stall: 5 * time.Second}, hclog.NewNullLogger())
+	newConn := func() *conn {
+		end, other := net.Pipe()
+		t.Cleanup(func() { _ = end.Close(); _ = other.Close() })
+		c := g.admit(end, time.Now())
+		c.begin(phaseBody, time.Now())
+		return c
+	}
+	first, waiting := newConn(), []*conn{newConn(), newConn()}
+	require.NoError(t, g.hold(first, 6000, 0))
+	first.phase.Store(phaseServed)
+	var group sync.WaitGroup
+	for _, c := range waiting {
+		group.Go(func() { _ = g.hold(c, 6000, holdPatience) })
+	}
+	time.Sleep(minHoldLag + 100*time.Millisecond)
+	g.releaseAll(first)
+	group.Wait()
+	for _, c := range waiting {
+		require.False(t, c.displaced.Load())
+	}
+}
+
+// TestWhole_NotAfterTheConnectionIsGone gives the place of a connection to another one while
+// its request is read: the request does not run.
+func TestWhole_NotAfterTheConnectionIsGone(t *testing.T) {
+	g := NewGate(Limits{HeldBytes: 10_000, Connections: 1, Stall: 5 * time.Second}, hclog.NewNullLogger())
+	a, b := net.Pipe()
+	t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
+	past := time.Now().Add(-2 * minConnLag)
+	c := g.admit(a, past)
+	c.begin(phaseBody, past)
+	require.NoError(t, g.hold(c, 100, 0))
+	require.NotNil(t, g.admit(b, time.Now()))
+	require.Error(t, g.whole(c))
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -48,6 +48,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if g.isGone(c) {
+			// The request must not run, and an empty response would say that it had.
+			panic(http.ErrAbortHandler)
+		}
 		if g.pressed() {
 			w.Header().Set("Connection", "close")
 		}
@@ -62,6 +66,13 @@
 	})
 }
 
+// isGone reports whether the connection has been given up.
+func (g *Gate) isGone(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.gone || c.displaced.Load()
+}
+
 // connOf returns the request's connection, or one that stands for it in the counts if the
 // gate does not know it.
 func (g *Gate) connOf(r *http.Request) *conn {
