Mend what the review of the joined parts found in the scheduler

Reservations and nominations kept each other's tasks off one worker; a wide step could take more of a team in one round than the bound; a short first run, a run confirmed late or one task counted twice made a job late by its observed duration; a VM whose order's batch is refused stayed ordered; stored orders did not speak against an old worker; a vacated VM of an evacuated zone hid a shortage; tasks with a label were stopped; entries whose clocks are behind were no demand.

Found and left: a VM that is missing from one list keeps its worker from starts (old), and long-running rack-local tasks stay in a zone that is evacuated.

--- a/fleetentry/vmcontroller.go
+++ b/fleetentry/vmcontroller.go
@@ -22,8 +22,6 @@
 	planVMsInterval = 100 * time.Millisecond
 	// vmListTimeout bounds one list call.
 	vmListTimeout = 1500 * time.Millisecond
-	// vmOperationTimeout bounds one operation.
-	vmOperationTimeout = 1500 * time.Millisecond
 	// maxVMListAge is the age of the list up to which operations are based on it.
 	maxVMListAge = 2500 * time.Millisecond
 	// maxVMOperations is how many operations may be in flight; the client has as many
@@ -163,7 +161,7 @@
 	if lease <= 0 || elapsed.Max(time.Now(), due) > scheduler.MaxVMOrderWait {
 		return notSent
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(lease, vmOperationTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(lease, scheduler.VMOrderTimeout))
 	defer cancel()
 	if operation.Kind == scheduler.VMMove {
 		return c.vms.Move(ctx, operation.VM, operation.Pool, l.fencingToken)
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -23,8 +23,7 @@
 	maxGrowth = 0.3
 )
 
-// arrival is the work of one submitted job, at the time at which the job arrived: a new
-// leader reads the jobs of some seconds at once, which are no demand peak.
+// arrival is the work of one submitted job, at the time at which it counts as arriving.
 type arrival struct {
 	at          time.Time
 	pool        string
--- a/scheduler/consolidate.go
+++ b/scheduler/consolidate.go
@@ -149,7 +149,11 @@
 	if slack < 0 {
 		return true
 	}
-	return slack > time.Duration(stopGainFactor*float64(c.s.costOfStop())) && t.step.def.DataRack == "" && c.room.has(t.pool, t.step.def.Need.MilliCPU)
+	def := t.step.def
+	if def.DataRack != "" || def.MaxPerWorker > 0 || def.Need.GPU > 0 {
+		return false // Room for its CPU does not tell that it may run there.
+	}
+	return slack > time.Duration(stopGainFactor*float64(c.s.costOfStop())) && c.room.has(t.pool, def.Need.MilliCPU)
 }
 
 // slackOf returns how long the occurrence may be held up and be on time; negative if it
--- a/scheduler/nominate.go
+++ b/scheduler/nominate.go
@@ -20,6 +20,11 @@
 	return t.phase == waiting && t.nominated != nil && now.Before(t.nominatedUntil)
 }
 
+// isNominatedFor reports whether room is being freed for the task on the worker.
+func (t *task) isNominatedFor(w *worker, now time.Time) bool {
+	return t.nominated == w && t.isNominated(now)
+}
+
 // promised returns what is kept on the worker for tasks other than the given one.
 func (w *worker) promised(except *task, now time.Time) fleet.Resources {
 	var out fleet.Resources
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -106,7 +106,7 @@
 		if !st.occurrence.job.hasTeamCapacityFor(st.def.Need) {
 			return true
 		}
-		if !s.mayFit(t, pool) {
+		if !s.mayFit(t, pool, now) {
 			s.handleNoRoom(t, pool, now)
 			return true
 		}
@@ -136,12 +136,12 @@
 }
 
 // mayFit reports whether a worker of the pool may have room for the task.
-func (s *Scheduler) mayFit(t *task, pool *poolRound) bool {
+func (s *Scheduler) mayFit(t *task, pool *poolRound, now time.Time) bool {
 	need := t.resources()
 	if !pool.mayFit(need) {
 		return false
 	}
-	if !s.cfg.Policies.Lookahead || s.reservations[t.step] != nil {
+	if !s.cfg.Policies.Lookahead || s.reservations[t.step] != nil || t.isNominated(now) {
 		return true
 	}
 	return !pool.searchFails(t.step, need, s.expectedRun(t.step))
@@ -185,7 +185,7 @@
 		end = now.Add(s.expectedRun(t.step))
 	}
 	for _, w := range workers {
-		if !s.isFeasible(t, w, now) || w.reservation != nil && w.reservation.keepsOff(t, end) {
+		if !s.isFeasible(t, w, now) || w.reservation != nil && !t.isNominatedFor(w, now) && w.reservation.keepsOff(t, end) {
 			continue
 		}
 		score := scoreWorker(t, w)
--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -198,7 +198,7 @@
 	hits := map[string]int{}
 	for i := range 20 {
 		victim := f.s.findTask(taskOf(jobID(i), 0))
-		if f.s.mayHitTeam(victim, f.now) {
+		if f.s.mayHitTeam(victim, 0, f.now) {
 			hits[victim.step.occurrence.job.team.name]++
 			f.s.countPreemption(victim, f.now)
 			f.s.stopForOthers(victim, "task.preempted", "", f.now)
--- a/scheduler/release.go
+++ b/scheduler/release.go
@@ -22,9 +22,10 @@
 	return out
 }
 
-// releaseUnwanted lets VMs take tasks again that no pool has needed for a while or that a
-// wave needs now, and as many as their own pool lacks for work that can be on time: those that would be empty
-// last. It counts the others as met shortages.
+// releaseUnwanted lets VMs take tasks again that no pool has needed for a while, that a
+// wave needs now or whose zone is being evacuated, and as many as their own pool lacks for
+// work that can be on time: those that would be empty last. It counts the others as met
+// shortages.
 //
 // It answers shortages that come and go with single arrivals during the change of turns.
 // When all VMs are given back with each of them, most are filled again and again before
@@ -37,7 +38,7 @@
 	vacating := c.byEmptyTime(c.s.vacatingVMs())
 	kept := vacating[:0]
 	for _, v := range vacating {
-		if need, wanted := needs[v.vacateFor]; wanted && need.count > 0 {
+		if need, wanted := needs[v.vacateFor]; wanted && need.count > 0 && !c.s.evacuatedVM(v) {
 			need.count--
 			v.wantedAt = c.now
 		}
@@ -46,7 +47,7 @@
 		c.redirect(v, short)
 		w := c.s.workerOf(v)
 		urgent := w != nil && w.maintenanceUrgent
-		if urgent || c.now.Sub(v.wantedAt) > vacateHold {
+		if urgent || c.s.evacuatedVM(v) || c.now.Sub(v.wantedAt) > vacateHold {
 			c.s.undrain(v)
 			continue
 		}
@@ -67,7 +68,7 @@
 // redirect vacates the VM for another pool that has an unmet shortage if its own does not
 // want it now.
 func (c *consolidation) redirect(v *vm, short []poolShortage) {
-	if v.wantedAt.Equal(c.now) {
+	if v.wantedAt.Equal(c.now) || c.s.evacuatedVM(v) {
 		return
 	}
 	for i := range short {
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -52,6 +52,11 @@
 	return end.After(r.at) && !r.spare.Fits(t.resources())
 }
 
+// reservedForOther reports whether the worker is kept for another step.
+func (w *worker) reservedForOther(st *step) bool {
+	return w.reservation != nil && w.reservation.step != st
+}
+
 // reviewReservations ends the reservations that are of no use any more, and brings the
 // others up to date. With the policy off there are none.
 func (s *Scheduler) reviewReservations(pools map[string]*poolRound, now time.Time) {
@@ -84,6 +89,8 @@
 		return "no task of the step waits"
 	case rankOf(r.step, 0, now).class > classTight:
 		return "the job can only be late"
+	case !r.step.occurrence.job.hasTeamCapacityFor(r.need):
+		return "the job's team is at its limit"
 	case pool == nil || r.step.occurrence.job.queue.Pool != r.worker.info.Pool:
 		return "the worker has left the pool"
 	case !r.worker.schedulable(now) || r.worker.maintenanceUrgent:
@@ -107,7 +114,7 @@
 // have room soonest.
 func (s *Scheduler) reserve(t *task, pool *poolRound, now time.Time) {
 	st := t.step
-	if _, held := s.reservations[st]; held || !pool.mayReserve(st) || rankOf(st, 0, now).class > classTight {
+	if _, held := s.reservations[st]; held || !pool.mayReserve(st) || rankOf(st, 0, now).class > classTight || now.Before(t.avoidUntil) {
 		return
 	}
 	pool.reservationSearches++
@@ -147,7 +154,7 @@
 	var best *reservation
 	looked := 0
 	for _, w := range workers {
-		if w.reservation != nil || w.maintenanceDue || !w.info.Capacity.Fits(need) {
+		if w.reservation != nil || w.maintenanceDue || !w.info.Capacity.Fits(need) || w.promised(nil, now) != (fleet.Resources{}) {
 			continue
 		}
 		if looked++; looked > maxReservationCandidates {
--- a/scheduler/runratios.go
+++ b/scheduler/runratios.go
@@ -47,7 +47,12 @@
 // recordRun notes how long the task's successful run took. Runs whose start this leader
 // has not seen, or that resumed from a checkpoint, tell nothing.
 func (s *Scheduler) recordRun(t *task, now time.Time) {
-	s.observeRun(t, now.Sub(t.confirmedAt))
+	made := 100 - t.confirmedProgress
+	if made < minRatePercent {
+		return
+	}
+	took := now.Sub(t.confirmedAt) * 100 / time.Duration(made)
+	s.observeRun(t, took)
 	estimate := t.step.def.Estimate()
 	if !s.cfg.Policies.Lookahead || t.confirmedAt.IsZero() || t.startedByPreviousLeader || t.resumed || estimate <= 0 || t.step.def.LongRunning {
 		return
@@ -61,7 +66,7 @@
 		ratios = newRunRatios()
 		s.runRatios[queue] = ratios
 	}
-	if err := ratios.record(now.Sub(t.confirmedAt), estimate); err != nil {
+	if err := ratios.record(took, estimate); err != nil {
 		s.emit(Event{Kind: "ratio.unrecorded", ID: t.id.String(), Reason: err.Error()})
 	}
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -78,6 +78,7 @@
 		t.shownOn = w.info.StartedAtMillis
 		if t.phase == starting {
 			s.confirmRun(t, now)
+			t.confirmedProgress = run.Percent
 		}
 		if run.Percent > t.progress || t.progressAt.IsZero() {
 			t.progressAt = now
--- a/scheduler/stepduration.go
+++ b/scheduler/stepduration.go
@@ -7,6 +7,10 @@
 	// they tell how long the step takes: its longest run decides, and the first may be
 	// short ones.
 	minSeenPart = 0.25
+	// minSeenPartShorter is the same for a step that seems to take less than estimated: the
+	// runs that end first are the short ones, and a job that is taken for shorter than it
+	// is comes last.
+	minSeenPartShorter = 0.5
 	// maxSeenFactor bounds the seen duration as a multiple of the estimate: beyond it, a
 	// slow worker is more likely than a wrong estimate.
 	maxSeenFactor = 4
@@ -37,7 +41,11 @@
 	if s.seen.count == 0 || float64(s.seen.count) < minSeenPart*float64(len(s.tasks)) {
 		return 0, false
 	}
-	return min(s.seen.longest, maxSeenFactor*s.def.Estimate()), true
+	estimate := s.def.Estimate()
+	if s.seen.longest < estimate && float64(s.seen.count) < minSeenPartShorter*float64(len(s.tasks)) {
+		return 0, false
+	}
+	return min(s.seen.longest, maxSeenFactor*estimate), true
 }
 
 // observeRun notes how long the task's run takes, once its progress tells, or once it has
@@ -60,8 +68,9 @@
 // that tells too little.
 func (t *task) projectedRun() (time.Duration, bool) {
 	ran := t.progressAt.Sub(t.confirmedAt)
-	if t.progress < minRatePercent || t.progress >= 100 || ran <= 0 || t.resumed || t.startedByPreviousLeader {
+	made := t.progress - t.confirmedProgress
+	if made < minRatePercent || t.progress >= 100 || ran <= 0 || t.resumed || t.startedByPreviousLeader {
 		return 0, false
 	}
-	return ran * 100 / time.Duration(t.progress), true
+	return ran * 100 / time.Duration(made), true
 }
--- a/scheduler/stopforothers.go
+++ b/scheduler/stopforothers.go
@@ -21,7 +21,7 @@
 	switch {
 	case t.phase != running || t.strays > 0 || j.finished || t.worker.missedPolls > 0:
 		return false
-	case !def.Checkpointing || def.LongRunning || def.Gang || def.BestEffort || def.HasDisruptionBudget || def.Speculative || def.RackLocal:
+	case !def.Checkpointing || def.LongRunning || def.Gang || def.BestEffort || def.HasDisruptionBudget || def.Speculative || def.RackLocal || def.Label != "":
 		return false
 	case j.queue.NeedsTicket || t.stopsForOthers >= maxStopsForOthers:
 		return false
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -141,10 +141,20 @@
 	}
 	j := s.addJob(sub, now.Add(-min(ageOf(sub, now), maxSubmissionAge)))
 	if !j.longRunning && !sub.HasSchedule() {
-		s.arrivals.add(arrival{at: j.arrivedAt, pool: j.queue.Pool, coreSeconds: j.coreSeconds, key: j.demandKey(j.queue.Pool)})
+		s.arrivals.add(arrival{at: s.countedArrival(j, now), pool: j.queue.Pool, coreSeconds: j.coreSeconds, key: j.demandKey(j.queue.Pool)})
 	}
 }
 
+// countedArrival returns when the job counts as arriving. A leader that has just taken over
+// reads the jobs of some seconds at once; later the clocks of entries, which may be seconds
+// apart, tell less than the time at which the leader reads a job.
+func (s *Scheduler) countedArrival(j *job, now time.Time) time.Time {
+	if now.Sub(s.tookOverAt) < arrivalRetention {
+		return j.arrivedAt
+	}
+	return now
+}
+
 // SubmitStored adds a job that the leader has just read, with its assignments if any are
 // stored; one that is known is left alone.
 func (s *Scheduler) SubmitStored(stored *ledger.Job, now time.Time) {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -73,6 +73,8 @@
 	// resumed reports that the run started from a checkpoint, observed that its step has
 	// counted it among the runs seen.
 	resumed, observed bool
+	// confirmedProgress is how far the run was, in percent, when it was confirmed.
+	confirmedProgress int
 }
 
 // resources returns the capacity that the task uses on its worker. Best-effort tasks
--- a/scheduler/teamhits.go
+++ b/scheduler/teamhits.go
@@ -35,11 +35,18 @@
 	return hits.stopped
 }
 
-// mayHitTeam reports whether the task may be stopped without taking more of its team's
-// work than the bound. A team may always lose one task.
-func (s *Scheduler) mayHitTeam(t *task, now time.Time) bool {
-	hits := s.recentHits(hitKey(t), now)
-	return hits == 0 || float64(hits+t.step.def.Need.MilliCPU) <= maxTeamHitPart*float64(s.teamHits[hitKey(t)].ran)
+// mayHitTeam reports whether the task may be stopped, beside other tasks of its team of
+// the planned CPU, without taking more of the team's work than the bound. A team may
+// always lose one task.
+func (s *Scheduler) mayHitTeam(t *task, planned int64, now time.Time) bool {
+	key := hitKey(t)
+	ran := s.shortUse[key]
+	hits := s.recentHits(key, now)
+	if hits > 0 {
+		ran = s.teamHits[key].ran
+	}
+	hits += planned
+	return hits == 0 || float64(hits+t.step.def.Need.MilliCPU) <= maxTeamHitPart*float64(ran)
 }
 
 // hitsOf returns the team's stopped work for its weight.
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -48,7 +48,7 @@
 	t.progress, t.usage, t.cpuPercent = 0, 0, 100
 	t.ticket = ""
 	t.shownOn, t.restoredOn = 0, 0
-	t.resumed, t.observed = false, false
+	t.resumed, t.confirmedProgress = false, 0
 }
 
 // requeue makes a task whose run is known to have ended wait for a new one.
--- a/scheduler/victims.go
+++ b/scheduler/victims.go
@@ -43,7 +43,7 @@
 	}
 	w.listed = true
 	for _, t := range w.worker.tasks {
-		if !c.s.stoppable(t, c.now) || !c.s.mayHitTeam(t, c.now) {
+		if !c.s.stoppable(t, c.now) {
 			continue
 		}
 		slack := c.slackOf(t.step.occurrence)
@@ -83,7 +83,7 @@
 // findRooms returns room for each of the tasks, with the least CPU stopped for each; nil
 // if there is not enough for all.
 func (c *crowdedPool) findRooms(r rankedStep, waits []*task, startBy time.Time) []freedRoom {
-	taken := map[*task]bool{}
+	taken := chosenVictims{tasks: map[*task]bool{}, byTeam: map[poolTeam]int64{}}
 	rooms := make([]freedRoom, 0, len(waits))
 	before := map[*crowdedWorker]fleet.Resources{}
 	for _, t := range waits {
@@ -98,7 +98,7 @@
 			before[room.worker] = room.worker.room
 		}
 		for _, v := range room.victims {
-			taken[v] = true
+			taken.add(v)
 			room.worker.room = room.worker.room.Plus(v.resources())
 		}
 		room.worker.room = room.worker.room.Minus(t.resources())
@@ -108,14 +108,14 @@
 }
 
 // cheapestRoom returns the room for the task that needs the least CPU stopped.
-func (c *crowdedPool) cheapestRoom(r rankedStep, t *task, startBy time.Time, taken map[*task]bool, rooms []freedRoom) (best freedRoom, found bool) {
+func (c *crowdedPool) cheapestRoom(r rankedStep, t *task, startBy time.Time, taken chosenVictims, rooms []freedRoom) (best freedRoom, found bool) {
 	bestCost := int64(0)
 	for _, w := range c.workers {
-		if !c.s.allows(t, w.worker, c.now) || !allowsBeside(t, w, rooms) {
+		if !c.s.allows(t, w.worker, c.now) || !allowsBeside(t, w, rooms) || w.worker.reservedForOther(t.step) {
 			continue
 		}
 		c.list(w)
-		victims, cost, enough := w.victimsFor(t.resources(), r.rank.priority, startBy, taken)
+		victims, cost, enough := c.victimsFor(w, t.resources(), r.rank.priority, startBy, taken)
 		if enough && (!found || cost < bestCost) {
 			best, bestCost, found = freedRoom{worker: w, victims: victims}, cost, true
 		}
@@ -139,16 +139,34 @@
 	return n < limit
 }
 
-// victimsFor returns the cheapest tasks whose stop makes room for the need, and their CPU.
-func (w *crowdedWorker) victimsFor(need fleet.Resources, priority int, startBy time.Time, taken map[*task]bool) (out []*task, cost int64, enough bool) {
+// chosenVictims are the tasks that are to be stopped for one step, and their CPU by team.
+type chosenVictims struct {
+	tasks  map[*task]bool
+	byTeam map[poolTeam]int64
+}
+
+func (v chosenVictims) add(t *task) {
+	v.tasks[t] = true
+	v.byTeam[hitKey(t)] += t.step.def.Need.MilliCPU
+}
+
+// victimsFor returns the cheapest tasks of the worker whose stop makes room for the need,
+// and their CPU.
+func (c *crowdedPool) victimsFor(w *crowdedWorker, need fleet.Resources, priority int, startBy time.Time, taken chosenVictims) (out []*task, cost int64, enough bool) {
 	room := w.room
+	here := map[poolTeam]int64{}
 	for _, v := range w.victims {
 		if room.Fits(need) {
 			break
 		}
-		if taken[v.task] || v.task.phase != running || !v.givesWayTo(priority, startBy) {
+		if taken.tasks[v.task] || v.task.phase != running || !v.givesWayTo(priority, startBy) {
+			continue
+		}
+		key := hitKey(v.task)
+		if !c.s.mayHitTeam(v.task, taken.byTeam[key]+here[key], c.now) {
 			continue
 		}
+		here[key] += v.task.step.def.Need.MilliCPU
 		room = room.Plus(v.task.resources())
 		out = append(out, v.task)
 	}
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -19,6 +19,8 @@
 	answeredAt  time.Time
 	// inDoubt operations got no response.
 	inDoubt bool
+	// requested reports that the operation has been handed out to be sent.
+	requested bool
 	// drainFor is the operation to come for which the VM gets no new tasks.
 	drainFor       VMOperationKind
 	drainStartedAt time.Time
@@ -123,7 +125,8 @@
 }
 
 // acceptsOperation reports whether the VM is up, has no operation pending, and had no
-// recent one of the previous leader: every operation starts a new worker incarnation.
+// recent one of the previous leader. Stored orders tell that, or else the age of the VM's
+// worker: every operation starts a new incarnation.
 func (s *Scheduler) acceptsOperation(v *vm, now time.Time) bool {
 	if v.info.State != fleet.VMUp || v.operation != nil || now.Before(v.backoffUntil) {
 		return false
@@ -131,8 +134,8 @@
 	if now.Sub(s.tookOverAt) >= s.cfg.PreviousLeaderOperationWindow {
 		return true
 	}
-	if s.freeOfPreviousOrders(v, now) {
-		return true
+	if s.previousOrders != nil {
+		return s.freeOfPreviousOrders(v, now)
 	}
 	w := s.workerOf(v)
 	if w == nil || w.info.StartedAtMillis == 0 {
@@ -144,11 +147,11 @@
 
 // startOperation decides on an operation.
 func (s *Scheduler) startOperation(v *vm, op VMOperation, now time.Time) {
-	v.operation, v.operationAt, v.answeredAt = &op, now, time.Time{}
+	v.operation, v.operationAt, v.answeredAt, v.requested = &op, now, time.Time{}, false
 	if w := s.workerOf(v); w != nil {
 		w.operationPending, v.operationOn = true, w.info.StartedAtMillis
 	}
-	s.requestOperation(op)
+	s.requestOperation(v, op)
 	kind := "vm.move"
 	reason := op.Pool
 	if op.Kind == VMMaintain {
@@ -220,6 +223,7 @@
 		return
 	}
 	for _, v := range s.vms {
+		s.withdrawUnstored(v, now)
 		w := s.workerOf(v)
 		switch {
 		case v.info.State != fleet.VMUp:
--- a/scheduler/vmorders.go
+++ b/scheduler/vmorders.go
@@ -8,21 +8,23 @@
 )
 
 const (
-	// MaxVMOrderWait is how long after it has been stored an order for a VM may be sent.
+	// MaxVMOrderWait is how long an order for a VM may wait to be stored, and again to be
+	// sent once it is.
 	MaxVMOrderWait = time.Second
-	// vmOrderDelay covers how long a request to the VM interface may be under way.
-	vmOrderDelay = 1500 * time.Millisecond
+	// VMOrderTimeout bounds a request to the VM interface.
+	VMOrderTimeout = 1500 * time.Millisecond
 )
 
-// requestOperation requests the VM operation, after its order has been stored if the
+// requestOperation hands out the VM operation, after its order has been stored if the
 // policy asks for that.
 //
 // It answers the loss of a leader while demand changes: the next leader must not order a
 // VM within seconds of the one before. Without a record of the orders it has to leave
 // alone every VM that could have had one, such as all that are switched off, while pools
 // lack VMs.
-func (s *Scheduler) requestOperation(op VMOperation) {
+func (s *Scheduler) requestOperation(v *vm, op VMOperation) {
 	if !s.cfg.Policies.StoredVMOrders {
+		v.requested = true
 		s.vmOperations = append(s.vmOperations, op)
 		return
 	}
@@ -30,23 +32,32 @@
 	s.batch.pendingOperations = append(s.batch.pendingOperations, op)
 }
 
-// releaseOperations requests operations whose orders are stored, if they are still valid.
+// releaseOperations hands out operations whose orders are stored, if they are still valid.
 func (s *Scheduler) releaseOperations(operations []VMOperation, now time.Time) {
 	for _, op := range operations {
 		v, known := s.vms[op.VM]
-		if !known || v.operation == nil || *v.operation != op {
+		if !known || v.operation == nil || *v.operation != op || v.requested {
 			continue
 		}
 		if now.Sub(v.operationAt) > MaxVMOrderWait || !s.operationStillValid(v, op, now) {
 			s.withdrawOperation(v, op)
 			continue
 		}
+		v.requested = true
 		s.vmOperations = append(s.vmOperations, op)
 	}
 }
 
-// operationStillValid reports whether the operation ends no more runs than when it was
-// decided on.
+// withdrawUnstored withdraws an operation whose order has not been stored in time. The
+// store may refuse another record of its batch for good, and nothing would tell.
+func (s *Scheduler) withdrawUnstored(v *vm, now time.Time) {
+	if v.operation != nil && !v.requested && now.Sub(v.operationAt) > 2*MaxVMOrderWait {
+		s.withdrawOperation(v, *v.operation)
+	}
+}
+
+// operationStillValid reports whether the VM is empty, or the operation is maintenance
+// within the disruption budgets of what runs there.
 func (s *Scheduler) operationStillValid(v *vm, op VMOperation, now time.Time) bool {
 	w := s.workerOf(v)
 	if w == nil || len(w.tasks) == 0 {
@@ -55,7 +66,7 @@
 	return op.Kind == VMMaintain && s.withinDisruptionBudgets(w, now)
 }
 
-// withdrawOperation takes back an operation that has not been requested.
+// withdrawOperation takes back an operation that has not been handed out.
 func (s *Scheduler) withdrawOperation(v *vm, op VMOperation) {
 	s.emit(Event{Kind: "vm.order_withdrawn", ID: op.VM, Reason: "its order was stored too late, or the VM has runs that it must not end"})
 	v.operation = nil
@@ -81,5 +92,5 @@
 		return false
 	}
 	readAt, ordered := s.previousOrders[v.info.Name]
-	return !ordered || elapsed.Min(now, readAt) > s.cfg.PreviousLeaderOperationWindow+MaxVMOrderWait+vmOrderDelay
+	return !ordered || elapsed.Min(now, readAt) > s.cfg.PreviousLeaderOperationWindow+MaxVMOrderWait+VMOrderTimeout
 }
--- a/scheduler/vmorders_test.go
+++ b/scheduler/vmorders_test.go
@@ -82,7 +82,7 @@
 	}
 	now := time.UnixMilli(1_700_000_000_000)
 	require.Empty(t, moved(nil), "the orders before are not known")
-	lately, longAgo := now.Add(-time.Second), now.Add(-testOrderWindow-MaxVMOrderWait-vmOrderDelay-time.Millisecond)
+	lately, longAgo := now.Add(-time.Second), now.Add(-testOrderWindow-MaxVMOrderWait-VMOrderTimeout-time.Millisecond)
 	operations := moved(map[string]time.Time{"spare0": lately, "spare1": longAgo})
 	require.NotEmpty(t, operations, "no VM is moved although most have had no order for long")
 	for _, op := range operations {
