Take back the switch of a policy that is not built

Ruled out: a switch kept for later. Before and after: the scheduler's and the settings' tests are green.

--- a/settings/policies.go
+++ b/settings/policies.go
@@ -6,8 +6,6 @@
 	// Entitlement limits what a team's surge may claim of a full fleet to what the
 	// manifest entitles the team to.
 	Entitlement bool `json:"entitlement"`
-	// EarlyRefusal refuses jobs that cannot end while they are of use.
-	EarlyRefusal bool `json:"early_refusal"`
 	// Preemption stops checkpointing tasks for more urgent ones.
 	Preemption bool `json:"preemption"`
 	// Consolidation moves checkpointing tasks together to free VMs for other pools.
