Name the parts of preemption, reservations and the gate by what they do

Ruled out: renaming what other packages use. Change: names and text only, and a bool in place of the reason. Before and after: the tests of scheduler and ingress are green. Conclusion: no behaviour changes.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -61,7 +61,7 @@
 	g.watch()
 	err := b.read(r)
 	if err == nil {
-		err = g.whole(b.conn)
+		err = g.markWhole(b.conn)
 	}
 	if err != nil {
 		b.buf = nil
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -136,7 +136,7 @@
 // Write implements net.Conn. The client has the stall time to take each piece.
 func (c *conn) Write(p []byte) (int, error) {
 	if len(p) > freeWriteBytes {
-		c.gate.force(c, int64(len(p)))
+		c.gate.holdUnchecked(c, int64(len(p)))
 		defer c.gate.release(c, int64(len(p)))
 	}
 	defer c.writingSince.Store(0)
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -192,8 +192,8 @@
 	g.giveUp(c, reasonHeader, time.Now())
 }
 
-// whole marks the connection's request as read whole, unless it has been displaced.
-func (g *Gate) whole(c *conn) error {
+// markWhole marks the connection's request as read whole, unless it has been displaced.
+func (g *Gate) markWhole(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.displaced.Load() || c.gone {
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -134,7 +134,7 @@
 	g := NewGate(testLimits(), hclog.NewNullLogger())
 	served := &conn{gate: g}
 	require.NoError(t, g.hold(served, 3*testLimit, 0))
-	require.NoError(t, g.whole(served))
+	require.NoError(t, g.markWhole(served))
 	require.ErrorIs(t, g.hold(&conn{gate: g}, testLimit, 0), errNoRoom)
 	require.NoError(t, g.hold(&conn{gate: g}, smallRequestBytes, 0))
 	require.False(t, served.displaced.Load())
@@ -315,5 +315,5 @@
 	c.begin(phaseBody, past)
 	require.NoError(t, g.hold(c, 100, 0))
 	require.NotNil(t, g.admit(b, time.Now()))
-	require.Error(t, g.whole(c))
+	require.Error(t, g.markWhole(c))
 }
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// force counts n bytes that are held already.
-func (g *Gate) force(c *conn, n int64) {
+// holdUnchecked counts n bytes that are held already.
+func (g *Gate) holdUnchecked(c *conn, n int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.add(c, n)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -185,7 +185,7 @@
 		end = now.Add(s.expectedRun(t.step))
 	}
 	for _, w := range workers {
-		if !s.isFeasible(t, w, now) || w.reservation != nil && !t.isNominatedFor(w, now) && w.reservation.keepsOff(t, end) {
+		if !s.isFeasible(t, w, now) || w.reservation != nil && !t.isNominatedFor(w, now) && w.reservation.excludes(t, end) {
 			continue
 		}
 		score := scoreWorker(t, w)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -43,7 +43,7 @@
 			c = s.newCrowdedPool(pool, now)
 			crowded[name] = c
 		}
-		c.serve(r)
+		c.freeRoomFor(r)
 	}
 }
 
@@ -92,8 +92,8 @@
 	return c
 }
 
-// serve stops runs for the step if it would start too late otherwise.
-func (c *crowdedPool) serve(r rankedStep) {
+// freeRoomFor stops runs for the step if it would start too late otherwise.
+func (c *crowdedPool) freeRoomFor(r rankedStep) {
 	st := r.step
 	need := st.def.Need.MilliCPU
 	c.demand += int64(st.waiting) * need
@@ -120,7 +120,7 @@
 		return
 	}
 	for i, room := range rooms {
-		c.take(waits[i], room, slack)
+		c.stopAndNominate(waits[i], room, slack)
 	}
 }
 
@@ -141,8 +141,8 @@
 	return out[:max(0, min(count, len(out)))]
 }
 
-// take stops the runs in the way and keeps the room for the task.
-func (c *crowdedPool) take(t *task, room freedRoom, slack time.Duration) {
+// stopAndNominate stops the runs in the way and keeps the room for the task.
+func (c *crowdedPool) stopAndNominate(t *task, room freedRoom, slack time.Duration) {
 	for _, victim := range room.victims {
 		left := c.s.expectedEnd(victim, c.now).Sub(c.now)
 		c.releases.add(c.now.Add(c.s.cfg.MaxStopTime), victim.step.def.Need.MilliCPU)
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// rankOf ranks a step, whose job may take longer than estimated by the margin. When more work waits than a pool can finish in time, jobs that
-// can still be on time come before those that cannot, and among them those with the
-// least slack come first.
+// rankOf ranks a step, whose job may take longer than estimated by the margin. When more
+// work waits than a pool can finish in time, jobs that can still be on time come before
+// those that cannot, and among them those with the least slack come first.
 //
 // A queue's surge for some seconds is the load that the margin answers. With no margin,
 // every job waits until its slack is used up, then takes longer than estimated, and
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -43,9 +43,9 @@
 	reviewedAt time.Time
 }
 
-// keepsOff reports whether the reservation forbids the task, which is expected to end at
+// excludes reports whether the reservation forbids the task, which is expected to end at
 // the given time.
-func (r *reservation) keepsOff(t *task, end time.Time) bool {
+func (r *reservation) excludes(t *task, end time.Time) bool {
 	if r.step == t.step || t.step.def.LongRunning || t.step.occurrence.job.queue.Priority < r.step.occurrence.job.queue.Priority {
 		return false
 	}
@@ -62,7 +62,7 @@
 func (s *Scheduler) reviewReservations(pools map[string]*poolRound, now time.Time) {
 	for st, r := range s.reservations {
 		pool := pools[r.worker.info.Pool]
-		if reason := s.reservationOver(r, pool, now); reason != "" {
+		if s.reservationOver(r, pool, now) {
 			s.endReservation(st)
 			continue
 		}
@@ -82,23 +82,18 @@
 	}
 }
 
-// reservationOver returns why the reservation has ended, or "".
-func (s *Scheduler) reservationOver(r *reservation, pool *poolRound, now time.Time) string {
+// reservationOver reports whether the reservation is of no use any more: its step waits
+// no longer, can only be late or is held up by its team's limit, the worker has left the
+// pool or gets no new tasks, or the room has not come in time.
+func (s *Scheduler) reservationOver(r *reservation, pool *poolRound, now time.Time) bool {
+	j := r.step.occurrence.job
 	switch {
-	case !r.step.ready():
-		return "no task of the step waits"
-	case rankOf(r.step, 0, now).class > classTight:
-		return "the job can only be late"
-	case !r.step.occurrence.job.hasTeamCapacityFor(r.need):
-		return "the job's team is at its limit"
-	case pool == nil || r.step.occurrence.job.queue.Pool != r.worker.info.Pool:
-		return "the worker has left the pool"
-	case !r.worker.schedulable(now) || r.worker.maintenanceUrgent:
-		return "the worker gets no new tasks"
-	case now.Sub(r.at) > reservationPatience:
-		return "the room has not come"
+	case !r.step.ready() || rankOf(r.step, 0, now).class > classTight || !j.hasTeamCapacityFor(r.need):
+		return true
+	case pool == nil || j.queue.Pool != r.worker.info.Pool:
+		return true
 	default:
-		return ""
+		return !r.worker.schedulable(now) || r.worker.maintenanceUrgent || now.Sub(r.at) > reservationPatience
 	}
 }
 
--- a/scheduler/victims.go
+++ b/scheduler/victims.go
@@ -34,10 +34,10 @@
 	victims []*task
 }
 
-// list lists the tasks of the worker that may be stopped: those that can only be late
+// listVictims lists the tasks of the worker that may be stopped: those that can only be late
 // first, then those of queues that come later, and of each those of the teams that have
 // been hit least for their share.
-func (c *crowdedPool) list(w *crowdedWorker) {
+func (c *crowdedPool) listVictims(w *crowdedWorker) {
 	if w.listed {
 		return
 	}
@@ -114,7 +114,7 @@
 		if !c.s.allows(t, w.worker, c.now) || !allowsBeside(t, w, rooms) || w.worker.reservedForOther(t.step) {
 			continue
 		}
-		c.list(w)
+		c.listVictims(w)
 		victims, cost, enough := c.victimsFor(w, t.resources(), r.rank.priority, startBy, taken)
 		if enough && (!found || cost < bestCost) {
 			best, bestCost, found = freedRoom{worker: w, victims: victims}, cost, true
--- a/scheduler/wavepace.go
+++ b/scheduler/wavepace.go
@@ -37,7 +37,7 @@
 // limit with the others, and one more delay makes both late.
 func (s *Scheduler) paceOf(w *wave, now time.Time) wavePace {
 	pending := s.pendingVMs(w)
-	away := s.countAway(w, now)
+	away := s.updateAway(w, now)
 	left := w.def.MaxDuration - now.Sub(w.firstSeenAt) - time.Duration(float64(w.def.MaxDuration)*waveReserve)/2
 	round := s.cfg.MaintenanceTime + drainTimeout
 	switch {
@@ -64,9 +64,9 @@
 		pending, away, w.def.MaxUnavailable, (w.def.MaxDuration - now.Sub(w.firstSeenAt)).Milliseconds())})
 }
 
-// countAway counts the VMs of the wave that are still to be maintained and have been away
+// updateAway counts the VMs of the wave that are still to be maintained and have been away
 // for a while, and notes which are back.
-func (s *Scheduler) countAway(w *wave, now time.Time) int {
+func (s *Scheduler) updateAway(w *wave, now time.Time) int {
 	n := 0
 	for _, name := range w.def.VMs {
 		v, listed := s.vms[name]
