Tell orders of unknown age from orders just read

Change: orders read among all newest records are of unknown age; for those VMs the age of the worker tells, as before.

Before and after: TestVMOrders_AllEntriesRestarted is red before.

Conclusion: the old rule is kept where the stored orders tell nothing.

--- a/fleetentry/follower.go
+++ b/fleetentry/follower.go
@@ -186,6 +186,7 @@
 	for _, r := range got.Items {
 		fromLeader = fromLeader || ledger.WrittenByLeader(r)
 		f.applyRecord(s, r)
+		f.vmOrders.apply(r, fresh, time.Now())
 	}
 	s.next = max(s.next, got.Next)
 	if all {
@@ -218,7 +219,6 @@
 		f.log.Warn("cannot decode record", "stream", s.name, "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
-	f.vmOrders.apply(r, time.Now())
 	if id, kind := ledger.JobOf(r); kind != ledger.RecordOther {
 		s.hasJobRecords = true
 		f.view.AddStream(id, s.index)
--- a/scheduler/reviewed_test.go
+++ b/scheduler/reviewed_test.go
@@ -182,6 +182,20 @@
 	require.False(t, f.s.acceptsOperation(f.s.vms["a0"], f.now.Add(100*time.Millisecond)))
 }
 
+// TestVMOrders_AllEntriesRestarted reads all orders at once, as entries do that have all
+// been killed: nothing tells their age but the age of the workers.
+func TestVMOrders_AllEntriesRestarted(t *testing.T) {
+	f := newTestFleet(t)
+	f.s.cfg.PreviousLeaderOperationWindow = testOrderWindow
+	f.addVM("old", testPool, 4)
+	f.addVM("young", testPool, 4)
+	f.s.workers["w-young"].info.StartedAtMillis = f.now.Add(-time.Second).UnixMilli()
+	f.listVMs()
+	f.s.RestoreVMOrders(map[string]time.Time{"old": {}, "young": {}})
+	require.True(t, f.s.acceptsOperation(f.s.vms["old"], f.now))
+	require.False(t, f.s.acceptsOperation(f.s.vms["young"], f.now))
+}
+
 // TestArrivals_ClocksApart submits jobs of an entry whose clock is seconds behind.
 func TestArrivals_ClocksApart(t *testing.T) {
 	f := newTestFleet(t)
--- a/scheduler/vm.go
+++ b/scheduler/vm.go
@@ -134,8 +134,8 @@
 	if now.Sub(s.tookOverAt) >= s.cfg.PreviousLeaderOperationWindow {
 		return true
 	}
-	if s.previousOrders != nil {
-		return s.freeOfPreviousOrders(v, now)
+	if s.knowsPreviousOrder(v) {
+		return s.freeOfPreviousOrder(v, now)
 	}
 	w := s.workerOf(v)
 	if w == nil || w.info.StartedAtMillis == 0 {
--- a/scheduler/vmorders.go
+++ b/scheduler/vmorders.go
@@ -81,16 +81,24 @@
 // HasVMOperations reports whether TakeVMOperations would return any.
 func (s *Scheduler) HasVMOperations() bool { return len(s.vmOperations) > 0 }
 
-// RestoreVMOrders tells a new leader when the orders of earlier leaders were read, by VM.
-// Without it, the orders of earlier leaders are not known.
+// RestoreVMOrders tells a new leader when the newest orders of earlier leaders were read, by
+// VM; a zero time is that of an order of unknown age. Without it, the orders of earlier
+// leaders are not known.
 func (s *Scheduler) RestoreVMOrders(readAt map[string]time.Time) { s.previousOrders = readAt }
 
-// freeOfPreviousOrders reports whether no earlier leader can have sent the VM an order
-// lately. An order is read after it was stored, so its age is at least that of the read.
-func (s *Scheduler) freeOfPreviousOrders(v *vm, now time.Time) bool {
+// knowsPreviousOrder reports whether the stored orders tell whether an earlier leader can
+// have sent the VM an order lately.
+func (s *Scheduler) knowsPreviousOrder(v *vm) bool {
 	if s.previousOrders == nil {
 		return false
 	}
+	readAt, ordered := s.previousOrders[v.info.Name]
+	return !ordered || !readAt.IsZero()
+}
+
+// freeOfPreviousOrder reports whether no earlier leader can have sent the VM an order
+// lately. An order is read after it was stored, so its age is at least that of the read.
+func (s *Scheduler) freeOfPreviousOrder(v *vm, now time.Time) bool {
 	readAt, ordered := s.previousOrders[v.info.Name]
 	return !ordered || elapsed.Min(now, readAt) > s.cfg.PreviousLeaderOperationWindow+MaxVMOrderWait+VMOrderTimeout
 }
