Show accepted jobs that end every leader by their memory

Cause: the leader builds all tasks of each accepted job, without a bound on their sum; the next leader reads the same jobs.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -41,6 +41,8 @@
 	workers []*worker
 	calls   []string
 	procs   []*exec.Cmd
+	// settings holds the path of each entry's settings.
+	settings []string
 	// jobs holds what the clients sent, by job.
 	jobs map[string]job
 	// running holds the workers with a run of each work item.
@@ -49,6 +51,13 @@
 	lastEnd  map[string]time.Time
 	refused  int
 	breaches []string
+	// overMemory counts how often an entry held more than its machine has.
+	overMemory int
+
+	// stop ends the guards of the entries' memory.
+	stop   chan struct{}
+	guards sync.WaitGroup
+	over   sync.Once
 }
 
 // job is a job as its client knows it.
@@ -66,7 +75,7 @@
 	record, err := os.Create(filepath.Join(dir, "record.txt"))
 	must(err)
 	return &bed{store: emulator.NewStore(), dir: temp, record: record, began: time.Now(), jobs: map[string]job{},
-		running: map[string]map[*worker]*run{}, lastEnd: map[string]time.Time{}}
+		running: map[string]map[*worker]*run{}, lastEnd: map[string]time.Time{}, stop: make(chan struct{})}
 }
 
 // note writes a line to the record.
@@ -226,7 +235,7 @@
 		p := exec.Command(program, "fleet-entry", "-settings", path)
 		p.Stdout, p.Stderr = log, log
 		must(p.Start())
-		b.procs = append(b.procs, p)
+		b.procs, b.settings = append(b.procs, p), append(b.settings, path)
 		b.calls = append(b.calls, callers)
 		b.note("entry %d starts, callers at %s", i+1, callers)
 	}
@@ -304,6 +313,13 @@
 
 // close ends all that the case has started, and returns what was broken.
 func (b *bed) close() []string {
+	b.over.Do(b.end)
+	return b.breaches
+}
+
+func (b *bed) end() {
+	close(b.stop)
+	b.guards.Wait()
 	for _, p := range b.procs {
 		_ = p.Process.Signal(syscall.SIGKILL)
 		_ = p.Wait()
@@ -317,5 +333,4 @@
 	} else {
 		fmt.Println("logs:", b.dir)
 	}
-	return b.breaches
 }
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -131,3 +131,51 @@
 	}
 	time.Sleep(4 * time.Second)
 }
+
+// playCrowd hands in jobs of many work items that can never run, beside a few ordinary jobs.
+func playCrowd(b *bed, trouble bool, program string) {
+	const (
+		crowd   = 40
+		items   = 20_000
+		traffic = 40 * time.Second
+	)
+	for n := range 8 {
+		b.addWorker(n, "huvo11a", kind{labels: []string{"a", "r1-1"}, cpu: 16000})
+	}
+	b.publish(nil)
+	b.startEntries(program)
+	b.guards.Add(entries)
+	for entry := range entries {
+		go b.guardMemory(entry, program)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		for n := range crowd {
+			b.submit(n%entries, fmt.Sprintf("0b81ee6a21d9%04x", n), job{spec: "render", constraint: "z", cpu: 2000, duration: time.Second},
+				map[string]any{"count": items, "cpu": 2000, "mem-mb": 256, "est-runtime-ms": 1000, "constraints": "z"})
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	var accepted []string
+	for n, until := 0, time.Now().Add(traffic); time.Now().Before(until); n++ {
+		id := fmt.Sprintf("5c0e7a21d94b%04x", n)
+		if b.submit(n%entries, id, job{spec: "match", cpu: 1000, duration: 300 * time.Millisecond},
+			map[string]any{"count": 2, "cpu": 1000, "mem-mb": 256, "est-runtime-ms": 300}) {
+			accepted = append(accepted, id)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	const finish = 14 * time.Second
+	time.Sleep(finish)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noteLocked("%d ordinary jobs were accepted, entries were over their memory %d times", len(accepted), b.overMemory)
+	if b.overMemory > 0 {
+		b.breach("FAULT: entries were over their memory %d times", b.overMemory)
+	}
+	for _, id := range accepted {
+		if b.lastEnd[id+".0.0.0"].IsZero() {
+			b.breach("LOST: %s was accepted and has not run, with room for it", id)
+		}
+	}
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -10,12 +10,17 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
+// longest is how long a case may take.
+const longest = 110 * time.Second
+
 var cases = map[string]func(b *bed, trouble bool, program string){
 	"kind":    playKind,
 	"tickets": playTickets,
 	"lease":   playLease,
+	"crowd":   playCrowd,
 }
 
 func main() { os.Exit(play()) }
@@ -27,6 +32,11 @@
 		return 2
 	}
 	b := newBed(os.Args[3])
+	time.AfterFunc(longest, func() {
+		b.close()
+		fmt.Fprintln(os.Stderr, "the case cannot run: it takes too long")
+		os.Exit(2)
+	})
 	defer func() {
 		failure := recover()
 		breaches := b.close()
