--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/anvilcourse/anvilcourse/emulator"
+	"github.com/anvilcourse/anvilcourse/freeport"
 )
 
 // Figures of a small deployment, as its pages name them.
@@ -216,8 +217,11 @@
 	if b.tickets != nil {
 		adviceAddress = serve(b.tickets)
 	}
+	const listeners = 3
+	addresses, err := freeport.Addresses(listeners * entries)
+	must(err)
 	for i := range entries {
-		callers, readiness, metrics := freeAddress(), freeAddress(), freeAddress()
+		callers, readiness, metrics := addresses[listeners*i], addresses[listeners*i+1], addresses[listeners*i+2]
 		settings := map[string]any{
 			"node": fmt.Sprintf("frontend-z1-%d", i+1), "availability_zone": "z1", "callers": callers, "readiness": readiness, "metrics": metrics,
 			"store": storeAddress, "vms": machines, "vm_orders_per_s": 64.0, "advice": adviceAddress, "max_lease_ms": holdMax.Milliseconds(),
@@ -247,13 +251,6 @@
 	}
 }
 
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // await waits until the condition holds; without it the case cannot run.
 func (b *bed) await(timeout time.Duration, what string, holds func() bool) {
 	for until := time.Now().Add(timeout); !holds(); time.Sleep(20 * time.Millisecond) {
