Bound leases by the clock of the incarnation that grants them

Their workers had restarted under their IDs shortly before, and were cut off a second after the tasks had started.

Cause: a start's deadline is a time on the worker's clock, estimated from the incarnation that the leader knows.

When an incarnation is replaced, and when a request to a replaced one gets no response, the later one's lease is bounded by max_lease_ms.

TestRestart_LeaseBoundIsCarriedOver asked for a bound of 4 s after the list has named a later incarnation. That bound is the fault: a request with the earlier clock may have reached it. It now asks for the platform's limit, as exactly as before, from below and from above.

Why it works: no incarnation gives a longer lease than the limit, and any request executed before the replacement is covered by it; later ones are covered by their response, or by its absence.

--- a/fleetentry/daemon.go
+++ b/fleetentry/daemon.go
@@ -170,6 +170,7 @@
 		stateRetention:   settings.Seconds(s.KeepStateS),
 		vmOperationLease: time.Duration(s.VMOrderLeaseMS) * time.Millisecond,
 		config: scheduler.Config{
+			MaxLease:           d.settings.MaxLease(),
 			MaintenanceTime:    settings.Seconds(s.MaintenanceS),
 			MoveTime:           settings.Seconds(s.MoveS),
 			MaxStopTime:        time.Duration(s.StopMS) * time.Millisecond,
--- a/fleetentry/requests.go
+++ b/fleetentry/requests.go
@@ -16,7 +16,7 @@
 
 // sendStart sends one start request and handles the response.
 func (l *Leader) sendStart(s scheduler.StartRequest) {
-	err := l.startWithRetries(s)
+	clock, err := l.startWithRetries(s)
 	if err != nil {
 		l.log.Info("start failed", "request", s.Request.Task.String(), "worker", s.Endpoint.WorkerID, "attempt", s.Request.Attempt, "error", err)
 	}
@@ -24,6 +24,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	l.handleLease(s.Endpoint, s.Request.DeadlineMillis, clock, err, now)
 	l.sched.HandleStartResponse(&s.Request, s.Endpoint, err, now)
 	if p, known := l.pollers[s.Endpoint.WorkerID]; known {
 		p.notifyStart()
@@ -37,36 +38,47 @@
 // startWithRetries sends the start, and retries if there is no response. A refusal of
 // a retry says nothing of earlier attempts, which may still be executed. A start that is
 // settled meanwhile is not repeated: its run may have ended, and the worker restarted.
-func (l *Leader) startWithRetries(s scheduler.StartRequest) error {
+// It returns the worker's clock of the response, 0 if there is none.
+func (l *Leader) startWithRetries(s scheduler.StartRequest) (clock int64, err error) {
 	var inDoubt error
 	for _, timeout := range l.attemptTimeouts() {
 		if inDoubt != nil && l.startSettled(&s.Request) {
-			return inDoubt
+			return 0, inDoubt
 		}
 		now := time.Now()
 		if !l.journal.LeaderLeaseValid(now) {
 			if inDoubt != nil {
-				return inDoubt
+				return 0, inDoubt
 			}
-			return &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseExpired, Message: "the leader lease has expired"}
+			return 0, &provider.Error{Op: "worker.start", Outcome: provider.Refused, Code: provider.CodeLeaseExpired, Message: "the leader lease has expired"}
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		_, err := l.workers.Start(ctx, s.Endpoint, s.Request)
+		clock, err := l.workers.Start(ctx, s.Endpoint, s.Request)
 		cancel()
 		l.recordAttempt(inDoubt, time.Since(now), err)
 		l.metrics.Observe("start", time.Since(now))
 		if err == nil || resolvesEarlierAttempts(err) {
-			return err
+			return clock, err
 		}
 		if provider.OutcomeOf(err) != provider.Unknown {
 			if inDoubt != nil {
-				return inDoubt
+				return 0, inDoubt
 			}
-			return err
+			return clock, err
 		}
 		inDoubt = err
 	}
-	return inDoubt
+	return 0, inDoubt
+}
+
+// handleLease records how far a request with a deadline may have extended the lease on the
+// worker. The lock is held.
+func (l *Leader) handleLease(to fleet.Endpoint, deadlineMillis, clockMillis int64, err error, now time.Time) {
+	if err != nil && provider.OutcomeOf(err) == provider.Unknown {
+		l.sched.HandleLeaseInDoubt(to, deadlineMillis, now)
+		return
+	}
+	l.sched.HandleLease(to.WorkerID, deadlineMillis, clockMillis, now)
 }
 
 func (l *Leader) startSettled(request *fleet.StartRequest) bool {
--- a/fleetentry/requests_test.go
+++ b/fleetentry/requests_test.go
@@ -56,7 +56,7 @@
 		journal.lastAppendAt.Store(&now)
 		l := &Leader{workers: workers, journal: journal, metrics: NewMetrics(), sched: scheduler.New(scheduler.Config{}, now)}
 		l.callTimeouts.lossyUntil = now.Add(time.Minute)
-		err := l.startWithRetries(scheduler.StartRequest{})
+		_, err := l.startWithRetries(scheduler.StartRequest{})
 		if c.want == "" {
 			require.NoError(t, err, c.name)
 		} else {
@@ -69,6 +69,7 @@
 	journal.lastAppendAt.Store(&longAgo)
 	workers := &scriptedWorkers{}
 	l := &Leader{workers: workers, journal: journal, metrics: NewMetrics()}
-	require.Equal(t, provider.Refused, provider.OutcomeOf(l.startWithRetries(scheduler.StartRequest{})), "a leader without a valid lease sends")
+	_, err := l.startWithRetries(scheduler.StartRequest{})
+	require.Equal(t, provider.Refused, provider.OutcomeOf(err), "a leader without a valid lease sends")
 	require.Zero(t, workers.calls)
 }
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -88,6 +88,7 @@
 // the worker needs no poll. Two polls may be in flight at once.
 func (p *workerPoller) poll(ctx context.Context, longPoll bool) (delay time.Duration, unstored, ok bool) {
 	result := p.attempt(ctx, longPoll, false, 0)
+	p.handleLease(result)
 	if result.known && result.err != nil && provider.OutcomeOf(result.err) == provider.Unknown {
 		result = p.retry(ctx, result)
 	}
@@ -116,11 +117,24 @@
 	return idlePollInterval, unstored, true
 }
 
+// handleLease records how far the poll may have extended the leases. That also concerns
+// a poll of an incarnation that has been replaced meanwhile.
+func (p *workerPoller) handleLease(r pollResult) {
+	if r.deadlineMillis == 0 {
+		return
+	}
+	p.leader.mu.Lock()
+	defer p.leader.mu.Unlock()
+	p.leader.handleLease(p.endpoint, r.deadlineMillis, r.status.ClockMillis, r.err, time.Now())
+}
+
 // pollResult is the result of one attempt of a poll.
 type pollResult struct {
 	status fleet.WorkerStatus
 	err    error
 	sent   time.Time
+	// deadlineMillis is the deadline that the request named; 0 for none.
+	deadlineMillis int64
 	// known means that the worker is to be polled, busy that it had runs.
 	known, busy bool
 }
@@ -169,7 +183,7 @@
 	}
 	timeout = afterMissedPolls(timeout, int(p.missed.Load()))
 	l.mu.Unlock()
-	result.known = known
+	result.known, result.deadlineMillis = known, request.DeadlineMillis
 	if !known {
 		return result
 	}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -17,6 +17,8 @@
 	FencingToken int64
 	// LeaseDuration is how far each poll extends the leases on a worker.
 	LeaseDuration time.Duration
+	// MaxLease is the longest lease that a worker gives, whatever deadline a request names.
+	MaxLease time.Duration
 	// PreviousLeaderLease is the longest that a lease granted by an earlier leader may
 	// run, counted from this leader's takeover.
 	PreviousLeaderLease time.Duration
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -64,12 +64,15 @@
 }
 
 // endWorker ends an incarnation. It carries the tasks that may run on a later one over to
-// next, with the bound of their leases, and requeues the others.
+// next, with the bound of their leases, and requeues the others. Any request so far may
+// have been executed by the later one, to whose clock its deadline means nothing: only the
+// platform's limit bounds the lease that it has got.
 func (s *Scheduler) endWorker(w, next *worker, now time.Time, reason string, mayRun func(*task) bool) {
 	w.ended = true
 	w.releaseStrays()
 	w.forgetUnassigned()
 	next.leaseStart, next.leaseDuration = w.leaseStart, w.leaseDuration
+	next.extendLease(now, s.cfg.MaxLease)
 	for _, t := range w.tasks {
 		if mayRun(t) {
 			s.carryOver(t, next, now)
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -93,7 +93,8 @@
 }
 
 // TestRestart_LeaseBoundIsCarriedOver guards against a task that waits forever for, or
-// is started before, the lease on an incarnation that cannot be polled.
+// is started before, the lease on an incarnation that cannot be polled. That lease may be as
+// long as the platform allows: the leader does not know which clock it was granted by.
 func TestRestart_LeaseBoundIsCarriedOver(t *testing.T) {
 	f := twoWorkers(t)
 	f.advance(4 * time.Second)
@@ -102,7 +103,7 @@
 	f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 	f.restart(id)
 	f.s.SetWorkers(f.workers, f.now)
-	f.now = f.now.Add(4 * time.Second)
+	f.now = f.now.Add(f.s.cfg.MaxLease)
 	f.s.Tick(f.now)
 	require.Equal(t, running, task.phase, "the lease may still run")
 	f.now = f.now.Add(400 * time.Millisecond)
