Bound leases of lately restarted workers across a takeover

A task on a worker that restarts, and is cut off when the leader changes, could be started a second time while its first run goes on.

Cause: the next leader took an earlier one's lease (2.5 s) and the lease that it meant to give (4 s) for the longest lease that a worker may hold. An earlier leader that had not yet seen the restart computed deadlines from the earlier incarnation's clock, which the later one shortens to max_lease_ms only.

Ruled out: taking the limit for all workers, which would keep the tasks of every lost worker for 12.5 s in place of 6.5 s after a takeover.

Change: an incarnation that has started less than that time before the takeover, as the list or a stored assignment names it, is bounded by max_lease_ms.

Evidence: TestLease_TakeoverAfterRestart fails without the change (given up 7.37 s after the takeover, 9.18 s asked), for the listed start and for the one that the assignment names.

Why it works: an incarnation that is older has no lease left that was computed from another clock when the takeover happens.

--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -46,7 +46,7 @@
 	if !l.previousResigned {
 		l.config.PreviousLeaderOperationWindow = l.vmOperationLease
 	}
-	l.config.PreviousLeaderLease = leaderLeaseDuration + workerLeaseDuration
+	l.config.PreviousLeaderWindow = leaderLeaseDuration
 	sched := scheduler.New(l.config, now)
 	if m := l.operator.Manifest(); m != nil {
 		sched.SetManifest(m, now)
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -19,9 +19,9 @@
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that a worker gives, whatever deadline a request names.
 	MaxLease time.Duration
-	// PreviousLeaderLease is the longest that a lease granted by an earlier leader may
-	// run, counted from this leader's takeover.
-	PreviousLeaderLease time.Duration
+	// PreviousLeaderWindow is how long after this leader's takeover an earlier one may
+	// still extend leases, by LeaseDuration.
+	PreviousLeaderWindow time.Duration
 	// PreviousLeaderOperationWindow is how long after the takeover a VM operation of
 	// the previous leader may conflict with a new one; 0 if that leader resigned.
 	PreviousLeaderOperationWindow time.Duration
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -80,7 +80,7 @@
 
 // newLeader returns the scheduler of a new leader without any jobs.
 func (f *testFleet) newLeader(token int64) *Scheduler {
-	s := New(Config{FencingToken: token, LeaseDuration: 4 * time.Second, MaxLease: 6 * time.Second, PreviousLeaderLease: 7 * time.Second, MaxStopTime: 200 * time.Millisecond, MaintenanceTime: 2 * time.Second}, f.now)
+	s := New(Config{FencingToken: token, LeaseDuration: 4 * time.Second, MaxLease: 6 * time.Second, PreviousLeaderWindow: 3 * time.Second, MaxStopTime: 200 * time.Millisecond, MaintenanceTime: 2 * time.Second}, f.now)
 	s.SetManifest(testManifest(), f.now)
 	s.SetWorkers(f.workers, f.now)
 	return s
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -11,7 +11,7 @@
 func (s *Scheduler) newWorker(info fleet.Worker) *worker {
 	return &worker{
 		info: info, tasks: map[fleet.TaskID]*task{}, strays: map[*task]*stray{},
-		leaseStart: s.tookOverAt, leaseDuration: s.cfg.PreviousLeaderLease, evacuated: s.isEvacuated(info.AvailabilityZone),
+		leaseStart: s.tookOverAt, leaseDuration: s.previousLeaderLease(info.StartedAtMillis), evacuated: s.isEvacuated(info.AvailabilityZone),
 	}
 }
 
--- a/scheduler/leasebound_test.go
+++ b/scheduler/leasebound_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
 )
 
 // lostAfter makes the worker miss all polls from now on, and returns how long the task is
@@ -75,6 +77,41 @@
 	requireBound(t, f.s.cfg.LeaseDuration, f.lostAfter(id, f.s.findTask(start.Request.Task)))
 }
 
+// TestLease_TakeoverAfterRestart guards against a second run of a task on a worker that has
+// restarted shortly before a takeover, and then answers no poll: an earlier leader may have
+// extended its lease by the clock of the earlier life.
+func TestLease_TakeoverAfterRestart(t *testing.T) {
+	const long, lately = time.Hour, time.Second
+	for name, c := range map[string]struct {
+		age    time.Duration
+		listed bool
+	}{"long ago": {long, true}, "lately": {lately, true}, "lately, as the assignment tells": {lately, false}} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.addWorker("w-1", testPool, 4)
+			w := f.workers["w-1"]
+			w.StartedAtMillis = f.now.Add(-c.age).UnixMilli()
+			f.workers["w-1"] = w
+			f.s.SetWorkers(f.workers, f.now)
+			f.advance(100 * time.Millisecond)
+			sub := f.newJob("j", fleet.Step{EstimateMillis: secondsToMillis(60)})
+			f.s.Submit(sub, f.now)
+			f.s.Place(f.now)
+			records := f.applyBatches()
+			if !c.listed {
+				w.StartedAtMillis = f.now.Add(-long).UnixMilli()
+				f.workers["w-1"] = w
+			}
+			f.takeover(records, sub)
+			bound := f.s.cfg.PreviousLeaderWindow + f.s.cfg.LeaseDuration
+			if c.age == lately {
+				bound = f.s.cfg.PreviousLeaderWindow + f.s.cfg.MaxLease
+			}
+			requireBound(t, bound, f.lostAfter("w-1", f.s.findTask(taskOf("j", 0))))
+		})
+	}
+}
+
 // TestLease_RequestInFlightAtTheReplacement guards against a lease that a request without a
 // response has extended on the later life, after a status has shown that life.
 func TestLease_RequestInFlightAtTheReplacement(t *testing.T) {
