Start overdue occurrences as they can be placed

Cause: Tick started all due occurrences at once, and newOccurrence builds each task: 480,000 times eight. restoreTask started every occurrence up to the highest that the ledger mentions. Finished occurrences were kept until their job ended.

Ruled out: a leak over time; the growth came within one tick.

Change: a job behind its schedule has a bounded window of open occurrences: 256 tasks that wait for room, and a share of 20,000 open tasks; four occurrences may overlap in any case, up to 20,000 tasks. Tasks of steps with a limit per worker, or with steps to wait for, do not count as waiting. Finished occurrences are forgotten but for their numbers. A takeover starts those with unfinished tasks in the ledger.

Why it works: tasks that found no room do not find it sooner if more of them wait, and those that find room make place for the next occurrence.

--- a/fleet/step.go
+++ b/fleet/step.go
@@ -43,6 +43,16 @@
 	return time.Duration(min(s.EstimateMillis, maxEstimate.Milliseconds())) * time.Millisecond
 }
 
+// ReservedResources returns the capacity that one task uses on its worker. Best-effort tasks
+// use only the CPU that others leave.
+func (s *Step) ReservedResources() Resources {
+	need := s.Need
+	if s.BestEffort {
+		need.MilliCPU = 0
+	}
+	return need
+}
+
 // CoreSeconds returns the estimated CPU time of all tasks of the step.
 func (s *Step) CoreSeconds() float64 {
 	return float64(s.Count) * float64(s.EstimateMillis) / 1e3 * float64(s.Need.MilliCPU) / 1e3
--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -61,6 +61,21 @@
 	return time.UnixMilli(s.FirstDueMillis + int64(occurrence)*s.IntervalMillis)
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s *Submission) Tasks() int {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	return tasks
+}
+
+// HasTask reports whether the task is one of the job's.
+func (s *Submission) HasTask(id TaskID) bool {
+	return id.Occurrence >= 0 && id.Occurrence < max(1, s.Occurrences) &&
+		id.Step >= 0 && id.Step < len(s.Steps) && id.Index >= 0 && id.Index < s.Steps[id.Step].Count
+}
+
 // CriticalPath returns the estimated duration of the longest chain of steps.
 func (s *Submission) CriticalPath() time.Duration {
 	longest := time.Duration(0)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -20,11 +20,13 @@
 	beganKnown, beganStored bool
 	// finished jobs get no more starts.
 	finished bool
-	// occurrences holds the occurrences that have started, by number.
+	// occurrences holds the open occurrences by number: those that have started and are not
+	// finished.
 	occurrences map[int]*occurrence
-	// nextOccurrence is the next one to become due.
-	nextOccurrence      int
-	finishedOccurrences int
+	// finishedOccurrences holds the numbers of the finished ones of a job with a schedule.
+	finishedOccurrences map[int]struct{}
+	// nextOccurrence is the first one that has not started.
+	nextOccurrence int
 	// team is nil for clients without an API key; limit is the team's.
 	team  *team
 	limit fleet.Resources
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -55,7 +55,7 @@
 // outcomes of runs that are not assigned have no effect.
 func (s *Scheduler) applyUnassignedOutcome(w *worker, finished *fleet.FinishedRun, now time.Time) {
 	t := s.findTask(finished.Task)
-	if reason := reasonToIgnore(t, finished); reason != "" {
+	if reason := s.reasonToIgnore(t, finished); reason != "" {
 		s.emit(Event{Kind: "outcome.ignored", ID: finished.Task.String(), Worker: w.info.ID, Attempt: finished.Attempt, Reason: finished.Outcome.String() + ": " + reason})
 		return
 	}
@@ -69,8 +69,10 @@
 
 // reasonToIgnore returns why the outcome of a run that is not assigned has no effect, or
 // "" for a success that completes the task.
-func reasonToIgnore(t *task, finished *fleet.FinishedRun) string {
+func (s *Scheduler) reasonToIgnore(t *task, finished *fleet.FinishedRun) string {
 	switch {
+	case t == nil && s.occurrenceFinished(finished.Task):
+		return "the occurrence is finished"
 	case t == nil:
 		return "the job is unknown"
 	case t.step.occurrence.job.finished:
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -115,7 +115,10 @@
 // to have ended, was given up, or would begin in a zone that is being evacuated.
 func (s *Scheduler) StartSettled(request *fleet.StartRequest) bool {
 	t := s.findTask(request.Task)
-	return t != nil && (t.attempt != request.Attempt || t.phase != starting || t.worker.evacuated)
+	if t == nil {
+		return s.occurrenceFinished(request.Task)
+	}
+	return t.attempt != request.Attempt || t.phase != starting || t.worker.evacuated
 }
 
 // HandleStartResponse applies the response to a start request.
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -23,6 +23,9 @@
 		return
 	}
 	j := s.addJob(stored.Submission, now.Add(-ageOf(stored.Submission, now)))
+	if j.sub.HasSchedule() {
+		s.restoreOccurrences(j, stored.Tasks)
+	}
 	for id, a := range stored.Tasks {
 		s.restoreTask(j, id, a)
 	}
@@ -48,6 +51,9 @@
 		}
 		s.finishOccurrence(o, now)
 	}
+	if !j.finished && j.sub.HasSchedule() && len(j.finishedOccurrences) == j.sub.Occurrences {
+		s.finishJob(j, ledger.OutcomeCompleted, now, "all occurrences are done")
+	}
 	if !j.finished {
 		s.failExhausted(j, now)
 	}
@@ -55,11 +61,6 @@
 
 // restoreTask applies one stored assignment.
 func (s *Scheduler) restoreTask(j *job, id fleet.TaskID, a ledger.Assignment) {
-	if j.sub.HasSchedule() {
-		for j.nextOccurrence <= id.Occurrence {
-			s.startOccurrence(j)
-		}
-	}
 	o, known := j.occurrences[id.Occurrence]
 	if !known || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
 		return
@@ -178,7 +179,7 @@
 func (s *Scheduler) addJob(sub *fleet.Submission, arrivedAt time.Time) *job {
 	j := &job{
 		sub: sub, arrivedAt: arrivedAt, coreSeconds: sub.CoreSeconds(), longRunning: sub.LongRunning(),
-		occurrences: map[int]*occurrence{}, team: s.teamByName(sub.Team),
+		occurrences: map[int]*occurrence{}, finishedOccurrences: map[int]struct{}{}, team: s.teamByName(sub.Team),
 	}
 	s.applyManifest(j)
 	j.beyond = s.beyondAllowance(sub, arrivedAt)
@@ -189,24 +190,11 @@
 	if sub.HasSchedule() {
 		s.scheduledJobs[j] = struct{}{}
 	} else {
-		s.startOccurrence(j)
+		s.startOccurrence(j, 0)
 	}
 	return j
 }
 
-// startOccurrence makes the job's next occurrence available for placement.
-func (s *Scheduler) startOccurrence(j *job) {
-	o := newOccurrence(j, j.nextOccurrence)
-	j.occurrences[o.number] = o
-	j.nextOccurrence++
-	for _, st := range o.steps {
-		s.updateReady(st)
-	}
-	if j.sub.HasSchedule() && j.nextOccurrence >= j.sub.Occurrences {
-		delete(s.scheduledJobs, j)
-	}
-}
-
 // updateReady adds the step to the ready set or removes it.
 func (s *Scheduler) updateReady(st *step) {
 	if st.ready() {
@@ -232,6 +220,7 @@
 	delete(s.scheduledJobs, j)
 	s.emit(Event{Kind: "job.ended", ID: j.sub.ID, Reason: reason})
 	s.batch.Records = append(s.batch.Records, ledger.ResultRecord(j.sub.ID, ledger.Result{Outcome: outcome, AtMillis: now.UnixMilli()}))
+	s.dropFinishedOccurrences(j)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -77,15 +77,8 @@
 	confirmedProgress int
 }
 
-// resources returns the capacity that the task uses on its worker. Best-effort tasks
-// use only the CPU that others leave.
-func (t *task) resources() fleet.Resources {
-	need := t.step.def.Need
-	if t.step.def.BestEffort {
-		need.MilliCPU = 0
-	}
-	return need
-}
+// resources returns the capacity that the task uses on its worker.
+func (t *task) resources() fleet.Resources { return t.step.def.ReservedResources() }
 
 // assignment returns the task's state for the ledger.
 func (t *task) assignment() ledger.Assignment {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -29,11 +29,7 @@
 			}
 		}
 	}
-	for j := range s.scheduledJobs {
-		for !j.finished && j.nextOccurrence < j.sub.Occurrences && !now.Before(j.sub.Due(j.nextOccurrence).Add(-dueLeadTime)) {
-			s.startOccurrence(j)
-		}
-	}
+	s.startDueOccurrences(now)
 }
 
 // requeueExpired requeues the tasks of a worker whose leases must have expired.
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -119,10 +119,11 @@
 	if _, started := j.occurrences[o.number]; !started {
 		return
 	}
-	j.finishedOccurrences++
-	if j.finishedOccurrences >= j.sub.Occurrences {
-		s.finishJob(j, ledger.OutcomeCompleted, now, "all occurrences are done")
+	if len(j.finishedOccurrences)+1 < j.sub.Occurrences {
+		s.closeOccurrence(o)
+		return
 	}
+	s.finishJob(j, ledger.OutcomeCompleted, now, "all occurrences are done")
 }
 
 // handleFailedRun counts a failed run and requeues the task, or ends the job.
--- a/scheduler/unassigned.go
+++ b/scheduler/unassigned.go
@@ -18,15 +18,15 @@
 	if t := s.findTask(id); t != nil {
 		return unassignedRun{use: t.resources()}
 	}
+	if j, known := s.jobs[id.Job]; known && id.Step < len(j.sub.Steps) {
+		return unassignedRun{use: j.sub.Steps[id.Step].ReservedResources()}
+	}
 	sub, known := s.previouslyFinished[id.Job]
 	if !known || id.Step >= len(sub.Steps) {
 		return unassignedRun{use: w.info.Capacity}
 	}
-	out := unassignedRun{use: sub.Steps[id.Step].Need, team: s.teamByName(sub.Team), need: sub.Steps[id.Step].Need}
-	if sub.Steps[id.Step].BestEffort {
-		out.use.MilliCPU = 0
-	}
-	return out
+	step := &sub.Steps[id.Step]
+	return unassignedRun{use: step.ReservedResources(), team: s.teamByName(sub.Team), need: step.Need}
 }
 
 // countUnassigned counts the run until the next status, or until the worker has ended.
