Replace the records of finished occurrences by one of the progress

What every entry holds of a job with a schedule grew with each occurrence that ended, up to the job's end: a million occurrences of eight tasks are eight million assignments.

Cause: a task's record as done is deleted at the end of its job only, and the ledger's view keeps all of them.

Ruled out: deleting the records alone; a task without a record is taken for one that has never run.

Change: once occurrences with 512 tasks have finished without a gap from the first on, a record of the job's progress is stored, and after it the tombstones of their tasks. A leader restores the job from there.

TestSchedule_TakeoverBetweenItsRecords restores from each 16th prefix of the records: no task that is done starts again.

Why it works: whatever prefix of the records a leader reads, a task is stored as done, or its occurrence lies before the stored progress.

--- a/ledger/job.go
+++ b/ledger/job.go
@@ -11,6 +11,9 @@
 	// Tasks holds the stored assignments. Those of a finished job are deleted after its
 	// result is stored; a leader deletes what the one before has left.
 	Tasks map[fleet.TaskID]Assignment
+	// FinishedBefore is the first occurrence that may not have finished; see
+	// ScheduleProgress.
+	FinishedBefore int
 	// Started is set once a run of a task is known to have begun. An assignment alone may
 	// be refused.
 	Started bool
@@ -20,6 +23,9 @@
 	FinishedAtMillis int64
 }
 
+// HasProgress reports whether a leader has stored progress of the job that has not finished.
+func (j *Job) HasProgress() bool { return len(j.Tasks) > 0 || j.FinishedBefore > 0 }
+
 // State is a job's state as clients see it.
 type State string
 
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -9,5 +9,6 @@
 	kindLeader       = 'o'
 	kindWave         = 'w'
 	kindVMOrder      = 'v'
+	kindSchedule     = 's'
 	kindNoop         = '-'
 )
--- a/ledger/recordkind.go
+++ b/ledger/recordkind.go
@@ -29,7 +29,7 @@
 
 // WrittenByLeader reports whether only leaders write such a record.
 func WrittenByLeader(r fleet.Record) bool {
-	return r.Key != "" && (r.Key[0] == kindAssignment || r.Key[0] == kindResult || r.Key[0] == kindLeader || r.Key[0] == kindVMOrder)
+	return r.Key != "" && (r.Key[0] == kindAssignment || r.Key[0] == kindSchedule || r.Key[0] == kindResult || r.Key[0] == kindLeader || r.Key[0] == kindVMOrder)
 }
 
 // NoopRecord returns a record without effect: it creates a stream.
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -44,6 +44,8 @@
 		return v.applyCancellation(id, r)
 	case kindAssignment:
 		return v.applyAssignment(id, r)
+	case kindSchedule:
+		return v.applySchedule(id, r)
 	case kindResult:
 		return v.applyResult(id, r)
 	case kindLeader:
@@ -58,7 +60,7 @@
 // has not been read, or "".
 func (v *View) AssignedWithoutSubmission() string {
 	for id, j := range v.Jobs {
-		if j.Submission == nil && len(j.Tasks) > 0 && j.Result.Outcome == OutcomeNone {
+		if j.Submission == nil && j.HasProgress() && j.Result.Outcome == OutcomeNone {
 			return id
 		}
 	}
@@ -151,6 +153,9 @@
 		return errors.Wrapf(err, "assignment %s", id)
 	}
 	v.updateJob(task.Job, func(j *Job) {
+		if task.Occurrence < j.FinishedBefore {
+			return
+		}
 		if j.Tasks == nil {
 			j.Tasks = map[fleet.TaskID]Assignment{}
 		}
@@ -160,6 +165,26 @@
 	return nil
 }
 
+func (v *View) applySchedule(id string, r fleet.Record) error {
+	if len(r.Value) == 0 {
+		return nil // The job has a result.
+	}
+	var p ScheduleProgress
+	if err := json.Unmarshal(r.Value, &p); err != nil {
+		return errors.Wrapf(err, "schedule %s", id)
+	}
+	v.updateJob(id, func(j *Job) {
+		j.Started = true
+		j.FinishedBefore = max(j.FinishedBefore, p.FinishedBefore)
+		for task := range j.Tasks {
+			if task.Occurrence < j.FinishedBefore {
+				delete(j.Tasks, task)
+			}
+		}
+	})
+	return nil
+}
+
 func (v *View) applyResult(id string, r fleet.Record) error {
 	if len(r.Value) == 0 {
 		return nil
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,7 +23,9 @@
 	// occurrences holds the open occurrences by number: those that have started and are not
 	// finished.
 	occurrences map[int]*occurrence
-	// finishedOccurrences holds the numbers of the finished ones of a job with a schedule.
+	// All occurrences before finishedBefore have finished; a record tells it.
+	// finishedOccurrences holds the numbers of the later ones that have.
+	finishedBefore      int
 	finishedOccurrences map[int]struct{}
 	// nextOccurrence is the first one that has not started.
 	nextOccurrence int
--- a/scheduler/schedule.go
+++ b/scheduler/schedule.go
@@ -17,6 +17,8 @@
 	// maxReadyTasks bounds the tasks of such a job that wait to be placed. Tasks that have
 	// found no room do not find any sooner if there are more of them.
 	maxReadyTasks = 256
+	// tasksPerProgress is how many finished tasks' records are replaced together.
+	tasksPerProgress = 512
 )
 
 // startDueOccurrences starts occurrences that are due, each job's in order. A job that is far
@@ -108,9 +110,11 @@
 
 func (j *job) hasFinished(number int) bool {
 	_, finished := j.finishedOccurrences[number]
-	return finished
+	return finished || number < j.finishedBefore
 }
 
+func (j *job) countFinished() int { return j.finishedBefore + len(j.finishedOccurrences) }
+
 // occurrenceFinished reports whether the task's occurrence has finished and its tasks are
 // forgotten.
 func (s *Scheduler) occurrenceFinished(id fleet.TaskID) bool {
@@ -125,14 +129,38 @@
 	}
 	delete(o.job.occurrences, o.number)
 	o.job.finishedOccurrences[o.number] = struct{}{}
+	s.storeProgress(o.job)
+}
+
+// storeProgress replaces the records of the first finished occurrences by one, once there are
+// some. An occurrence that has not finished keeps the records of all that follow.
+func (s *Scheduler) storeProgress(j *job) {
+	perRecord := max(1, tasksPerProgress/j.sub.Tasks())
+	first, finished := j.finishedBefore, 0
+	for finished < 2*perRecord {
+		if _, known := j.finishedOccurrences[first+finished]; !known {
+			break
+		}
+		finished++
+	}
+	if finished < perRecord {
+		return
+	}
+	j.finishedBefore += finished
+	s.batch.Records = append(s.batch.Records, ledger.ScheduleRecord(j.sub.ID, ledger.ScheduleProgress{FinishedBefore: j.finishedBefore}))
+	for number := first; number < j.finishedBefore; number++ {
+		delete(j.finishedOccurrences, number)
+		s.dropRecords(j, number)
+	}
 }
 
 // restoreOccurrences starts the occurrences of which tasks are stored, but for those that have
 // finished: of these all tasks are stored as done.
-func (s *Scheduler) restoreOccurrences(j *job, stored map[fleet.TaskID]ledger.Assignment) {
+func (s *Scheduler) restoreOccurrences(j *job, stored *ledger.Job) {
+	j.finishedBefore = stored.FinishedBefore
 	done := map[int]int{}
-	for id, a := range stored {
-		if !j.sub.HasTask(id) {
+	for id, a := range stored.Tasks {
+		if !j.sub.HasTask(id) || id.Occurrence < j.finishedBefore {
 			continue
 		}
 		count := done[id.Occurrence]
@@ -148,11 +176,15 @@
 			s.startOccurrence(j, number)
 		}
 	}
+	j.nextOccurrence = max(j.nextOccurrence, j.finishedBefore)
 	j.skipStarted()
 }
 
 // dropFinishedOccurrences deletes the records of the finished occurrences of a job that ends.
 func (s *Scheduler) dropFinishedOccurrences(j *job) {
+	if j.finishedBefore > 0 {
+		s.batch.Records = append(s.batch.Records, ledger.ScheduleTombstone(j.sub.ID))
+	}
 	for number := range j.finishedOccurrences {
 		s.dropRecords(j, number)
 	}
--- a/scheduler/schedule_test.go
+++ b/scheduler/schedule_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/ledger"
 )
 
 const testInterval = time.Minute
@@ -76,21 +77,27 @@
 	}
 }
 
-// TestSchedule_CatchesUp checks that all overdue occurrences run, each once, across a takeover
-// in their midst, and that the job then ends.
-func TestSchedule_CatchesUp(t *testing.T) {
-	const due = 1_000
+// catchUp lets a job of two steps, far behind its schedule, run for the time.
+func catchUp(t *testing.T, due int, d time.Duration) (*testFleet, *fleet.Submission) {
 	f := newTestFleet(t)
 	f.addWorker("w-1", testPool, 16)
 	f.addWorker("w-2", testPool, 16)
 	f.advance(100 * time.Millisecond)
 	sub := f.overdueJob("behind", due, fleet.Step{EstimateMillis: 100}, fleet.Step{EstimateMillis: 100, DependsOn: []int{0}})
 	f.s.Submit(sub, f.now)
-	f.advance(5 * time.Second)
+	f.advance(d)
 	require.False(t, f.s.jobs["behind"].finished)
-	require.Greater(t, len(f.s.jobs["behind"].finishedOccurrences), due/10)
+	require.Greater(t, f.s.jobs["behind"].countFinished(), tasksPerProgress)
+	return f, sub
+}
+
+// TestSchedule_CatchesUp checks that all overdue occurrences run, each once, across a takeover
+// in their midst, and that the job then ends.
+func TestSchedule_CatchesUp(t *testing.T) {
+	const due = 2_000
+	f, sub := catchUp(t, due, 10*time.Second)
 	f.takeover(f.recorded, sub)
-	f.advance(30 * time.Second)
+	f.advance(50 * time.Second)
 	require.True(t, f.s.jobs["behind"].finished)
 	require.Len(t, f.attempts, 2*due)
 	for id, runs := range f.attempts {
@@ -98,6 +105,52 @@
 	}
 }
 
+// TestSchedule_StoredProgress guards against an entry that runs out of memory because the ledger
+// keeps a record of each task of each finished occurrence.
+func TestSchedule_StoredProgress(t *testing.T) {
+	const due, open = 2_000, 2 * (maxReadyTasks + 32)
+	f, sub := catchUp(t, due, 10*time.Second)
+	f.advance(50 * time.Second)
+	require.True(t, f.s.jobs["behind"].finished)
+	view, most := ledger.NewView(), 0
+	require.NoError(t, view.Apply(ledger.SubmissionRecord(*sub)))
+	for _, r := range f.recorded {
+		require.NoError(t, view.Apply(fleet.Record(r)))
+		most = max(most, len(view.Jobs["behind"].Tasks))
+	}
+	require.LessOrEqual(t, most, open+2*tasksPerProgress)
+	require.Empty(t, view.Jobs["behind"].Tasks)
+	require.Equal(t, ledger.StateCompleted, view.Jobs["behind"].State())
+}
+
+// TestSchedule_TakeoverBetweenItsRecords guards against a task that runs again because a leader
+// has read the tombstones of an occurrence's tasks, or a part of them, and not its progress.
+func TestSchedule_TakeoverBetweenItsRecords(t *testing.T) {
+	f, sub := catchUp(t, 2_000, 12*time.Second)
+	done := map[fleet.TaskID]bool{}
+	view := ledger.NewView()
+	require.NoError(t, view.Apply(ledger.SubmissionRecord(*sub)))
+	for i, r := range f.recorded {
+		require.NoError(t, view.Apply(fleet.Record(r)))
+		if id, err := fleet.ParseTaskID(r.Key[1:]); err == nil && view.Jobs["behind"].Tasks[id].Phase == ledger.PhaseDone {
+			done[id] = true
+		}
+		if i%16 != 0 {
+			continue
+		}
+		next := f.newLeader(f.s.cfg.FencingToken + 1)
+		next.RestoreJob(view.Jobs["behind"], f.now)
+		for id := range done {
+			if task := next.findTask(id); task != nil {
+				require.Equal(t, ledger.PhaseDone, task.assignment().Phase, id)
+			} else {
+				require.True(t, next.occurrenceFinished(id), id)
+			}
+		}
+	}
+	require.Positive(t, view.Jobs["behind"].FinishedBefore)
+}
+
 // TestSchedule_OccurrencesOverlap guards against a job that waits for the room of one occurrence
 // while the next one has room: a limit per worker holds within an occurrence, and a step that
 // waits for another one needs no room yet.
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -20,11 +20,14 @@
 			// The leader before could not store the rest of the job's end.
 			s.batch.Records = append(s.batch.Records, ledger.AssignmentTombstone(id))
 		}
+		if stored.FinishedBefore > 0 {
+			s.batch.Records = append(s.batch.Records, ledger.ScheduleTombstone(stored.Submission.ID))
+		}
 		return
 	}
 	j := s.addJob(stored.Submission, now.Add(-ageOf(stored.Submission, now)))
 	if j.sub.HasSchedule() {
-		s.restoreOccurrences(j, stored.Tasks)
+		s.restoreOccurrences(j, stored)
 	}
 	for id, a := range stored.Tasks {
 		s.restoreTask(j, id, a)
@@ -51,7 +54,7 @@
 		}
 		s.finishOccurrence(o, now)
 	}
-	if !j.finished && j.sub.HasSchedule() && len(j.finishedOccurrences) == j.sub.Occurrences {
+	if !j.finished && j.sub.HasSchedule() && j.countFinished() == j.sub.Occurrences {
 		s.finishJob(j, ledger.OutcomeCompleted, now, "all occurrences are done")
 	}
 	if !j.finished {
@@ -163,7 +166,7 @@
 	if _, known := s.jobs[stored.Submission.ID]; known {
 		return
 	}
-	if len(stored.Tasks) > 0 {
+	if stored.HasProgress() {
 		s.RestoreJob(stored, now)
 		return
 	}
--- a/scheduler/transitions.go
+++ b/scheduler/transitions.go
@@ -119,7 +119,7 @@
 	if _, started := j.occurrences[o.number]; !started {
 		return
 	}
-	if len(j.finishedOccurrences)+1 < j.sub.Occurrences {
+	if j.countFinished()+1 < j.sub.Occurrences {
 		s.closeOccurrence(o)
 		return
 	}
