Place no tasks by the record of an earlier incarnation

The worker had restarted under its ID as one of another kind.

Cause: when a status shows a later incarnation than the list does, HandleStatus goes on with a copy of the earlier one's record and changes its start time only. Labels, capacity, pool, rack and zone of the earlier life decide, and the worker gets new tasks at once.

Three tests let a restarted worker be used without a report of its own. They now pass the list again, as a leader reads it, and ask for the same. TestRestart_AssignmentInFlight held before, too.

TestRestart_OtherKind was red before: the worker exceeds its capacity.

Why it works: no part of a record decides for an incarnation that has not written it. A start that is sent before the first status of the later incarnation still can; open.

--- a/scheduler/claimedincarnation_test.go
+++ b/scheduler/claimedincarnation_test.go
@@ -82,5 +82,6 @@
 	f.advance(time.Second)
 	require.Equal(t, map[string]int{id: 1}, f.running("j"))
 	require.Equal(t, 1, f.s.findTask(taskOf("j", 0)).attempt, "the run was started again")
+	f.s.SetWorkers(f.workers, f.now) // The worker has reported again.
 	require.True(t, f.s.workers[id].schedulable(f.now), "the worker is out of use")
 }
--- a/scheduler/earlierstart_test.go
+++ b/scheduler/earlierstart_test.go
@@ -33,6 +33,8 @@
 			f.now = f.now.Add(50 * time.Millisecond)
 			f.s.SetWorkers(f.workers, f.now)
 			require.Equal(t, listed, f.s.workers["w-1"].info.Address == "10.0.0.9:1")
+			f.advance(100 * time.Millisecond)
+			f.s.SetWorkers(f.workers, f.now) // The list is read again.
 			f.advance(time.Second)
 			require.Equal(t, 1, total(f.running("j")), "what ran on the worker does not run again")
 			require.Equal(t, 2, f.s.findTask(taskOf("j", 0)).attempt)
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -111,6 +111,53 @@
 	require.Equal(t, waiting, task.phase)
 }
 
+// TestRestart_OtherKind guards against a task that starts on a worker without the label, or the
+// room, that it asks for: the worker has restarted as one of another kind, and the record of its
+// earlier life is the newest that the list has.
+func TestRestart_OtherKind(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	kind := f.workers["w-1"]
+	kind.Labels = []string{"b", "r"}
+	f.workers["w-1"] = kind
+	f.s.SetWorkers(f.workers, f.now)
+	f.advance(100 * time.Millisecond)
+	earlier := map[string]fleet.Worker{"w-1": kind}
+	f.restart("w-1")
+	later := f.workers["w-1"]
+	later.Labels, later.Capacity.MilliCPU = []string{"a", "r"}, 2000
+	f.workers["w-1"] = later
+	f.poll("w-1")
+
+	f.s.Submit(f.newJob("j", fleet.Step{Label: "b", EstimateMillis: secondsToMillis(60)}), f.now)
+	f.s.Submit(f.newJob("k", fleet.Step{Need: fleet.Resources{MilliCPU: 3000}, EstimateMillis: secondsToMillis(60)}), f.now)
+	f.s.Submit(f.newJob("l", fleet.Step{EstimateMillis: secondsToMillis(60)}), f.now)
+	for range 10 {
+		f.advance(100 * time.Millisecond)
+		f.s.SetWorkers(earlier, f.now)
+	}
+	require.Empty(t, f.runs["w-1"], "a task has started by the record of the earlier life")
+	f.s.SetWorkers(f.workers, f.now)
+	f.advance(100 * time.Millisecond)
+	require.Empty(t, f.running("j"))
+	require.Empty(t, f.running("k"))
+	require.Equal(t, map[string]int{"w-1": 1}, f.running("l"), "the restarted worker is not used")
+}
+
+// TestRestart_AssignmentInFlight guards against a start that was decided by the record of an
+// earlier life, and is sent once the assignment is stored.
+func TestRestart_AssignmentInFlight(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	f.s.Submit(f.newJob("j", fleet.Step{EstimateMillis: secondsToMillis(60)}), f.now)
+	f.s.Place(f.now)
+	batch := f.s.TakeBatch()
+	f.restart("w-1")
+	f.poll("w-1")
+	require.Empty(t, f.s.HandleBatchPersisted(batch.Number, f.now))
+}
+
 // TestRestart_UsesAreReleased checks the capacity that the tasks of an ended incarnation
 // use: none on the worker, and none of the team's.
 func TestRestart_UsesAreReleased(t *testing.T) {
@@ -198,6 +245,7 @@
 	f.poll("w-a")
 	require.True(t, f.s.workers["w-a"].operationPending, "the operation may still end the later incarnation")
 	f.now = f.now.Add(50 * time.Millisecond)
+	f.s.SetWorkers(f.workers, f.now) // The later incarnation has reported.
 	list := f.vms()
 	list[0].State = fleet.VMInMaintenance
 	f.s.SetVMs(list, f.now, f.now)
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -43,6 +43,7 @@
 		shown := w.info
 		shown.StartedAtMillis = status.StartedAtMillis
 		w = s.supersede(w, shown, now)
+		w.recordOutdated = true
 	}
 	w.claimedAt = time.Time{}
 	if w.info.StartedAtMillis == 0 {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -51,6 +51,9 @@
 	firstFailedJob      string
 	failedSeveralJobs   bool
 	quarantineDuration  time.Duration
+	// recordOutdated is set while info is the record of an earlier incarnation: labels, pool
+	// and capacity of this one are not known.
+	recordOutdated bool
 	// listed reports that the worker is on the platform's list.
 	listed bool
 	// cordoned workers get no new tasks: their VM is to be moved or maintained.
@@ -77,9 +80,10 @@
 // free returns the capacity that is left.
 func (w *worker) free() fleet.Resources { return w.info.Capacity.Minus(w.used).Minus(w.unassignedUse) }
 
-// schedulable reports whether new tasks may be placed on the worker.
+// schedulable reports whether new tasks may be placed on the worker. An incarnation that only a
+// status has shown gets none before the list tells of which kind it is.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.polled && w.listed && !w.ended && !w.info.Draining && !w.cordoned && !w.evacuated &&
+	return w.polled && w.listed && !w.recordOutdated && !w.ended && !w.info.Draining && !w.cordoned && !w.evacuated &&
 		w.missedPolls == 0 && now.Sub(w.lastPollAt) < statusFreshFor && !now.Before(w.avoidUntil)
 }
 
