Give each incarnation of a worker its own fencing token

What callers saw: a task ran on two workers at once.

Cause: the later incarnation knows neither the stop nor the end that bars the start on the earlier one, and both have one ID. All requests of a leader carried one fencing token, so that nothing told them apart.

Ruled out: stops of all unanswered starts sent to the later incarnation. They bar the starts, but a start that is refused as old still extends the lease, by a clock that is not the worker's. A token shifted by some bits: after it, no entry of an earlier release could lead the workers.

Change: a leader claims 64 tokens (64 records in the stream of claims). Each incarnation that it sees under one ID gets the next; an endpoint names the token of its requests. A rejection for a lower token than the leader's own newest does not end its term; such a start is in doubt. A start is not repeated to another incarnation than it was decided for, and after a closed connection the worker is polled before the repeat.

Why it works: a worker does nothing for a lower token, and takes no deadline from it.

--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -7,6 +7,9 @@
 	// StartedAtMillis is the incarnation that the caller knows at the address. The
 	// worker does not check it: a later one under the same ID may respond.
 	StartedAtMillis int64
+	// FencingToken is the token of all requests to the incarnation. One that has seen a
+	// higher token does nothing.
+	FencingToken int64
 }
 
 // StartRequest starts one run of a task.
--- a/fleetentry/candidate.go
+++ b/fleetentry/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,9 @@
 )
 
 const (
+	// tokensPerTerm is how many fencing tokens a leader holds: the incarnations that it sees
+	// of one worker under one ID get successive ones. Those after the last share it.
+	tokensPerTerm = 64
 	// electionTimeout is the time without a heartbeat after which another entry
 	// campaigns. Heartbeats are sent every heartbeatInterval, and an append takes up
 	// to a quarter of a second on the store's slow days.
@@ -121,7 +125,8 @@
 	}
 }
 
-// Campaign claims leadership if that is due, and returns the fencing token.
+// Campaign claims leadership if that is due, and returns the first of its tokensPerTerm fencing
+// tokens.
 func (c *Candidate) Campaign(ctx context.Context, now time.Time) (token int64, ok bool) {
 	due, reason := c.shouldCampaign(now)
 	if !due || now.Before(c.backoffUntil) {
@@ -129,10 +134,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	record := c.claimRecord(now)
+	claim := slices.Repeat([]fleet.Record{c.claimRecord(now)}, tokensPerTerm)
 	const maxAttempts = 3
 	for range maxAttempts {
-		first, end, err := c.store.Append(ctx, claimStream, []fleet.Record{record}, fleet.AppendOptions{Conditional: true, ExpectedEnd: c.claimsEnd})
+		first, end, err := c.store.Append(ctx, claimStream, claim, fleet.AppendOptions{Conditional: true, ExpectedEnd: c.claimsEnd})
 		if err == nil {
 			c.claimsEnd = end
 			c.log.Info("claimed leadership", "token", first+1, "why", reason)
@@ -156,7 +161,7 @@
 // leaderHoldsLastClaim reports whether the known leader made the last claim.
 func (c *Candidate) leaderHoldsLastClaim(end int64) bool {
 	held := false
-	c.follower.Read(func(v *ledger.View) { held = v.Leader.FencingToken >= end })
+	c.follower.Read(func(v *ledger.View) { held = v.Leader.Holds(end) })
 	return held
 }
 
--- a/fleetentry/candidate_test.go
+++ b/fleetentry/candidate_test.go
@@ -1,6 +1,7 @@
 package fleetentry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
+	"github.com/anvilcourse/anvilcourse/provider"
 )
 
 // TestCandidate_AfterStoreOutage ends an outage of the store that was longer than the
@@ -69,3 +71,42 @@
 		})
 	}
 }
+
+// claimStore is a store of which only the stream of claims is used.
+type claimStore struct {
+	Store
+	end int64
+}
+
+func (s *claimStore) Append(_ context.Context, _ string, records []fleet.Record, options fleet.AppendOptions) (first, end int64, err error) {
+	if options.Conditional && options.ExpectedEnd != s.end {
+		return 0, s.end, &provider.Error{Outcome: provider.Refused, Code: provider.CodeConflict}
+	}
+	first = s.end
+	s.end += int64(len(records))
+	return first, s.end, nil
+}
+
+// TestCandidate_TokensOfATerm guards against a leader whose first token is not higher than all
+// that the one before it has sent to workers.
+func TestCandidate_TokensOfATerm(t *testing.T) {
+	store := &claimStore{end: 7} // Earlier releases claimed one token each.
+	follower := NewFollower(store, hclog.NewNullLogger())
+	follower.view.LeaderOffset = 0
+	last := int64(7)
+	for range 3 {
+		now := time.Now()
+		follower.view.Leader.Resigned = true
+		follower.lastLeaderRecordAt, follower.ledger.lastReadAt = now.Add(-time.Minute), now
+		c := NewCandidate(store, follower, "entry", 1, hclog.NewNullLogger())
+		c.claimsEnd = store.end
+		token, ok := c.Campaign(t.Context(), now)
+		require.True(t, ok)
+		require.Greater(t, token, last)
+		last = token + tokensPerTerm - 1
+		require.False(t, c.leaderHoldsLastClaim(store.end), "the leader has not written to the ledger")
+		l := &Leader{fencingToken: token, follower: follower}
+		follower.view.Leader = l.status(now, false)
+		require.True(t, c.leaderHoldsLastClaim(store.end))
+	}
+}
--- a/fleetentry/heartbeat.go
+++ b/fleetentry/heartbeat.go
@@ -36,6 +36,6 @@
 }
 
 func (l *Leader) status(now time.Time, resigned bool) ledger.Leader {
-	return ledger.Leader{FencingToken: l.fencingToken, Node: l.node, Resigned: resigned, AlternateStreams: l.follower.AlternateStreams(),
+	return ledger.Leader{FencingToken: l.fencingToken, LastToken: l.fencingToken + tokensPerTerm - 1, Node: l.node, Resigned: resigned, AlternateStreams: l.follower.AlternateStreams(),
 		StoresVMOrders: l.config.Policies.StoredVMOrders, AtMillis: now.UnixMilli()}
 }
--- a/fleetentry/requests.go
+++ b/fleetentry/requests.go
@@ -67,10 +67,23 @@
 			return clock, err
 		}
 		inDoubt = err
+		if provider.CodeOf(err) == provider.CodeTruncated {
+			l.pollNow(s.Endpoint.WorkerID)
+		}
 	}
 	return 0, inDoubt
 }
 
+// pollNow polls the worker: one that has closed a connection may have restarted.
+func (l *Leader) pollNow(workerID string) {
+	l.mu.Lock()
+	p, known := l.pollers[workerID]
+	l.mu.Unlock()
+	if known {
+		p.poll(p.ctx, false)
+	}
+}
+
 // handleLease records how far a request with a deadline may have extended the lease on the
 // worker. The lock is held.
 func (l *Leader) handleLease(to fleet.Endpoint, deadlineMillis, clockMillis int64, err error, now time.Time) {
@@ -122,7 +135,7 @@
 	var err error
 	for _, timeout := range l.attemptTimeouts() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		_, err = l.workers.Stop(ctx, s.Endpoint, s.Task, s.Attempt, l.fencingToken)
+		_, err = l.workers.Stop(ctx, s.Endpoint, s.Task, s.Attempt, s.Endpoint.FencingToken)
 		cancel()
 		if err == nil || provider.OutcomeOf(err) != provider.Unknown {
 			break
@@ -143,7 +156,7 @@
 func (l *Leader) sendThrottle(p scheduler.ThrottleRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), defaultAttemptTimeouts[len(defaultAttemptTimeouts)-1])
 	defer cancel()
-	if _, err := l.workers.Throttle(ctx, p.Endpoint, p.Task, p.Attempt, p.Percent, l.fencingToken); err != nil {
+	if _, err := l.workers.Throttle(ctx, p.Endpoint, p.Task, p.Attempt, p.Percent, p.Endpoint.FencingToken); err != nil {
 		l.log.Info("throttle failed", "request", p.Task.String(), "worker", p.Endpoint.WorkerID, "percent", p.Percent, "error", err)
 	}
 	l.metrics.Add("paces", 1)
--- a/fleetentry/store.go
+++ b/fleetentry/store.go
@@ -11,8 +11,8 @@
 const (
 	// ledgerStream holds the leader's records; see package ledger.
 	ledgerStream = "ledger"
-	// claimStream holds one record per leadership claim; the offset after it is the
-	// claim's fencing token.
+	// claimStream holds tokensPerTerm records per leadership claim; the offset after each is
+	// one of the claim's fencing tokens.
 	claimStream = "claims"
 	// leaderWriter is the fenced writer of the ledger.
 	leaderWriter = "owner"
--- a/fleetentry/takeover.go
+++ b/fleetentry/takeover.go
@@ -40,7 +40,7 @@
 		l.resignUnready(termCtx)
 		return err
 	}
-	l.config.FencingToken = l.fencingToken
+	l.config.FencingToken, l.config.FencingTokens = l.fencingToken, tokensPerTerm
 	l.config.LeaseDuration = workerLeaseDuration
 	now := time.Now()
 	if !l.previousResigned {
--- a/ledger/leader.go
+++ b/ledger/leader.go
@@ -4,8 +4,11 @@
 
 // Leader is the heartbeat of the fleet's leader.
 type Leader struct {
-	FencingToken int64  `json:"k"`
-	Node         string `json:"n"`
+	FencingToken int64 `json:"k"`
+	// LastToken is the last of the fencing tokens that the leader holds; 0 if it holds
+	// FencingToken only.
+	LastToken int64  `json:"l,omitempty"`
+	Node      string `json:"n"`
 	// Resigned is set once the leader has stopped for good.
 	Resigned bool `json:"x,omitempty"`
 	// TakeoverFailed is set with Resigned if the leader has not begun to lead: what the
@@ -19,5 +22,8 @@
 	AtMillis       int64 `json:"t"`
 }
 
+// Holds reports whether the leader holds the token or a later one.
+func (l *Leader) Holds(token int64) bool { return max(l.FencingToken, l.LastToken) >= token }
+
 // LeaderRecord returns the record of the leader's heartbeat.
 func LeaderRecord(l Leader) fleet.Record { return record(kindLeader, "", l) }
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -15,6 +15,9 @@
 type Config struct {
 	// FencingToken is the leader's fencing token.
 	FencingToken int64
+	// FencingTokens is how many tokens the leader holds, from FencingToken on: the
+	// incarnations of one worker get successive ones, and share the last. 0 stands for 1.
+	FencingTokens int64
 	// LeaseDuration is how far each poll extends the leases on a worker.
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that a worker gives, whatever deadline a request names.
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -10,7 +10,7 @@
 // newWorker returns a worker on which an earlier leader may have granted leases.
 func (s *Scheduler) newWorker(info fleet.Worker) *worker {
 	return &worker{
-		info: info, tasks: map[fleet.TaskID]*task{}, strays: map[*task]*stray{},
+		info: info, fencingToken: s.tokenFor(info), tasks: map[fleet.TaskID]*task{}, strays: map[*task]*stray{},
 		leaseStart: s.tookOverAt, leaseDuration: s.previousLeaderLease(info.StartedAtMillis), evacuated: s.isEvacuated(info.AvailabilityZone),
 	}
 }
@@ -57,9 +57,11 @@
 func (s *Scheduler) replace(w *worker, by fleet.Worker, now time.Time, reason string, mayRun func(*task) bool) *worker {
 	next := s.newWorker(by)
 	next.listed = w.listed
+	next.replacedAt = now
 	next.cordoned, next.operationPending = w.cordoned, w.operationPending
 	s.workers[by.ID] = next
 	s.endWorker(w, next, now, reason, mayRun)
+	s.batch.PollSoon = append(s.batch.PollSoon, by.ID)
 	return next
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,7 +20,9 @@
 	// was on the list and proved not to be at the address there.
 	refutedIncarnations map[string]int64
 	workersListedAt     time.Time
-	teams               map[string]*team
+	// workerTokens holds the fencing token of each worker's present incarnation, by ID.
+	workerTokens map[string]*workerToken
+	teams        map[string]*team
 	// previouslyFinished holds jobs that had finished at the takeover: their runs may
 	// still be stopping.
 	previouslyFinished map[string]*fleet.Submission
@@ -70,6 +72,7 @@
 		workers:             map[string]*worker{},
 		endedIncarnations:   map[string]int64{},
 		refutedIncarnations: map[string]int64{},
+		workerTokens:        map[string]*workerToken{},
 		teams:               map[string]*team{},
 		shortUse:            map[poolTeam]int64{},
 		teamHits:            map[poolTeam]teamHits{},
@@ -158,7 +161,7 @@
 	return StartRequest{Endpoint: w.endpoint(), Request: fleet.StartRequest{
 		Task: t.id, Attempt: t.attempt, Spec: t.step.occurrence.job.sub.Spec,
 		DeadlineMillis: w.estimatedClock(now) + s.cfg.LeaseDuration.Milliseconds(),
-		FencingToken:   s.cfg.FencingToken, Checkpoint: t.checkpoint, Ticket: t.ticket,
+		FencingToken:   w.fencingToken, Checkpoint: t.checkpoint, Ticket: t.ticket,
 	}}, true
 }
 
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -16,7 +16,7 @@
 	}
 	switch provider.CodeOf(err) {
 	case provider.CodeFenced:
-		s.fenced = true
+		s.handleFenced(to)
 	case provider.CodeWrongIncarnation:
 		s.handleWrongIncarnation(to, now)
 	default:
@@ -48,6 +48,7 @@
 	w.claimedAt = time.Time{}
 	if w.info.StartedAtMillis == 0 {
 		w.info.StartedAtMillis = status.StartedAtMillis
+		w.fencingToken = s.tokenFor(w.info)
 	}
 	if w.missedPolls > 0 {
 		s.emit(Event{Kind: "worker.reachable", ID: id})
@@ -55,6 +56,10 @@
 	w.missedPolls = 0
 	w.clockMillis, w.clockAt = status.ClockMillis, now
 	w.lastPollAt = now
+	if !w.replacedAt.IsZero() && !sent.Before(w.replacedAt) {
+		w.replacedAt = time.Time{}
+		w.extendLease(now, s.cfg.MaxLease)
+	}
 	s.reconcileActiveRuns(w, status, sent, now)
 	s.applyFinishedRuns(w, status, now)
 	s.requeueMissingRuns(w, status, sent, now)
@@ -113,13 +118,14 @@
 }
 
 // StartSettled reports whether the start must not be repeated: its run is known to exist or
-// to have ended, was given up, or would begin in a zone that is being evacuated.
+// to have ended, was given up, or would begin in a zone that is being evacuated or on a later
+// incarnation.
 func (s *Scheduler) StartSettled(request *fleet.StartRequest) bool {
 	t := s.findTask(request.Task)
 	if t == nil {
 		return s.occurrenceFinished(request.Task)
 	}
-	return t.attempt != request.Attempt || t.phase != starting || t.worker.evacuated
+	return t.attempt != request.Attempt || t.phase != starting || t.worker.evacuated || t.worker.fencingToken != request.FencingToken
 }
 
 // HandleStartResponse applies the response to a start request.
@@ -137,8 +143,10 @@
 	}
 	code := provider.CodeOf(err)
 	if code == provider.CodeFenced {
-		s.fenced = true
-		return
+		s.handleFenced(to)
+		if s.fenced {
+			return
+		}
 	}
 	if code == provider.CodeWrongIncarnation {
 		s.handleWrongIncarnation(to, now)
@@ -146,7 +154,7 @@
 	if t.phase != starting {
 		return
 	}
-	if provider.OutcomeOf(err) == provider.Unknown || code == provider.CodeSuperseded {
+	if provider.OutcomeOf(err) == provider.Unknown || code == provider.CodeSuperseded || code == provider.CodeFenced {
 		s.markStartInDoubt(t, code, now)
 		return
 	}
@@ -181,7 +189,7 @@
 func (s *Scheduler) HandleStopResponse(stop *StopRequest, err error, now time.Time) {
 	switch provider.CodeOf(err) {
 	case provider.CodeFenced:
-		s.fenced = true
+		s.handleFenced(stop.Endpoint)
 		return
 	case provider.CodeWrongIncarnation:
 		s.handleWrongIncarnation(stop.Endpoint, now)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -10,6 +10,8 @@
 // worker is one incarnation of a worker as the leader knows it.
 type worker struct {
 	info fleet.Worker
+	// fencingToken is the token of requests to the incarnation.
+	fencingToken int64
 	// used is the capacity of its assigned runs, stopping ones included.
 	used  fleet.Resources
 	tasks map[fleet.TaskID]*task
@@ -73,6 +75,10 @@
 	endsComputedAt time.Time
 	// ended incarnations get no updates.
 	ended bool
+	// replacedAt is when the incarnation has replaced an earlier one; zero once it has
+	// answered a poll under its own token. Until then it may execute requests that were
+	// sent to the earlier one.
+	replacedAt time.Time
 	// claimedAt is when the list named the incarnation; zero once a status has shown it.
 	claimedAt time.Time
 }
@@ -107,5 +113,5 @@
 
 // endpoint returns the address of this incarnation of the worker.
 func (w *worker) endpoint() fleet.Endpoint {
-	return fleet.Endpoint{WorkerID: w.info.ID, Address: w.info.Address, StartedAtMillis: w.info.StartedAtMillis}
+	return fleet.Endpoint{WorkerID: w.info.ID, Address: w.info.Address, StartedAtMillis: w.info.StartedAtMillis, FencingToken: w.fencingToken}
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -28,6 +28,7 @@
 			}
 		}
 	}
+	s.forgetTokens(now)
 }
 
 func (s *Scheduler) setWorker(id string, info fleet.Worker, now time.Time) {
@@ -90,7 +91,7 @@
 	if !known || w.ended {
 		return fleet.PollRequest{}, false
 	}
-	request := fleet.PollRequest{FencingToken: s.cfg.FencingToken, RecordedThrough: w.outcomeToAcknowledge()}
+	request := fleet.PollRequest{FencingToken: w.fencingToken, RecordedThrough: w.outcomeToAcknowledge()}
 	if authorized && w.missedPolls == 0 && !w.clockAt.IsZero() && len(w.tasks) > 0 {
 		request.DeadlineMillis = w.estimatedClock(now) + s.cfg.LeaseDuration.Milliseconds()
 		w.extendLease(now, s.cfg.LeaseDuration)
@@ -107,7 +108,7 @@
 	if !known || w.ended {
 		return fleet.PollRequest{}, false
 	}
-	return fleet.PollRequest{FencingToken: s.cfg.FencingToken}, true
+	return fleet.PollRequest{FencingToken: w.fencingToken}, true
 }
 
 // WorkerActivity reports whether the worker has runs, and whether outcomes are
--- /dev/null
+++ b/scheduler/workertoken_test.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/anvilcourse/anvilcourse/fleet"
+	"github.com/anvilcourse/anvilcourse/provider"
+)
+
+// tokenFleet is a fleet of two workers whose leader holds some fencing tokens.
+func tokenFleet(t *testing.T) *testFleet {
+	f := twoWorkers(t)
+	f.s.cfg.FencingTokens = 4
+	return f
+}
+
+// TestToken_LateStartOnLaterIncarnation guards against a second run of a task whose start got no
+// response and is executed after its worker has restarted under its ID: that incarnation knows
+// neither the stop nor the end of before, but rejects the lower token.
+func TestToken_LateStartOnLaterIncarnation(t *testing.T) {
+	for name, discover := range map[string]func(f *testFleet, id string){
+		"by the list": func(f *testFleet, _ string) { f.s.SetWorkers(f.workers, f.now) },
+		"by a poll":   func(f *testFleet, id string) { f.poll(id) },
+		"after the worker was gone": func(f *testFleet, id string) {
+			w := f.workers[id]
+			delete(f.workers, id)
+			f.s.SetWorkers(f.workers, f.now)
+			f.workers[id] = w
+			f.s.SetWorkers(f.workers, f.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := tokenFleet(t)
+			start := f.placeJob("j")
+			id := start.Endpoint.WorkerID
+			f.s.HandleStartResponse(&start.Request, start.Endpoint, unknownOutcome(), f.now)
+			f.advance(300 * time.Millisecond)
+			f.restart(id)
+			discover(f, id)
+			poll, known := f.s.PreparePoll(id, f.now, true)
+			require.True(t, known)
+			require.Greater(t, poll.FencingToken, start.Request.FencingToken, "the worker accepts the late start")
+
+			f.s.HandleStartResponse(&start.Request, start.Endpoint, refusedWith(provider.CodeFenced), f.now)
+			f.s.HandleStopResponse(&StopRequest{Endpoint: start.Endpoint, Task: start.Request.Task, Attempt: 1}, refusedWith(provider.CodeFenced), f.now)
+			f.s.HandlePollFailure(start.Endpoint, refusedWith(provider.CodeFenced), f.now)
+			require.False(t, f.s.Fenced(), "the leader ends for a token of its own")
+			f.s.HandlePollFailure(f.s.workers[id].endpoint(), refusedWith(provider.CodeFenced), f.now)
+			require.True(t, f.s.Fenced())
+		})
+	}
+}
+
+// TestToken_StartRejectedByLaterIncarnation checks that a start that an own later token has
+// fenced off is stopped, as an earlier attempt may have been executed, and goes on elsewhere.
+func TestToken_StartRejectedByLaterIncarnation(t *testing.T) {
+	f := tokenFleet(t)
+	start := f.placeJob("j")
+	id := start.Endpoint.WorkerID
+	f.restart(id)
+	f.poll(id)
+	require.True(t, f.s.StartSettled(&start.Request), "the start is repeated with the earlier clock")
+	f.s.HandleStartResponse(&start.Request, start.Endpoint, refusedWith(provider.CodeFenced), f.now)
+	stops := f.s.TakeBatch().Stops
+	require.Len(t, stops, 1)
+	require.Greater(t, stops[0].Endpoint.FencingToken, start.Request.FencingToken)
+	f.s.HandleStopResponse(&stops[0], nil, f.now)
+	f.advance(time.Second)
+	require.Equal(t, 1, total(f.running("j")))
+	require.Equal(t, 2, f.s.findTask(start.Request.Task).attempt)
+}
+
+// TestToken_SameIncarnation checks that a worker whose entry was away keeps its token, that a
+// leader never exceeds its tokens, and that it forgets workers that are gone for good.
+func TestToken_SameIncarnation(t *testing.T) {
+	f := tokenFleet(t)
+	token := func() int64 { return f.s.workers["w-1"].fencingToken }
+	away := map[string]fleet.Worker{"w-2": f.workers["w-2"]}
+	f.s.SetWorkers(away, f.now)
+	f.s.SetWorkers(f.workers, f.now)
+	require.Equal(t, f.s.cfg.FencingToken, token())
+	for range 10 {
+		f.restart("w-1")
+		f.s.SetWorkers(f.workers, f.now)
+	}
+	require.Equal(t, f.s.cfg.FencingToken+f.s.cfg.FencingTokens-1, token())
+	f.s.SetWorkers(away, f.now.Add(lateRequestWindow))
+	require.Contains(t, f.s.workerTokens, "w-1")
+	f.s.SetWorkers(away, f.now.Add(2*lateRequestWindow+time.Second))
+	require.NotContains(t, f.s.workerTokens, "w-1")
+	require.Contains(t, f.s.workerTokens, "w-2")
+}
