Bound what accepted jobs take in memory together

Cause: each job was checked alone; nothing bounded their sum, which every entry holds and the leader builds tasks from.

Ruled out: building the tasks of large jobs as they are placed; the submissions alone take 400 kB each for jobs of 256 dependent steps.

Change: the ledger's view counts what the jobs that have not ended take (tasks, steps, dependencies). A job that it is accepting counts until the state shows it.

Why it works: a job that is not stored is held by no entry.

--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -18,6 +18,14 @@
 	// maxEstimate bounds the estimate of a task: several times the sum over MaxSteps is
 	// a time.Duration.
 	maxEstimate = 30 * 24 * time.Hour
+	// heldJobBytes, heldStepBytes, heldDependencyBytes and heldTaskBytes are what a job and
+	// each of its parts take in a leader's memory: submission, state and assignments.
+	heldJobBytes        = 1000
+	heldStepBytes       = 800
+	heldDependencyBytes = 16
+	heldTaskBytes       = 700
+	// maxOverlap is how many occurrences of a job are held at once, up to maxTasks tasks.
+	maxOverlap = 4
 )
 
 // Submission is a job as submitted by its client.
@@ -70,6 +78,23 @@
 	return tasks
 }
 
+// HeldBytes estimates what a leader holds of the job until it ends, in bytes of memory.
+func (s *Submission) HeldBytes() int64 {
+	tasks := s.Tasks()
+	held := max(tasks, min(tasks*min(max(1, s.Occurrences), maxOverlap), maxTasks))
+	return s.recordBytes() + int64(held)*heldTaskBytes
+}
+
+// recordBytes estimates what the submission and the state of its steps take.
+func (s *Submission) recordBytes() int64 {
+	bytes := int64(heldJobBytes + len(s.Spec))
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		bytes += heldStepBytes + int64(len(step.DependsOn))*heldDependencyBytes + int64(len(step.Label)+len(step.DataRack)+len(step.Image))
+	}
+	return bytes
+}
+
 // HasTask reports whether the task is one of the job's.
 func (s *Submission) HasTask(id TaskID) bool {
 	return id.Occurrence >= 0 && id.Occurrence < max(1, s.Occurrences) &&
--- a/fleetentry/fixture_test.go
+++ b/fleetentry/fixture_test.go
@@ -103,7 +103,7 @@
 	follower := NewFollower(store, log)
 	operator := NewOperatorWatcher(store, platform.Decoder{}, metrics, log)
 	appender := NewAppender(store, follower, s.Node)
-	jobService := NewJobService(follower, operator, appender, platform.Decoder{}, metrics, log)
+	jobService := NewJobService(s, follower, operator, appender, platform.Decoder{}, metrics, log)
 	var workers Workers = platform.NewWorkers(append(p.workersOptions, platform.WithAllowance(late.Allowance))...)
 	if p.wrapWorkers != nil {
 		workers = p.wrapWorkers(workers)
--- a/fleetentry/follower_test.go
+++ b/fleetentry/follower_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
+	"github.com/anvilcourse/anvilcourse/settings"
 )
 
 // pagedStore holds submissions in one stream of entries, of which one read returns a
@@ -99,7 +100,7 @@
 		_, err := f.read(t.Context(), s, 0)
 		require.NoError(t, err)
 	}
-	service := NewJobService(f, nil, nil, nil, nil, hclog.NewNullLogger())
+	service := NewJobService(settings.DefaultFleetEntry(), f, nil, nil, nil, nil, hclog.NewNullLogger())
 	require.Equal(t, fleet.ReplyState, service.state(t.Context(), fmt.Sprintf("%016x", 2)).Kind)
 	require.Equal(t, fleet.ReplyGone, service.state(t.Context(), fmt.Sprintf("%016x", 9)).Kind)
 }
--- a/fleetentry/jobservice.go
+++ b/fleetentry/jobservice.go
@@ -11,6 +11,7 @@
 	"github.com/anvilcourse/anvilcourse/fleet"
 	"github.com/anvilcourse/anvilcourse/ledger"
 	"github.com/anvilcourse/anvilcourse/provider"
+	"github.com/anvilcourse/anvilcourse/settings"
 )
 
 const (
@@ -36,6 +37,7 @@
 	follower *Follower
 	operator *OperatorWatcher
 	appender *Appender
+	memory   *jobMemory
 	decoder  Decoder
 	metrics  *Metrics
 	log      hclog.Logger
@@ -43,8 +45,8 @@
 }
 
 // NewJobService returns the service that clients call.
-func NewJobService(f *Follower, o *OperatorWatcher, a *Appender, d Decoder, m *Metrics, log hclog.Logger) *JobService {
-	return &JobService{follower: f, operator: o, appender: a, decoder: d, metrics: m, log: log.Named("callers")}
+func NewJobService(settings settings.FleetEntry, f *Follower, o *OperatorWatcher, a *Appender, d Decoder, m *Metrics, log hclog.Logger) *JobService {
+	return &JobService{follower: f, operator: o, appender: a, memory: newJobMemory(settings), decoder: d, metrics: m, log: log.Named("callers")}
 }
 
 // Serve answers one call.
@@ -141,18 +143,40 @@
 	if err != nil {
 		return fleet.Reply{Kind: fleet.ReplyInvalid, Message: err.Error()}
 	}
-	known := false
-	s.follower.Read(func(v *ledger.View) {
-		if j, ok := v.Jobs[id]; ok && j.Submission != nil {
-			known = true
-		}
-	})
-	if known {
-		return fleet.Reply{Kind: fleet.ReplyAccepted}
-	}
 	sub.ID, sub.Team, sub.ArrivedMillis = id, team, time.Now().UnixMilli()
 	sub.AcceptUnder(m, q)
-	return s.storeRecords(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, deadline)
+	switch known, reason := s.reserve(ctx, &sub); {
+	case known:
+		return fleet.Reply{Kind: fleet.ReplyAccepted}
+	case reason != "":
+		s.metrics.Add("jobs_rejected_for_memory", 1)
+		return fleet.Reply{Kind: fleet.ReplyRejected, RetryAfter: jobMemoryRetryAfter, Message: reason}
+	}
+	reply := s.storeRecords(ctx, []fleet.Record{ledger.SubmissionRecord(sub)}, deadline)
+	if reply.Kind != fleet.ReplyAccepted && reply.Kind != fleet.ReplyUnknown {
+		s.memory.release(id)
+	}
+	return reply
+}
+
+// reserve counts what the job takes in memory. It reports whether the job is known already, or
+// why there is no room for it: that is said of the newest state only, as the job may have been
+// accepted by another entry.
+func (s *JobService) reserve(ctx context.Context, sub *fleet.Submission) (known bool, reason string) {
+	try := func() {
+		s.follower.Read(func(v *ledger.View) {
+			if j := v.Jobs[sub.ID]; j != nil && j.Submission != nil {
+				known = true
+				return
+			}
+			reason = s.memory.reserve(v, sub, time.Now())
+		})
+	}
+	if try(); !known && reason != "" {
+		s.refresh(ctx, false)
+		try()
+	}
+	return known, reason
 }
 
 // storeRecords appends the records and reports the known outcome.
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -6,8 +6,10 @@
 type Job struct {
 	// Submission is nil while only a cancellation is known.
 	Submission *fleet.Submission
-	Cancelled  bool
-	Result     Result
+	// submissionBytes is what the submission takes until the job has ended.
+	submissionBytes int64
+	Cancelled       bool
+	Result          Result
 	// Tasks holds the stored assignments. Those of a finished job are deleted after its
 	// result is stored; a leader deletes what the one before has left.
 	Tasks map[fleet.TaskID]Assignment
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -19,6 +19,8 @@
 	LeaderOffset int64
 	// pending counts each queue's jobs of which no task has started.
 	pending map[string]int
+	// held is what the jobs that have not ended take, in bytes.
+	held int64
 }
 
 // NewView returns the state of an empty ledger.
@@ -30,6 +32,9 @@
 // have no schedule.
 func (v *View) Pending(queue string) int { return v.pending[queue] }
 
+// HeldBytes estimates what the jobs that have not ended take in a leader's memory, in bytes.
+func (v *View) HeldBytes() int64 { return v.held }
+
 // Apply applies one record. An error names a record that cannot be decoded; the state
 // is then unchanged.
 func (v *View) Apply(r fleet.Record) error {
@@ -74,8 +79,9 @@
 		j = &Job{}
 		v.Jobs[id] = j
 	}
-	before := j.isPending()
+	before, heldBefore := j.isPending(), j.heldBytes()
 	fn(j)
+	v.held += j.heldBytes() - heldBefore
 	after := j.isPending()
 	if before != after && j.Submission != nil {
 		if after {
@@ -86,6 +92,14 @@
 	}
 }
 
+// heldBytes returns what the job takes until it has ended.
+func (j *Job) heldBytes() int64 {
+	if j.Submission == nil || j.Cancelled || j.Result.Outcome != OutcomeNone {
+		return 0
+	}
+	return j.submissionBytes
+}
+
 func (j *Job) isPending() bool {
 	return j.Submission != nil && !j.Submission.HasSchedule() && !j.Started && !j.Cancelled && j.Result.Outcome == OutcomeNone
 }
@@ -103,7 +117,7 @@
 		return errors.Wrapf(err, "submission %s", id)
 	}
 	s.ID = id
-	v.updateJob(id, func(j *Job) { j.Submission = &s })
+	v.updateJob(id, func(j *Job) { j.Submission, j.submissionBytes = &s, s.HeldBytes() })
 	return nil
 }
 
@@ -116,8 +130,11 @@
 
 // Remove removes a job.
 func (v *View) Remove(id string) {
-	if j, known := v.Jobs[id]; known && j.isPending() {
-		v.pending[j.Submission.Queue]--
+	if j, known := v.Jobs[id]; known {
+		v.held -= j.heldBytes()
+		if j.isPending() {
+			v.pending[j.Submission.Queue]--
+		}
 	}
 	delete(v.Jobs, id)
 }
--- a/ledger/view_test.go
+++ b/ledger/view_test.go
@@ -122,3 +122,22 @@
 		require.Equal(t, ledger.StateRunning, v.Jobs["a"].State(), name)
 	}
 }
+
+// TestView_HeldBytes checks that a job counts from its submission to its end or removal, in
+// whatever order its records arrive.
+func TestView_HeldBytes(t *testing.T) {
+	v := ledger.NewView()
+	s := submission("a")
+	apply(t, v, ledger.SubmissionRecord(s), ledger.SubmissionRecord(s))
+	require.Equal(t, s.HeldBytes(), v.HeldBytes())
+	apply(t, v, ledger.ResultRecord("a", ledger.Result{Outcome: ledger.OutcomeCompleted, AtMillis: 9}), ledger.CancellationRecord("a", 10))
+	require.Zero(t, v.HeldBytes())
+	apply(t, v, ledger.CancellationRecord("b", 7), ledger.SubmissionRecord(submission("b")))
+	require.Zero(t, v.HeldBytes())
+	apply(t, v, ledger.SubmissionRecord(submission("c")))
+	require.Positive(t, v.HeldBytes())
+	for _, id := range []string{"a", "b", "c"} {
+		v.Remove(id)
+	}
+	require.Zero(t, v.HeldBytes())
+}
