Let the model's workers restart with a new clock and a leader's tokens

Why: the model let a worker's clock go on across restarts, or dropped the starts in flight, so that no schedule showed a lease or a start that was meant for the earlier life.

Change: a restarted worker's clock starts anew, and starts that are repeated reach it. Leases have a longest length. Leaders hold several tokens. The tasks of one job outlast a lease. A leader that knows of no runs on a worker may miss its crash.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -22,7 +22,7 @@
 // at any moment, are no failures.
 //
 // It assumes that a worker's restart takes longer than a poll with its retry, so that
-// a leader which polls the worker sees a failed poll before the new incarnation.
+// a leader which knows of runs there sees a failed poll before the new incarnation.
 type model struct {
 	t       *rapid.T
 	now     time.Time
@@ -52,12 +52,19 @@
 
 const (
 	modelLease = 2 * time.Second
+	// modelMaxLease is the longest lease that a worker gives.
+	modelMaxLease = 5 * time.Second
+	// modelTokens is how many fencing tokens each leader holds.
+	modelTokens = 64
 	// modelLeaderLease is for how long a fenced leader may still send what it had
 	// stored.
 	modelLeaderLease = time.Second
 	// modelMaxStop is the longest that a stop takes.
 	modelMaxStop = 200 * time.Millisecond
 	modelRunTime = 300 * time.Millisecond
+	// modelLongJob is the job whose tasks take modelLongRunTime.
+	modelLongJob     = 3
+	modelLongRunTime = 6 * time.Second
 	// modelDowntime is the shortest time between a crash and the restart.
 	modelDowntime = 500 * time.Millisecond
 	modelWorkers  = 3
