Poll a worker without runs while its assignment is stored

Cause: a worker without runs is polled each 1.4 s, so that a start goes by a status of up to that age.

Ruled out: shorter intervals for all idle workers, which cost a call each; a poll between the store's answer and the start, which delays every start by a round trip.

Change: an assignment to a worker without runs polls it at once, while the store takes the record. A poll extends leases only if a run may exist, so that this one names no deadline.

Evidence: TestRestart_WorkerWithoutRuns: no poll was requested before, and the start was sent to the restarted worker.

Why it works: the response usually comes before the store's. Where it does not, the bounds and tokens of the later incarnation hold as before.

--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -158,6 +158,28 @@
 	require.Empty(t, f.s.HandleBatchPersisted(batch.Number, f.now))
 }
 
+// TestRestart_WorkerWithoutRuns guards against a start that is decided by what an idle worker was
+// before it restarted: it is polled while the assignment is stored, and that poll extends no
+// lease by the earlier clock.
+func TestRestart_WorkerWithoutRuns(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	f.now = f.now.Add(time.Second)
+	f.s.Submit(f.newJob("j", fleet.Step{Count: 2, EstimateMillis: secondsToMillis(60)}), f.now)
+	f.s.Place(f.now)
+	batch := f.s.TakeBatch()
+	require.Equal(t, []string{"w-1"}, batch.PollSoon)
+	request, _ := f.s.PreparePoll("w-1", f.now, true)
+	require.Zero(t, request.DeadlineMillis)
+	f.restart("w-1")
+	f.poll("w-1")
+	require.Empty(t, f.s.HandleBatchPersisted(batch.Number, f.now))
+	f.s.SetWorkers(f.workers, f.now)
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, map[string]int{"w-1": 2}, f.running("j"))
+}
+
 // TestRestart_UsesAreReleased checks the capacity that the tasks of an ended incarnation
 // use: none on the worker, and none of the team's.
 func TestRestart_UsesAreReleased(t *testing.T) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -158,6 +158,7 @@
 	}
 	t.ticket = t.step.tickets.byWorker[w.info.ID]
 	t.placedLate = rankOf(t.step, 0, now).class >= classLate
+	s.pollBeforeStart(w, now)
 	s.emit(Event{Kind: "task.assigned", ID: t.id.String(), Worker: w.info.ID, Attempt: t.attempt, Reason: t.assignmentReason(w, now)})
 	s.reserveResources(t, w)
 	s.noteAssignment(t, w, now)
@@ -166,6 +167,15 @@
 	s.updateReady(t.step)
 }
 
+// pollBeforeStart polls a worker without runs while its first assignment is stored. It has been
+// polled seldom, and may have restarted since: the status tells before the start is sent.
+func (s *Scheduler) pollBeforeStart(w *worker, now time.Time) {
+	if !w.mayHaveRuns() && now.Sub(laterOf(w.lastPollAt, w.pollRequestedAt)) > statusCurrentFor {
+		w.pollRequestedAt = now
+		s.batch.PollSoon = append(s.batch.PollSoon, w.info.ID)
+	}
+}
+
 // assignmentReason returns the inputs of an assignment: the slack until the job is
 // late, the worker's free CPU and the age of the status that reported it.
 func (t *task) assignmentReason(w *worker, now time.Time) string {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,6 +36,8 @@
 	leaseStart    time.Time
 	leaseDuration time.Duration
 	lastPollAt    time.Time
+	// pollRequestedAt is when a poll was last requested for an assignment.
+	pollRequestedAt time.Time
 	// missedPolls counts the consecutive failed polls.
 	missedPolls int
 	// lastHandledOutcome is the last outcome number handled, lastRecordedOutcome the
@@ -111,6 +113,16 @@
 	return w.clockMillis + now.Sub(w.clockAt).Milliseconds()
 }
 
+// mayHaveRuns reports whether a run of an assigned task may exist on the worker.
+func (w *worker) mayHaveRuns() bool {
+	for _, t := range w.tasks {
+		if t.mayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
+
 // endpoint returns the address of this incarnation of the worker.
 func (w *worker) endpoint() fleet.Endpoint {
 	return fleet.Endpoint{WorkerID: w.info.ID, Address: w.info.Address, StartedAtMillis: w.info.StartedAtMillis, FencingToken: w.fencingToken}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -92,7 +92,7 @@
 		return fleet.PollRequest{}, false
 	}
 	request := fleet.PollRequest{FencingToken: w.fencingToken, RecordedThrough: w.outcomeToAcknowledge()}
-	if authorized && w.missedPolls == 0 && !w.clockAt.IsZero() && len(w.tasks) > 0 {
+	if authorized && w.missedPolls == 0 && !w.clockAt.IsZero() && w.mayHaveRuns() {
 		request.DeadlineMillis = w.estimatedClock(now) + s.cfg.LeaseDuration.Milliseconds()
 		w.extendLease(now, s.cfg.LeaseDuration)
 	}
