Give a later token to an incarnation that takes an unlisted one's place

What callers saw: nothing; found by reading the diff. A worker is kept without a record while a run of it may exist. The next record under its ID was taken over with the earlier incarnation's token, so that the later one would execute what was sent to the earlier one late.

Cause: such a worker has no start time, and setWorker claims a later incarnation only where one is known.

Change: when a worker's incarnation becomes known, its token is asked for anew; one that is higher marks the worker as replaced.

Why it works: the token belongs to the ID and the start time, whatever the leader holds of the worker.

--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -47,8 +47,10 @@
 	}
 	w.claimedAt = time.Time{}
 	if w.info.StartedAtMillis == 0 {
-		w.info.StartedAtMillis = status.StartedAtMillis
-		w.fencingToken = s.tokenFor(w.info)
+		info := w.info
+		info.StartedAtMillis = status.StartedAtMillis
+		s.updateToken(w, info, now)
+		w.info = info
 	}
 	if w.missedPolls > 0 {
 		s.emit(Event{Kind: "worker.reachable", ID: id})
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -56,6 +56,7 @@
 		s.emit(Event{Kind: "worker.draining", ID: id, Reason: info.Pool})
 	}
 	info.StartedAtMillis = max(info.StartedAtMillis, w.info.StartedAtMillis)
+	s.updateToken(w, info, now)
 	w.info, w.recordOutdated = info, false
 	w.evacuated = s.isEvacuated(info.AvailabilityZone)
 	w.listed = true
--- a/scheduler/workertoken.go
+++ b/scheduler/workertoken.go
@@ -37,6 +37,15 @@
 	return t.token
 }
 
+// updateToken sets the token of a worker whose incarnation was not known before. It may be another
+// one than that to which earlier requests under the ID were sent.
+func (s *Scheduler) updateToken(w *worker, info fleet.Worker, now time.Time) {
+	if token := s.tokenFor(info); token != w.fencingToken {
+		w.fencingToken = token
+		w.replaced, w.replacedAt = true, now
+	}
+}
+
 // forgetTokens forgets the tokens of workers that have been gone for long.
 func (s *Scheduler) forgetTokens(now time.Time) {
 	for id, t := range s.workerTokens {
--- a/scheduler/workertoken_test.go
+++ b/scheduler/workertoken_test.go
@@ -73,6 +73,25 @@
 	require.Equal(t, 2, f.s.findTask(start.Request.Task).attempt)
 }
 
+// TestToken_UnlistedWorker guards against a late request to an incarnation that takes the place of
+// one without a record, which is kept because a run may exist on it.
+func TestToken_UnlistedWorker(t *testing.T) {
+	f := tokenFleet(t)
+	f.s.Submit(f.newJob("j", fleet.Step{EstimateMillis: secondsToMillis(60)}), f.now)
+	f.advance(200 * time.Millisecond)
+	id := f.workerOf(taskOf("j", 0))
+	f.restart(id)
+	f.s.SetWorkers(f.workers, f.now)
+	f.s.HandlePollFailure(f.s.workers[id].endpoint(), refusedWith(provider.CodeWrongIncarnation), f.now)
+	unlisted := f.s.workers[id]
+	require.Zero(t, unlisted.info.StartedAtMillis)
+	earlier := unlisted.fencingToken
+	f.restart(id)
+	f.s.SetWorkers(f.workers, f.now)
+	require.Same(t, unlisted, f.s.workers[id])
+	require.Greater(t, unlisted.fencingToken, earlier)
+}
+
 // TestToken_SameIncarnation checks that a worker whose entry was away keeps its token, that a
 // leader never exceeds its tokens, and that it forgets workers that are gone for good.
 func TestToken_SameIncarnation(t *testing.T) {
