Name the limits of a job's tasks once, and lock once a poll

No change of behaviour but one: the lease that a poll has extended is noted under the lock that its status is handled under, in place of a second one. fleet.MaxTasks and fleet.MaxOverlap are one constant each for the check of a submission, its memory and the scheduler's window.

--- a/fleet/submission.go
+++ b/fleet/submission.go
@@ -9,8 +9,12 @@
 const (
 	// MaxSteps is how many steps a job has at most.
 	MaxSteps = 256
-	// maxTasks bounds the memory that one job can take.
-	maxTasks = 20_000
+	// MaxTasks is how many tasks a job has at most in one occurrence: it bounds the memory
+	// that one job can take.
+	MaxTasks = 20_000
+	// MaxOverlap is how many occurrences of a job may be held at once whatever others do, as
+	// long as they have MaxTasks tasks at most.
+	MaxOverlap = 4
 	// maxOccurrences limits the occurrences of a job.
 	maxOccurrences = 1_000_000
 	// maxDueMillis is the last millisecond of the year 9999, in Unix time.
@@ -24,8 +28,6 @@
 	heldStepBytes       = 800
 	heldDependencyBytes = 16
 	heldTaskBytes       = 700
-	// maxOverlap is how many occurrences of a job are held at once, up to maxTasks tasks.
-	maxOverlap = 4
 )
 
 // Submission is a job as submitted by its client.
@@ -81,7 +83,7 @@
 // HeldBytes estimates what a leader holds of the job until it ends, in bytes of memory.
 func (s *Submission) HeldBytes() int64 {
 	tasks := s.Tasks()
-	held := max(tasks, min(tasks*min(max(1, s.Occurrences), maxOverlap), maxTasks))
+	held := max(tasks, min(tasks*min(max(1, s.Occurrences), MaxOverlap), MaxTasks))
 	return s.recordBytes() + int64(held)*heldTaskBytes
 }
 
@@ -145,12 +147,12 @@
 	tasks := 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		if step.Count < 1 || step.Count > maxTasks {
-			return errors.Newf("step %d has %d tasks, outside 1 to %d", i, step.Count, maxTasks)
+		if step.Count < 1 || step.Count > MaxTasks {
+			return errors.Newf("step %d has %d tasks, outside 1 to %d", i, step.Count, MaxTasks)
 		}
 		tasks += step.Count
-		if tasks > maxTasks {
-			return errors.Newf("the job has more than %d tasks", maxTasks)
+		if tasks > MaxTasks {
+			return errors.Newf("the job has more than %d tasks", MaxTasks)
 		}
 		if step.Need.MilliCPU < 0 || step.Need.MemMB < 0 || step.Need.GPU < 0 || step.EstimateMillis < 0 {
 			return errors.Newf("step %d requests a negative amount", i)
--- a/fleetentry/workerpoller.go
+++ b/fleetentry/workerpoller.go
@@ -87,18 +87,22 @@
 // poll makes one poll, which waits for a change if longPoll is set; ok is false once
 // the worker needs no poll. Two polls may be in flight at once.
 func (p *workerPoller) poll(ctx context.Context, longPoll bool) (delay time.Duration, unstored, ok bool) {
-	result := p.attempt(ctx, longPoll, false, 0)
-	p.handleLease(result)
-	if result.known && result.err != nil && provider.OutcomeOf(result.err) == provider.Unknown {
-		result = p.retry(ctx, result)
-	}
-	if !result.known || ctx.Err() != nil {
-		return 0, false, false
+	first := p.attempt(ctx, longPoll, false, 0)
+	result := first
+	if first.known && first.err != nil && provider.OutcomeOf(first.err) == provider.Unknown {
+		result = p.retry(ctx, first)
 	}
 	l := p.leader
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	if first.deadlineMillis > 0 {
+		// This also concerns a poll of an incarnation that has been replaced meanwhile.
+		l.handleLease(p.endpoint, first.deadlineMillis, first.status.ClockMillis, first.err, now)
+	}
+	if !result.known || ctx.Err() != nil {
+		return 0, false, false
+	}
 	if result.err != nil {
 		p.missed.Add(1)
 		l.sched.HandlePollFailure(p.endpoint, result.err, now)
@@ -117,17 +121,6 @@
 	return idlePollInterval, unstored, true
 }
 
-// handleLease records how far the poll may have extended the leases. That also concerns
-// a poll of an incarnation that has been replaced meanwhile.
-func (p *workerPoller) handleLease(r pollResult) {
-	if r.deadlineMillis == 0 {
-		return
-	}
-	p.leader.mu.Lock()
-	defer p.leader.mu.Unlock()
-	p.leader.handleLease(p.endpoint, r.deadlineMillis, r.status.ClockMillis, r.err, time.Now())
-}
-
 // pollResult is the result of one attempt of a poll.
 type pollResult struct {
 	status fleet.WorkerStatus
--- a/scheduler/schedule.go
+++ b/scheduler/schedule.go
@@ -8,12 +8,9 @@
 )
 
 const (
-	// maxOverlap is how many occurrences of a job may be open whatever other jobs do, as
-	// long as they have maxOpenTasks tasks at most.
-	maxOverlap = 4
 	// maxOpenTasks bounds the tasks of the open occurrences of all jobs that are behind
 	// their schedules: a job may have as many in one occurrence.
-	maxOpenTasks = 20_000
+	maxOpenTasks = fleet.MaxTasks
 	// maxReadyTasks bounds the tasks of such a job that wait to be placed. Tasks that have
 	// found no room do not find any sooner if there are more of them.
 	maxReadyTasks = 256
@@ -76,7 +73,7 @@
 	if openOccurrences == 0 {
 		return true
 	}
-	if openOccurrences < maxOverlap && w.open+tasks <= maxOpenTasks {
+	if openOccurrences < fleet.MaxOverlap && w.open+tasks <= maxOpenTasks {
 		return true
 	}
 	return w.ready < maxReadyTasks && w.open+tasks <= w.share
--- a/scheduler/schedule_test.go
+++ b/scheduler/schedule_test.go
@@ -169,7 +169,7 @@
 			f.advance(time.Second)
 			expected := min(2*cores, len(f.s.jobs["behind"].occurrences)*max(1, 2*steps[0].MaxPerWorker))
 			require.Equal(t, expected, total(f.running("behind")))
-			require.Greater(t, len(f.s.jobs["behind"].occurrences), maxOverlap)
+			require.Greater(t, len(f.s.jobs["behind"].occurrences), fleet.MaxOverlap)
 		})
 	}
 }
@@ -186,7 +186,7 @@
 	}
 	f.s.Tick(f.now)
 	for i := range jobs {
-		require.LessOrEqual(t, f.openTasks(jobID(i)), maxOverlap*tasks)
+		require.LessOrEqual(t, f.openTasks(jobID(i)), fleet.MaxOverlap*tasks)
 	}
 	f.s.Submit(f.overdueJob("next", 1, fleet.Step{EstimateMillis: 100}), f.now)
 	f.advance(time.Second)
