Tests that fail without each part of the fixes, and what is not proved

Read once more with each part of the fixes taken out in turn (20 mutations). Placing and sending each keep tasks off a worker with an outdated record, so that one of the two alone is not missed; without both TestRestart_OtherKind is red.

Comments say incarnation, as the rest of the code.

--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -113,7 +113,7 @@
 
 // TestRestart_OtherKind guards against a task that starts on a worker without the label, or the
 // room, that it asks for: the worker has restarted as one of another kind, and the record of its
-// earlier life is the newest that the list has.
+// earlier incarnation is the newest that the list has.
 func TestRestart_OtherKind(t *testing.T) {
 	f := newTestFleet(t)
 	f.addWorker("w-1", testPool, 4)
@@ -136,7 +136,7 @@
 		f.advance(100 * time.Millisecond)
 		f.s.SetWorkers(earlier, f.now)
 	}
-	require.Empty(t, f.runs["w-1"], "a task has started by the record of the earlier life")
+	require.Empty(t, f.runs["w-1"], "a task has started by the record of the earlier incarnation")
 	f.s.SetWorkers(f.workers, f.now)
 	f.advance(100 * time.Millisecond)
 	require.Empty(t, f.running("j"))
@@ -145,7 +145,7 @@
 }
 
 // TestRestart_AssignmentInFlight guards against a start that was decided by the record of an
-// earlier life, and is sent once the assignment is stored.
+// earlier incarnation, and is sent once the assignment is stored.
 func TestRestart_AssignmentInFlight(t *testing.T) {
 	f := newTestFleet(t)
 	f.addWorker("w-1", testPool, 4)
--- a/scheduler/leasebound_test.go
+++ b/scheduler/leasebound_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestLease_StartReachesLaterIncarnation guards against a second run of a task that was
-// started with the clock of its worker's earlier life: the later life's lease lasts as long
+// started with the clock of its worker's earlier incarnation: the later one's lease lasts as long
 // as the platform allows. Either its status or the response to the start shows it.
 func TestLease_StartReachesLaterIncarnation(t *testing.T) {
 	for name, discover := range map[string]func(f *testFleet, start *StartRequest){
@@ -45,13 +45,13 @@
 			f.s.SetWorkers(f.workers, f.now)
 		},
 		"by the response": func(f *testFleet, start *StartRequest) {
-			const clockOfLaterLife = 100
-			f.s.HandleLease(start.Endpoint.WorkerID, start.Request.DeadlineMillis, clockOfLaterLife, f.now)
+			const clockOfLaterIncarnation = 100
+			f.s.HandleLease(start.Endpoint.WorkerID, start.Request.DeadlineMillis, clockOfLaterIncarnation, f.now)
 			f.s.HandleStartResponse(&start.Request, start.Endpoint, nil, f.now)
 		},
 		"by a refusal": func(f *testFleet, start *StartRequest) {
-			const clockOfLaterLife = 100
-			f.s.HandleLease(start.Endpoint.WorkerID, start.Request.DeadlineMillis, clockOfLaterLife, f.now)
+			const clockOfLaterIncarnation = 100
+			f.s.HandleLease(start.Endpoint.WorkerID, start.Request.DeadlineMillis, clockOfLaterIncarnation, f.now)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -79,7 +79,7 @@
 
 // TestLease_TakeoverAfterRestart guards against a second run of a task on a worker that has
 // restarted shortly before a takeover, and then answers no poll: an earlier leader may have
-// extended its lease by the clock of the earlier life.
+// extended its lease by the clock of the earlier incarnation.
 func TestLease_TakeoverAfterRestart(t *testing.T) {
 	const long, lately = time.Hour, time.Second
 	for name, c := range map[string]struct {
@@ -123,7 +123,7 @@
 }
 
 // TestLease_RequestInFlightAtTheReplacement guards against a lease that a request without a
-// response has extended on the later life, after a status has shown that life.
+// response has extended on the later incarnation, after a status has shown it.
 func TestLease_RequestInFlightAtTheReplacement(t *testing.T) {
 	f := twoWorkers(t)
 	f.advance(4 * time.Second)
@@ -136,3 +136,20 @@
 	f.s.HandleLeaseInDoubt(start.Endpoint, start.Request.DeadlineMillis, f.now)
 	requireBound(t, f.s.cfg.MaxLease, f.lostAfter(id, f.s.findTask(start.Request.Task)))
 }
+
+// TestLease_FirstPollOfLaterIncarnation guards against a lease that a request has extended after
+// the later incarnation was seen, and before it has answered a poll under its own token: until
+// then it executes what was sent to the one before.
+func TestLease_FirstPollOfLaterIncarnation(t *testing.T) {
+	f := twoWorkers(t)
+	f.advance(4 * time.Second)
+	start := f.placeJob("j")
+	id := start.Endpoint.WorkerID
+	f.restart(id)
+	f.startRun(start)
+	shown := fleet.WorkerStatus{ClockMillis: 100, StartedAtMillis: f.workers[id].StartedAtMillis, Active: []fleet.ActiveRun{{Task: start.Request.Task, Attempt: 1}}}
+	f.s.HandleStatus(id, &shown, f.now.Add(-time.Millisecond), f.now) // It was sent under the earlier token.
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.poll(id)
+	requireBound(t, f.s.cfg.MaxLease, f.lostAfter(id, f.s.findTask(start.Request.Task)))
+}
--- a/scheduler/schedule_test.go
+++ b/scheduler/schedule_test.go
@@ -192,3 +192,53 @@
 	f.advance(time.Second)
 	require.True(t, f.s.jobs["next"].finished)
 }
+
+// TestSchedule_StartOfFinishedOccurrence guards against a start that is repeated after its task's
+// occurrence has finished and is forgotten: the run has ended, and the worker may have restarted.
+func TestSchedule_StartOfFinishedOccurrence(t *testing.T) {
+	f := newTestFleet(t)
+	f.addWorker("w-1", testPool, 4)
+	f.advance(100 * time.Millisecond)
+	sub := f.overdueJob("behind", 1, fleet.Step{EstimateMillis: 100})
+	sub.Occurrences = 2 // The second one is due in a minute.
+	f.s.Submit(sub, f.now)
+	f.advance(400 * time.Millisecond)
+	first := fleet.TaskID{Job: "behind"}
+	require.Nil(t, f.s.findTask(first))
+	require.True(t, f.s.StartSettled(&fleet.StartRequest{Task: first, Attempt: 1}))
+}
+
+// TestSchedule_HeldBytes guards against a bound of what accepted jobs take that counts less than
+// the scheduler holds of them.
+func TestSchedule_HeldBytes(t *testing.T) {
+	wide := fleet.Step{Count: fleet.MaxTasks, Label: "none"}
+	var chain []fleet.Step
+	for i := range fleet.MaxSteps {
+		step := fleet.Step{Label: "none"}
+		for dependency := range i {
+			step.DependsOn = append(step.DependsOn, dependency)
+		}
+		chain = append(chain, step)
+	}
+	for name, steps := range map[string][]fleet.Step{"tasks": {wide}, "steps": chain} {
+		t.Run(name, func(t *testing.T) {
+			const jobs = 5
+			f := newTestFleet(t)
+			before, counted := heapInUse(), int64(0)
+			for i := range jobs {
+				own := make([]fleet.Step, len(steps))
+				for k, step := range steps {
+					own[k] = step
+					own[k].DependsOn = append([]int(nil), step.DependsOn...)
+				}
+				sub := f.newJob(jobID(i), own...)
+				counted += sub.HeldBytes()
+				f.s.Submit(sub, f.now)
+			}
+			held := heapInUse() - before
+			t.Logf("%d bytes held, %d counted", held, counted)
+			require.Less(t, held, counted)
+			runtime.KeepAlive(f)
+		})
+	}
+}
