--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -106,6 +106,9 @@
 	MemMB    int    `json:"mem-mb"`
 	Estimate int    `json:"est-runtime-ms"`
 	Image    string `json:"image,omitempty"`
+	// Gang tasks work only together, RackLocal ones take longer on several racks.
+	Gang      bool `json:"gang,omitempty"`
+	RackLocal bool `json:"rack-local,omitempty"`
 }
 
 func jobBody(spec string, phases ...phase) []byte {
--- a/review/standin-3/entry.go
+++ b/review/standin-3/entry.go
@@ -30,10 +30,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	pid     int
 	closing bool
-	// stopping is set while the platform itself ends the process.
-	stopping bool
 	// ends counts how often the process has ended by itself, outOfMemory how often of these its
 	// memory was over the limit; peakMB is the most that it had.
 	ends, outOfMemory int
@@ -96,7 +93,7 @@
 	if err := p.Start(); err != nil {
 		return err
 	}
-	e.process, e.pid, e.gone = p, p.Process.Pid, make(chan struct{})
+	e.process, e.gone = p, make(chan struct{})
 	e.record.logf("%s: process started", e.name)
 	go e.watch(p, e.gone)
 	return nil
@@ -128,14 +125,13 @@
 	}
 	close(gone)
 	e.mu.Lock()
-	byItself := !e.stopping && !e.closing
+	byItself := !e.closing
 	if byItself {
 		e.ends++
 		if killed {
 			e.outOfMemory++
 		}
 	}
-	e.stopping = false
 	closing := e.closing
 	e.mu.Unlock()
 	e.record.logf("%s: process ended (%s)", e.name, p.ProcessState)
@@ -166,17 +162,6 @@
 	return 0
 }
 
-// signal sends the process a signal of the platform.
-func (e *entry) signal(sig syscall.Signal) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
-		e.stopping = true
-	}
-	e.record.logf("%s: %s", e.name, sig)
-	_ = e.process.Process.Signal(sig)
-}
-
 // close ends the process for good.
 func (e *entry) close() {
 	e.mu.Lock()
--- a/review/standin-3/finishedjobs.go
+++ b/review/standin-3/finishedjobs.go
@@ -12,7 +12,9 @@
 	readyWithin = 10 * time.Second
 	pool        = "desk"
 	// machineMB is the memory of a machine, finishTime is finish_s, as the small sites have them.
-	machineMB  = 284
+	machineMB = 284
+	// workerCPU is what a worker has, in thousandths of a core.
+	workerCPU  = 16_000
 	finishTime = 14 * time.Second
 	// callersAtOnce clients hand in one job after the other, each after the end of the last.
 	callersAtOnce = 8
@@ -32,7 +34,7 @@
 // before its client hands in the next. After the traffic and finish_s it asks for all of them, and
 // fails if one that was accepted gets no answer.
 func finishedJobs(b *bed) (int, error) {
-	if err := b.startSite(); err != nil {
+	if err := b.startSite([]int{2, 2}, 4*workerCPU); err != nil {
 		return notRun, err
 	}
 	size := largeBody
@@ -43,13 +45,7 @@
 	b.record.logf("end of the traffic")
 	time.Sleep(finishTime)
 	unanswered := b.askForAll(accepted)
-	for _, e := range b.entries {
-		e.mu.Lock()
-		line := fmt.Sprintf("%s: at most %d of %d MB, ended by itself %d times, %d of them over its memory", e.name, e.peakMB, e.memoryMB, e.ends, e.outOfMemory)
-		e.mu.Unlock()
-		b.record.logf("%s", line)
-		fmt.Println(line)
-	}
+	b.reportMemory()
 	line := fmt.Sprintf("%d jobs of %d bytes accepted, %d of them without an answer %s after the traffic", len(accepted), size, unanswered, finishTime)
 	b.record.logf("%s", line)
 	fmt.Println(line)
@@ -59,18 +55,22 @@
 	return ruleHeld, nil
 }
 
-// startSite starts the store, four workers of one service and three entries.
-func (b *bed) startSite() error {
+// startSite starts the store, the workers of one service and three entries. Racks tells how many
+// workers each rack has; the tenant may have capCPU running, in thousandths of a core.
+func (b *bed) startSite(racks []int, capCPU int) error {
 	if err := b.serveStore(); err != nil {
 		return err
 	}
-	b.store.put("keyed.op", "config", manifest(1, pool, 100, 64_000))
-	for i := range 4 {
-		w, err := startWorker(b.store, b.record, fmt.Sprintf("i-%d", i), pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i), 16_000, taskTime)
-		if err != nil {
-			return err
+	b.store.put("keyed.op", "config", manifest(1, pool, 100, capCPU))
+	for rack, workers := range racks {
+		for range workers {
+			name := fmt.Sprintf("i-%d", len(b.workers))
+			w, err := startWorker(b.store, b.record, name, pool, fmt.Sprintf("z%d", rack%2), fmt.Sprintf("r%d", rack), workerCPU, taskTime)
+			if err != nil {
+				return err
+			}
+			b.workers = append(b.workers, w)
 		}
-		b.workers = append(b.workers, w)
 	}
 	return b.addEntries(3, machineMB)
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -33,7 +33,10 @@
 }
 
 var cases = map[string]func(*bed) (int, error){
-	"finished-jobs": finishedJobs,
+	"finished-jobs":   finishedJobs,
+	"cancelled-jobs":  cancelledJobs,
+	"rack-local-gang": rackLocalGang,
+	"rack-local-step": rackLocalStep,
 }
 
 func main() {
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -13,6 +13,19 @@
 	file   *os.File
 	begin  time.Time
 	starts map[string]int
+	gangs  map[string]*gang
+	// jobs is what the clients have handed in.
+	jobs map[string]jobKind
+}
+
+// jobKind is how the runs of a job's tasks go.
+type jobKind struct {
+	// duration is how long a run takes; 0 for the worker's own time.
+	duration time.Duration
+	// gang is how many tasks work only together; 0 for none.
+	gang int
+	// failsAfter is when a run ends by its own fault, by its task's index; only the first one does.
+	failsAfter map[int]time.Duration
 }
 
 func newRecord(path string) (*record, error) {
@@ -20,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, begin: time.Now(), starts: map[string]int{}}, nil
+	return &record{file: f, begin: time.Now(), starts: map[string]int{}, gangs: map[string]*gang{}, jobs: map[string]jobKind{}}, nil
 }
 
 func (r *record) logf(format string, args ...any) {
@@ -29,6 +42,19 @@
 	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.begin).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// define notes how a job's runs go.
+func (r *record) define(job string, kind jobKind) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs[job] = kind
+}
+
+func (r *record) kindOf(task string) jobKind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[jobOf(task)]
+}
+
 func (r *record) started(worker, task string, attempt int) {
 	r.mu.Lock()
 	r.starts[jobOf(task)]++
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,36 +30,119 @@
 	active   map[string]*run
 	highest  map[string]int
 	finished [][]any
+	// draining workers report that they will leave; those that have left answer nothing.
+	draining, left bool
+	leavesAt       time.Time
+	store          *store
+	server         *http.Server
 }
 
+// reportInterval is heartbeat-ms: how often a worker writes its entry.
+const reportInterval = 1500 * time.Millisecond
+
 type run struct {
-	attempt int
-	until   time.Time
+	attempt     int
+	from, until time.Time
+	// how is how the run ends at until.
+	how string
+	// gang is that of the run; nil for none.
+	gang *gang
+	// stopped is when a stop takes effect; zero for none.
+	stopped time.Time
 }
 
+// stopTime is how long a stop takes: at most stop_ms.
+const stopTime = 500 * time.Millisecond
+
 // startWorker starts a worker and registers it in the store.
 func startWorker(s *store, rec *record, name, pool, zone, rack string, milliCPU int64, duration time.Duration) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: name, addr: l.Addr().String(), pool: pool, zone: zone, rack: rack, milliCPU: milliCPU, duration: duration, born: time.Now(), record: rec,
+	w := &worker{id: name, addr: l.Addr().String(), pool: pool, zone: zone, rack: rack, store: s, milliCPU: milliCPU, duration: duration, born: time.Now(), record: rec,
 		active: map[string]*run{}, highest: map[string]int{}}
 	server := &http.Server{Handler: w}
+	w.server = server
 	go func() { _ = server.Serve(l) }()
 	go func() {
-		for sequence := 1; ; sequence++ {
-			s.put("keyed.servers", w.id, map[string]any{
-				"service": pool, "addr": w.addr, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
-				"capacity": map[string]int64{"cpu": milliCPU, "mem-mb": 65536, "gpu": 0}, "labels": []string{"a", rack},
-				"machine": "m-" + name, "sequence": sequence, "born": w.born.UnixMilli(),
-			})
-			time.Sleep(1500 * time.Millisecond)
+		for range time.Tick(5 * time.Millisecond) {
+			w.mu.Lock()
+			w.update()
+			w.mu.Unlock()
+		}
+	}()
+	go func() {
+		for sequence := 1; !w.hasLeft(); sequence++ {
+			s.put("keyed.servers", w.id, w.report(sequence))
+			time.Sleep(reportInterval)
 		}
 	}()
 	return w, nil
 }
 
+func (w *worker) hasLeft() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left
+}
+
+// report is what the worker writes of itself.
+func (w *worker) report(sequence int) map[string]any {
+	out := map[string]any{
+		"service": w.pool, "addr": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
+		"capacity": map[string]int64{"cpu": w.milliCPU, "mem-mb": 65536, "gpu": 0}, "labels": []string{"a", w.rack},
+		"machine": "m-" + w.id, "sequence": sequence, "born": w.born.UnixMilli(),
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.draining {
+		out["state"], out["remaining-ms"] = "draining", max(0, time.Until(w.leavesAt).Milliseconds())
+	}
+	return out
+}
+
+// crash ends the worker for good. Its entry is removed after three status report intervals of
+// silence.
+func (w *worker) crash() {
+	w.record.logf("%s crashes for good", w.id)
+	w.leave()
+	time.AfterFunc(3*reportInterval, func() { w.store.put("keyed.servers", w.id, nil) })
+}
+
+// drain makes the worker report that it is draining. It goes on for as long as it is told and
+// exits then.
+func (w *worker) drain(lasts time.Duration) {
+	w.record.logf("%s is draining", w.id)
+	w.mu.Lock()
+	w.draining, w.leavesAt = true, time.Now().Add(lasts)
+	w.mu.Unlock()
+	time.AfterFunc(lasts, func() {
+		w.record.logf("%s leaves", w.id)
+		w.leave()
+		w.store.put("keyed.servers", w.id, nil)
+	})
+}
+
+// leave ends the worker's process and all that runs there.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = true
+	for task := range w.active {
+		w.end(task, "gone")
+	}
+	// Nothing is in flight that an error could tell of.
+	_ = w.server.Close()
+}
+
+// runs returns how many runs the worker has.
+func (w *worker) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active)
+}
+
 type workerCall struct {
 	Task     string `json:"task"`
 	Attempt  int    `json:"attempt"`
@@ -102,8 +185,8 @@
 		w.start(rw, call)
 	case "/run-stop":
 		w.highest[call.Task] = max(w.highest[call.Task], call.Attempt)
-		if running, found := w.active[call.Task]; found && running.attempt <= call.Attempt {
-			w.end(call.Task, "stopped")
+		if running, found := w.active[call.Task]; found && running.attempt <= call.Attempt && running.stopped.IsZero() {
+			running.stopped = time.Now().Add(stopTime)
 		}
 		w.answer(rw, http.StatusOK, "")
 	case "/hold":
@@ -142,15 +225,34 @@
 		w.answer(rw, http.StatusConflict, "old")
 		return
 	}
-	w.active[call.Task] = &run{attempt: call.Attempt, until: time.Now().Add(w.duration)}
+	w.active[call.Task] = w.newRun(call)
 	w.record.started(w.id, call.Task, call.Attempt)
 	w.answer(rw, http.StatusOK, "")
 }
 
+// newRun returns the run of the call.
+func (w *worker) newRun(call workerCall) *run {
+	kind, now := w.record.kindOf(call.Task), time.Now()
+	if kind.duration == 0 {
+		kind.duration = w.duration
+	}
+	out := &run{attempt: call.Attempt, from: now, until: now.Add(kind.duration), how: "done"}
+	if after := kind.failsAfter[indexOf(call.Task)]; after > 0 && call.Attempt == 1 {
+		out.until, out.how = now.Add(after), "failed"
+	}
+	if kind.gang > 0 {
+		out.gang = w.record.joinGang(call.Task, call.Attempt, kind)
+	}
+	return out
+}
+
 // end ends a run and lists its end. The lock is held.
 func (w *worker) end(task, how string) {
 	running := w.active[task]
 	delete(w.active, task)
+	if running.gang != nil && how != "done" {
+		running.gang.leave()
+	}
 	w.ends++
 	w.finished = append(w.finished, []any{w.ends, task, running.attempt, how, ""})
 	w.highest[task] = max(w.highest[task], running.attempt)
@@ -161,9 +263,14 @@
 func (w *worker) update() {
 	now, lapsed := time.Now(), w.clock() > w.deadline
 	for task, running := range w.active {
+		if running.gang != nil {
+			running.until, running.how = running.gang.end(running.from)
+		}
 		switch {
 		case !now.Before(running.until):
-			w.end(task, "done")
+			w.end(task, running.how)
+		case !running.stopped.IsZero() && !now.Before(running.stopped):
+			w.end(task, "stopped")
 		case lapsed:
 			w.end(task, "lapsed")
 		}
@@ -180,12 +287,11 @@
 		w.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		w.mu.Lock()
-		w.update()
 	}
 	active := [][]any{}
 	for task, running := range w.active {
-		left := time.Until(running.until)
-		active = append(active, []any{task, running.attempt, "", 100 - int(100*left/max(w.duration, 1)), 1000})
+		percent := int(100 * time.Since(running.from) / max(running.until.Sub(running.from), 1))
+		active = append(active, []any{task, running.attempt, "", min(percent, 99), 1000})
 	}
 	reply(rw, http.StatusOK, map[string]any{
 		"clock-ms": w.clock(), "born": w.born.UnixMilli(), "active": active, "finished": append([][]any{}, w.finished[:min(len(w.finished), 500)]...),
@@ -198,4 +304,11 @@
 	return job
 }
 
-func (w *worker) String() string { return fmt.Sprintf("worker %s at %s", w.id, w.addr) }
+// indexOf returns the index of a task in its step.
+func indexOf(task string) int {
+	n, err := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+	if err != nil {
+		return -1
+	}
+	return n
+}
