--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -109,6 +109,11 @@
 	// Gang tasks work only together, RackLocal ones take longer on several racks.
 	Gang      bool `json:"gang,omitempty"`
 	RackLocal bool `json:"rack-local,omitempty"`
+	// LongRunning tasks run until their job is cancelled; MayMiss of them may be away at once.
+	LongRunning bool `json:"long-running,omitempty"`
+	MayMiss     int  `json:"may-miss,omitempty"`
+	// AntiAffinity is how many of the tasks one worker may have; 0 for any.
+	AntiAffinity int `json:"anti-affinity,omitempty"`
 }
 
 func jobBody(spec string, phases ...phase) []byte {
--- a/review/standin-3/finishedjobs.go
+++ b/review/standin-3/finishedjobs.go
@@ -31,8 +31,8 @@
 )
 
 // finishedJobs lets clients hand in jobs with bodies of legal size, each of which is completed
-// before its client hands in the next. After the traffic and finish_s it asks for all of them, and
-// fails if one that was accepted gets no answer.
+// before its client hands in the next. After the traffic and finish_s it asks for all of them. It
+// fails if one that was accepted gets no answer, or has had no run though all workers are idle.
 func finishedJobs(b *bed) (int, error) {
 	if err := b.startSite([]int{2, 2}, 4*workerCPU); err != nil {
 		return notRun, err
@@ -46,10 +46,11 @@
 	time.Sleep(finishTime)
 	unanswered := b.askForAll(accepted)
 	b.reportMemory()
-	line := fmt.Sprintf("%d jobs of %d bytes accepted, %d of them without an answer %s after the traffic", len(accepted), size, unanswered, finishTime)
+	notBegun := b.record.notBegun(accepted)
+	line := fmt.Sprintf("%d jobs of %d bytes accepted; %s after the traffic %d of them have had no run, and %d get no answer", len(accepted), size, finishTime, notBegun, unanswered)
 	b.record.logf("%s", line)
 	fmt.Println(line)
-	if unanswered > 0 {
+	if notBegun > 0 || unanswered > 0 {
 		return ruleBroken, nil
 	}
 	return ruleHeld, nil
--- a/review/standin-3/racklocal.go
+++ b/review/standin-3/racklocal.go
@@ -10,6 +10,10 @@
 	gangSize = 4
 	// longWait is how long a rule looks at a job that has nothing running.
 	longWait = 3 * time.Second
+	// lostFor is how long after the loss of its worker a work item that lasts is looked at: well over
+	// the 6 s, and the 4 s of calm, of the rule.
+	lostFor = 20 * time.Second
+	taskCPU = 1800
 )
 
 // rackLocalGang hands in a rack-local gang that fits on one rack only, after a worker of that rack
@@ -28,9 +32,8 @@
 	return b.handInLast(id, body)
 }
 
-// rackLocalStep hands in a job of two tasks that share a rack. While they run, both workers of
-// the rack report that they drain; one task fails by its own fault, and the other is completed
-// before the workers leave.
+// rackLocalStep hands in a job of two work items that last, share a rack and must not share a worker.
+// Once they work, the worker of one of them is lost for good, and its rack has no other for it.
 func rackLocalStep(b *bed) (int, error) {
 	racks := make([]int, 16)
 	for i := range racks {
@@ -40,22 +43,56 @@
 		return notRun, err
 	}
 	time.Sleep(2 * reportInterval)
-	id := jobID(1)
-	b.record.define(id, jobKind{duration: 5 * time.Second, failsAfter: map[int]time.Duration{1: 3 * time.Second}})
+	c, id := newClient(b.record, b.entries, 0), jobID(1)
+	b.record.define(id, jobKind{duration: time.Hour})
+	body := jobBody("pair", phase{Count: 2, CPU: taskCPU, MemMB: 256, Estimate: 900, RackLocal: true, LongRunning: true, AntiAffinity: 1, MayMiss: 1})
+	if !c.submit(id, body) {
+		return notRun, errors.New("the job was not accepted")
+	}
+	var atWork []*worker
+	if err := waitUntil(10*time.Second, func() bool {
+		atWork = b.workersAtWork()
+		return len(atWork) == 2
+	}); err != nil {
+		return notRun, err
+	}
+	time.Sleep(3 * time.Second)
 	if b.trouble {
-		go func() {
-			if waitUntil(10*time.Second, func() bool { return b.record.startsOf(id) == 2 }) != nil {
-				return
-			}
-			for _, w := range b.workers {
-				if w.runs() > 0 {
-					w.drain(6500 * time.Millisecond)
-				}
-			}
-		}()
+		atWork[1].crash()
 	}
-	body := jobBody("pair", phase{Count: 2, CPU: workerCPU, MemMB: 256, Estimate: 5000, RackLocal: true})
-	return b.handInLast(id, body)
+	time.Sleep(lostFor)
+	most := 0
+	for end := time.Now().Add(longWait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		most = max(most, len(b.workersAtWork()))
+	}
+	line := fmt.Sprintf("%s later at most %d of 2 work items have run in %s; %d workers have nothing to do", lostFor, most, longWait, b.idleWorkers())
+	b.record.logf("%s", line)
+	fmt.Println(line)
+	if most < 2 {
+		return ruleBroken, nil
+	}
+	return ruleHeld, nil
+}
+
+// workersAtWork returns the workers that have runs.
+func (b *bed) workersAtWork() []*worker {
+	var out []*worker
+	for _, w := range b.workers {
+		if w.runs() > 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (b *bed) idleWorkers() int {
+	n := 0
+	for _, w := range b.workers {
+		if !w.hasLeft() && w.runs() == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // handInLast hands in the last job of the traffic. It fails if, finish_s later, the job is not
@@ -75,13 +112,7 @@
 			runs += w.runs()
 		}
 	}
-	free := 0
-	for _, w := range b.workers {
-		if !w.hasLeft() {
-			free++
-		}
-	}
-	line := fmt.Sprintf("%s after the traffic the job is %q, %d runs were seen in %s; %d workers have nothing to do", finishTime, state, runs, longWait, free)
+	line := fmt.Sprintf("%s after the traffic the job is %q, %d runs were seen in %s; %d workers have nothing to do", finishTime, state, runs, longWait, b.idleWorkers())
 	b.record.logf("%s", line)
 	fmt.Println(line)
 	if state == "" {
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -9,11 +9,12 @@
 
 // record writes what is sent, answered and run into a file, with the seconds since its start.
 type record struct {
-	mu     sync.Mutex
-	file   *os.File
-	begin  time.Time
-	starts map[string]int
-	gangs  map[string]*gang
+	mu    sync.Mutex
+	file  *os.File
+	begin time.Time
+	gangs map[string]*gang
+	// begun holds the jobs of which a run has started.
+	begun map[string]bool
 	// jobs is what the clients have handed in.
 	jobs map[string]jobKind
 }
@@ -24,8 +25,6 @@
 	duration time.Duration
 	// gang is how many tasks work only together; 0 for none.
 	gang int
-	// failsAfter is when a run ends by its own fault, by its task's index; only the first one does.
-	failsAfter map[int]time.Duration
 }
 
 func newRecord(path string) (*record, error) {
@@ -33,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, begin: time.Now(), starts: map[string]int{}, gangs: map[string]*gang{}, jobs: map[string]jobKind{}}, nil
+	return &record{file: f, begin: time.Now(), gangs: map[string]*gang{}, begun: map[string]bool{}, jobs: map[string]jobKind{}}, nil
 }
 
 func (r *record) logf(format string, args ...any) {
@@ -57,7 +56,7 @@
 
 func (r *record) started(worker, task string, attempt int) {
 	r.mu.Lock()
-	r.starts[jobOf(task)]++
+	r.begun[jobOf(task)] = true
 	r.mu.Unlock()
 	r.logf("%s starts %s run %d", worker, task, attempt)
 }
@@ -66,9 +65,15 @@
 	r.logf("%s ends %s run %d: %s", worker, task, attempt, how)
 }
 
-// startsOf returns how many runs of the job's tasks have started.
-func (r *record) startsOf(job string) int {
+// notBegun returns how many of the jobs have had no run.
+func (r *record) notBegun(jobs []string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.starts[job]
+	n := 0
+	for _, job := range jobs {
+		if !r.begun[job] {
+			n++
+		}
+	}
+	return n
 }
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,11 +29,10 @@
 	active   map[string]*run
 	highest  map[string]int
 	finished [][]any
-	// draining workers report that they will leave; those that have left answer nothing.
-	draining, left bool
-	leavesAt       time.Time
-	store          *store
-	server         *http.Server
+	// left workers answer nothing.
+	left   bool
+	store  *store
+	server *http.Server
 }
 
 // reportInterval is heartbeat-ms: how often a worker writes its entry.
@@ -51,6 +49,9 @@
 	stopped time.Time
 }
 
+// lasting is the duration from which a run counts as one that lasts.
+const lasting = 10 * time.Minute
+
 // stopTime is how long a stop takes: at most stop_ms.
 const stopTime = 500 * time.Millisecond
 
@@ -89,17 +90,11 @@
 
 // report is what the worker writes of itself.
 func (w *worker) report(sequence int) map[string]any {
-	out := map[string]any{
+	return map[string]any{
 		"service": w.pool, "addr": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
 		"capacity": map[string]int64{"cpu": w.milliCPU, "mem-mb": 65536, "gpu": 0}, "labels": []string{"a", w.rack},
 		"machine": "m-" + w.id, "sequence": sequence, "born": w.born.UnixMilli(),
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.draining {
-		out["state"], out["remaining-ms"] = "draining", max(0, time.Until(w.leavesAt).Milliseconds())
-	}
-	return out
 }
 
 // crash ends the worker for good. Its entry is removed after three status report intervals of
@@ -110,20 +105,6 @@
 	time.AfterFunc(3*reportInterval, func() { w.store.put("keyed.servers", w.id, nil) })
 }
 
-// drain makes the worker report that it is draining. It goes on for as long as it is told and
-// exits then.
-func (w *worker) drain(lasts time.Duration) {
-	w.record.logf("%s is draining", w.id)
-	w.mu.Lock()
-	w.draining, w.leavesAt = true, time.Now().Add(lasts)
-	w.mu.Unlock()
-	time.AfterFunc(lasts, func() {
-		w.record.logf("%s leaves", w.id)
-		w.leave()
-		w.store.put("keyed.servers", w.id, nil)
-	})
-}
-
 // leave ends the worker's process and all that runs there.
 func (w *worker) leave() {
 	w.mu.Lock()
@@ -237,9 +218,6 @@
 		kind.duration = w.duration
 	}
 	out := &run{attempt: call.Attempt, from: now, until: now.Add(kind.duration), how: "done"}
-	if after := kind.failsAfter[indexOf(call.Task)]; after > 0 && call.Attempt == 1 {
-		out.until, out.how = now.Add(after), "failed"
-	}
 	if kind.gang > 0 {
 		out.gang = w.record.joinGang(call.Task, call.Attempt, kind)
 	}
@@ -291,7 +269,10 @@
 	active := [][]any{}
 	for task, running := range w.active {
 		percent := int(100 * time.Since(running.from) / max(running.until.Sub(running.from), 1))
-		active = append(active, []any{task, running.attempt, "", min(percent, 99), 1000})
+		if running.until.Sub(running.from) >= lasting {
+			percent = 100 // It is at work after its startup.
+		}
+		active = append(active, []any{task, running.attempt, "", min(percent, 100), 1000})
 	}
 	reply(rw, http.StatusOK, map[string]any{
 		"clock-ms": w.clock(), "born": w.born.UnixMilli(), "active": active, "finished": append([][]any{}, w.finished[:min(len(w.finished), 500)]...),
@@ -303,12 +284,3 @@
 	job, _, _ := strings.Cut(task, ".")
 	return job
 }
-
-// indexOf returns the index of a task in its step.
-func indexOf(task string) int {
-	n, err := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
-	if err != nil {
-		return -1
-	}
-	return n
-}
