--- a/review/standin-3/entry.go
+++ b/review/standin-3/entry.go
@@ -31,6 +31,9 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	closing bool
+	// stopping is set while the platform itself ends the process, starts counts its starts.
+	stopping bool
+	starts   int
 	// ends counts how often the process has ended by itself, outOfMemory how often of these its
 	// memory was over the limit; peakMB is the most that it had.
 	ends, outOfMemory int
@@ -94,6 +97,7 @@
 		return err
 	}
 	e.process, e.gone = p, make(chan struct{})
+	e.starts++
 	e.record.logf("%s: process started", e.name)
 	go e.watch(p, e.gone)
 	return nil
@@ -125,7 +129,8 @@
 	}
 	close(gone)
 	e.mu.Lock()
-	byItself := !e.closing
+	byItself := !e.closing && !e.stopping
+	e.stopping = false
 	if byItself {
 		e.ends++
 		if killed {
@@ -162,6 +167,31 @@
 	return 0
 }
 
+// restart stops the process as the platform does, and waits until the next one is ready.
+func (e *entry) restart(grace time.Duration) error {
+	e.mu.Lock()
+	e.stopping = true
+	starts, gone, p := e.starts, e.gone, e.process
+	e.mu.Unlock()
+	e.record.logf("%s: SIGTERM", e.name)
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-gone:
+	case <-time.After(grace):
+		e.record.logf("%s: SIGKILL", e.name)
+		_ = p.Process.Kill()
+		<-gone
+	}
+	return waitUntil(readyWithin, func() bool {
+		e.mu.Lock()
+		again := e.starts > starts
+		e.mu.Unlock()
+		return again && e.ready()
+	})
+}
+
 // close ends the process for good.
 func (e *entry) close() {
 	e.mu.Lock()
--- a/review/standin-3/finishedjobs.go
+++ b/review/standin-3/finishedjobs.go
@@ -41,7 +41,7 @@
 	if !b.trouble {
 		size = ordinaryBody
 	}
-	accepted := b.handIn(size)
+	accepted := b.handIn(sizedBody(size), callersAtOnce, mostJobs, loadFor)
 	b.record.logf("end of the traffic")
 	time.Sleep(finishTime)
 	unanswered := b.askForAll(accepted)
@@ -76,29 +76,30 @@
 	return b.addEntries(3, machineMB)
 }
 
-// handIn plays the traffic and returns the accepted jobs.
-func (b *bed) handIn(size int) []string {
+// handIn plays the traffic and returns the accepted jobs: callers hand in one job after the other,
+// each after the end of its last, until there were so many jobs or the time is over.
+func (b *bed) handIn(body []byte, callers, most int, lasts time.Duration) []string {
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	var handedIn int
+	handedIn := b.handedIn
 	var accepted []string
-	until := time.Now().Add(loadFor)
+	until := time.Now().Add(lasts)
 	next := func() string {
 		mu.Lock()
 		defer mu.Unlock()
-		if handedIn == mostJobs || time.Now().After(until) {
+		if handedIn == b.handedIn+most || time.Now().After(until) {
 			return ""
 		}
 		handedIn++
 		return jobID(handedIn)
 	}
-	for n := range callersAtOnce {
+	for n := range callers {
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			c := newClient(b.record, b.entries, n)
 			for id := next(); id != ""; id = next() {
-				if !c.submit(id, sizedBody(size)) {
+				if !c.submit(id, body) {
 					continue
 				}
 				mu.Lock()
@@ -109,6 +110,7 @@
 		}()
 	}
 	group.Wait()
+	b.handedIn = handedIn
 	return accepted
 }
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -29,11 +29,16 @@
 	dir     string
 	binary  string
 	storeAt string
-	vmsAt   string
+	// handedIn counts the jobs that the clients have handed in.
+	handedIn int
+	vmsAt    string
+	// linkRate is the rate of each entry's link to the store, in bytes a second; 0 for no limit.
+	linkRate float64
 }
 
 var cases = map[string]func(*bed) (int, error){
 	"finished-jobs":   finishedJobs,
+	"slow-links":      slowLinks,
 	"cancelled-jobs":  cancelledJobs,
 	"rack-local-gang": rackLocalGang,
 	"rack-local-step": rackLocalStep,
@@ -123,7 +128,15 @@
 		return err
 	}
 	for i := range n {
-		e, err := newEntry(b.record, binary, b.dir, fmt.Sprintf("entry-%d", i), fmt.Sprintf("z%d", i), b.storeAt, b.vmsAt, memoryMB)
+		storeAt := b.storeAt
+		if b.linkRate > 0 {
+			l, err := newLink(storeAt, b.linkRate)
+			if err != nil {
+				return err
+			}
+			storeAt = l.address()
+		}
+		e, err := newEntry(b.record, binary, b.dir, fmt.Sprintf("entry-%d", i), fmt.Sprintf("z%d", i), storeAt, b.vmsAt, memoryMB)
 		if err != nil {
 			return err
 		}
